--- /dev/null
+++ b/packages/cli/src/cardamomquay_cli/__init__.py
@@ -0,0 +1,3 @@
+"""The operators' command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/core/src/cardamomquay/__init__.py
@@ -0,0 +1,3 @@
+"""Coordination parts for global traffic steering."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/__init__.py
@@ -0,0 +1,3 @@
+"""The traffic steering daemon."""
+
+from __future__ import annotations
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins, load tool, demo and benchmarks."""
+
+from __future__ import annotations
