--- /dev/null
+++ b/packages/core/src/cardamomquay/admission/__init__.py
@@ -0,0 +1,10 @@
+"""Admission of requests by organisation."""
+
+from __future__ import annotations
+
+from cardamomquay.admission._admission import Admission
+from cardamomquay.admission._admission import Admitted
+from cardamomquay.admission._admission import StaticSplitAdmission
+from cardamomquay.admission._admission import TokenBucket
+
+__all__ = ["Admission", "Admitted", "StaticSplitAdmission", "TokenBucket"]
--- /dev/null
+++ b/packages/core/src/cardamomquay/balancing/__init__.py
@@ -0,0 +1,19 @@
+"""Choice of upstreams."""
+
+from __future__ import annotations
+
+from cardamomquay.balancing._chooser import Observation
+from cardamomquay.balancing._chooser import ObservedResult
+from cardamomquay.balancing._chooser import RandomChooser
+from cardamomquay.balancing._chooser import Reservation
+from cardamomquay.balancing._chooser import RoundRobinChooser
+from cardamomquay.balancing._chooser import UpstreamChooser
+
+__all__ = [
+    "Observation",
+    "ObservedResult",
+    "RandomChooser",
+    "Reservation",
+    "RoundRobinChooser",
+    "UpstreamChooser",
+]
--- /dev/null
+++ b/packages/core/src/cardamomquay/clock/__init__.py
@@ -0,0 +1,9 @@
+"""Clocks that count suspension, for production and for tests."""
+
+from __future__ import annotations
+
+from cardamomquay.clock._clock import Clock
+from cardamomquay.clock._clock import ManualClock
+from cardamomquay.clock._clock import SystemClock
+
+__all__ = ["Clock", "ManualClock", "SystemClock"]
--- /dev/null
+++ b/packages/core/src/cardamomquay/config/__init__.py
@@ -0,0 +1,51 @@
+"""The configuration: border models, dataclasses, validation and edits."""
+
+from __future__ import annotations
+
+from cardamomquay.config._border import check_address
+from cardamomquay.config._edits import HEAD
+from cardamomquay.config._edits import ConfigEdit
+from cardamomquay.config._edits import EditConflict
+from cardamomquay.config._edits import EditRejected
+from cardamomquay.config._edits import PlannedEdit
+from cardamomquay.config._edits import RowChange
+from cardamomquay.config._edits import head_version
+from cardamomquay.config._edits import plan_edit
+from cardamomquay.config._model import TABLES
+from cardamomquay.config._model import Config
+from cardamomquay.config._model import Link
+from cardamomquay.config._model import MovePlan
+from cardamomquay.config._model import Organisation
+from cardamomquay.config._model import Pool
+from cardamomquay.config._model import RegionCapacity
+from cardamomquay.config._model import Route
+from cardamomquay.config._model import StoredKey
+from cardamomquay.config._model import Upstream
+from cardamomquay.config._model import digest_secret
+from cardamomquay.config._validate import parse_config
+from cardamomquay.config._validate import validate_config
+
+__all__ = [
+    "HEAD",
+    "TABLES",
+    "Config",
+    "ConfigEdit",
+    "EditConflict",
+    "EditRejected",
+    "Link",
+    "MovePlan",
+    "Organisation",
+    "PlannedEdit",
+    "Pool",
+    "RegionCapacity",
+    "Route",
+    "RowChange",
+    "StoredKey",
+    "Upstream",
+    "check_address",
+    "digest_secret",
+    "head_version",
+    "parse_config",
+    "plan_edit",
+    "validate_config",
+]
--- /dev/null
+++ b/packages/core/src/cardamomquay/config/_edits.py
@@ -0,0 +1,194 @@
+"""Edits of the configuration as transactions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cardamomquay.config._model import TABLES
+from cardamomquay.config._validate import parse_config
+from cardamomquay.outcomes import Finding
+from cardamomquay.platform import Condition
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Write
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from cardamomquay.config._model import Config
+    from cardamomquay.platform import JsonValue
+
+HEAD = RowKey("config", "head")
+# Regions and links are facts of the deployment that both owners rely on, so each
+# is edited by the owner whose deployment it belongs to, like every other row.
+OWNED_TABLES = frozenset(TABLES)
+
+
+@dataclass(frozen=True, slots=True)
+class RowChange:
+    """The wanted value of a row; None deletes it."""
+
+    key: RowKey
+    value: Mapping[str, JsonValue] | None
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigEdit:
+    """An operator's edit.
+
+    Parameters
+    ----------
+    edit_id : str
+        Unique id that settles an edit whose answer was lost.
+    operator, owner : str
+        Who edits, and on whose behalf.
+    expected_version : int
+        Version that the operator saw.
+    changes : tuple of RowChange
+    accepted_at : str
+        Wall time for the audit row, in ISO 8601.
+    """
+
+    edit_id: str
+    operator: str
+    owner: str
+    expected_version: int
+    changes: tuple[RowChange, ...]
+    accepted_at: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class PlannedEdit:
+    """A valid edit: its transaction, and the configuration that it makes."""
+
+    transaction: Transaction
+    config: Config
+
+
+@dataclass(frozen=True, slots=True)
+class EditRejected:
+    """An edit that is not permitted or not valid."""
+
+    findings: tuple[Finding, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class EditConflict:
+    """Another edit was accepted first."""
+
+    version: int
+    edit_id: str
+    operator: str
+
+
+def head_version(row: Row) -> tuple[int, str, str]:
+    """Return version, edit id and operator of the head row."""
+    if row.value is None:
+        return 0, "", ""
+    return (
+        int(str(row.value["version"])),
+        str(row.value["edit_id"]),
+        str(row.value["operator"]),
+    )
+
+
+def plan_edit(
+    head: Row, rows: Sequence[Row], edit: ConfigEdit
+) -> PlannedEdit | EditRejected | EditConflict:
+    """Check an edit against the current rows and turn it into a transaction.
+
+    Parameters
+    ----------
+    head : Row
+        The head row.
+    rows : sequence of Row
+        All present configuration rows of the same snapshot.
+    edit : ConfigEdit
+
+    Returns
+    -------
+    PlannedEdit, EditRejected or EditConflict
+    """
+    version, edit_id, operator = head_version(head)
+    if version != edit.expected_version:
+        return EditConflict(version, edit_id, operator)
+    present = {row.key: row for row in rows}
+    findings = _permission_findings(present, edit)
+    if findings:
+        return EditRejected(tuple(findings))
+    merged = dict(present)
+    for change in edit.changes:
+        if change.value is None:
+            merged.pop(change.key, None)
+        else:
+            merged[change.key] = Row(change.key, 0, change.value)
+    config = parse_config(version + 1, edit.edit_id, merged.values())
+    if isinstance(config, tuple):
+        return EditRejected(config)
+    return PlannedEdit(_transaction(head, present, edit, version + 1), config)
+
+
+def _permission_findings(
+    present: Mapping[RowKey, Row], edit: ConfigEdit
+) -> list[Finding]:
+    findings = []
+    seen: set[RowKey] = set()
+    for change in edit.changes:
+        if change.key in seen:
+            findings.append(Finding(str(change.key), "", "two changes", "one change"))
+        seen.add(change.key)
+        if change.key.table not in OWNED_TABLES:
+            findings.append(
+                Finding(str(change.key), "", "an unknown table", ", ".join(TABLES))
+            )
+            continue
+        old = present.get(change.key)
+        owners = [row.get("owner") for row in (change.value,) if row is not None]
+        if old is not None and old.value is not None:
+            owners.append(old.value.get("owner"))
+        findings.extend(
+            Finding(str(change.key), "owner", repr(owner), f"{edit.owner!r}")
+            for owner in owners
+            if owner != edit.owner
+        )
+    return findings
+
+
+def _transaction(
+    head: Row, present: Mapping[RowKey, Row], edit: ConfigEdit, version: int
+) -> Transaction:
+    audit: dict[str, JsonValue] = {
+        "version": version,
+        "edit_id": edit.edit_id,
+        "operator": edit.operator,
+        "owner": edit.owner,
+        "accepted_at": edit.accepted_at,
+        "changes": [_audit_change(present, change) for change in edit.changes],
+    }
+    head_value: dict[str, JsonValue] = {
+        "version": version,
+        "edit_id": edit.edit_id,
+        "operator": edit.operator,
+    }
+    id_key = RowKey("edit_ids", edit.edit_id)
+    return Transaction(
+        conditions=(Condition(HEAD, head.version), Condition(id_key, 0)),
+        writes=(
+            *(Write(change.key, change.value) for change in edit.changes),
+            Write(HEAD, head_value),
+            Write(RowKey("edits", f"{version:012d}"), audit),
+            Write(id_key, {"version": version}),
+        ),
+    )
+
+
+def _audit_change(present: Mapping[RowKey, Row], change: RowChange) -> JsonValue:
+    old = present.get(change.key)
+    return {
+        "row": str(change.key),
+        "old": None if old is None else old.value,
+        "new": change.value,
+    }
--- /dev/null
+++ b/packages/core/src/cardamomquay/currency/__init__.py
@@ -0,0 +1,39 @@
+"""The configuration in force and the evidence that it is current."""
+
+from __future__ import annotations
+
+from cardamomquay.currency._currency import CURRENCY_BOUND_S
+from cardamomquay.currency._currency import CurrencyView
+from cardamomquay.currency._currency import RegionReport
+from cardamomquay.currency._currency import is_current
+from cardamomquay.currency._currency import is_outage_confirmed
+from cardamomquay.currency._part import ConfigInForce
+from cardamomquay.currency._part import ConfigLoaded
+from cardamomquay.currency._part import ConfigLoadFailed
+from cardamomquay.currency._part import ConfigPart
+from cardamomquay.currency._part import ConfigState
+from cardamomquay.currency._part import HeadRead
+from cardamomquay.currency._part import HeadReadFailed
+from cardamomquay.currency._part import LoadConfig
+from cardamomquay.currency._part import OlderConfigIgnored
+from cardamomquay.currency._part import ReadHead
+from cardamomquay.currency._part import currency_view
+
+__all__ = [
+    "CURRENCY_BOUND_S",
+    "ConfigInForce",
+    "ConfigLoadFailed",
+    "ConfigLoaded",
+    "ConfigPart",
+    "ConfigState",
+    "CurrencyView",
+    "HeadRead",
+    "HeadReadFailed",
+    "LoadConfig",
+    "OlderConfigIgnored",
+    "ReadHead",
+    "RegionReport",
+    "currency_view",
+    "is_current",
+    "is_outage_confirmed",
+]
--- /dev/null
+++ b/packages/core/src/cardamomquay/outcomes/_refusals.py
@@ -0,0 +1,130 @@
+"""Reasons why a request is refused or retried."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class RefusalReason(StrEnum):
+    """Machine-readable reason of a refusal, as sent to the caller."""
+
+    NOT_READY = "not_ready"
+    CONFIGURATION_STALE = "configuration_stale"
+    NO_ROUTE = "no_route"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BAD_REQUEST = "bad_request"
+    BODY_TOO_LARGE = "body_too_large"
+    KEY_MISSING = "key_missing"
+    KEY_REJECTED = "key_rejected"
+    ORGANISATION_NOT_ALLOWED = "organisation_not_allowed"
+    LIMIT_EXCEEDED = "limit_exceeded"
+    QUOTA_UNAVAILABLE = "quota_unavailable"
+    POOL_BUSY = "pool_busy"
+    POOL_EMPTY = "pool_empty"
+    REGION_FULL = "region_full"
+    LINK_FULL = "link_full"
+    DEADLINE_PASSED = "deadline_passed"
+    IDEMPOTENCY_KEY_MISSING = "idempotency_key_missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    STORE_UNAVAILABLE = "store_unavailable"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    ANSWER_CUT = "answer_cut"
+    STOPPING = "stopping"
+
+
+class RetryReason(StrEnum):
+    """Why a request was sent to a second upstream."""
+
+    CONNECTION_REFUSED = "connection_refused"
+    NOTHING_SENT = "nothing_sent"
+    SHED_NOT_RUN = "shed_not_run"
+    REPEATABLE_FAILURE = "repeatable_failure"
+    REPEATABLE_TIMEOUT = "repeatable_timeout"
+    HEDGE = "hedge"
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalFacts:
+    """What a refusal reason implies for the caller.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    not_run : bool
+        Whether the request has certainly not run.
+    retry_after_s : float or None
+        When a retry can help, in seconds.
+    """
+
+    status: int
+    not_run: bool
+    retry_after_s: float | None = None
+
+
+REFUSAL_FACTS: dict[RefusalReason, RefusalFacts] = {
+    RefusalReason.NOT_READY: RefusalFacts(503, True, 1.0),
+    RefusalReason.CONFIGURATION_STALE: RefusalFacts(503, True, 1.0),
+    RefusalReason.NO_ROUTE: RefusalFacts(404, True),
+    RefusalReason.METHOD_NOT_ALLOWED: RefusalFacts(405, True),
+    RefusalReason.BAD_REQUEST: RefusalFacts(400, True),
+    RefusalReason.BODY_TOO_LARGE: RefusalFacts(413, True),
+    RefusalReason.KEY_MISSING: RefusalFacts(401, True),
+    RefusalReason.KEY_REJECTED: RefusalFacts(401, True),
+    RefusalReason.ORGANISATION_NOT_ALLOWED: RefusalFacts(403, True),
+    RefusalReason.LIMIT_EXCEEDED: RefusalFacts(429, True, 1.0),
+    RefusalReason.QUOTA_UNAVAILABLE: RefusalFacts(503, True, 1.0),
+    RefusalReason.POOL_BUSY: RefusalFacts(503, True, 1.0),
+    RefusalReason.POOL_EMPTY: RefusalFacts(503, True, 5.0),
+    RefusalReason.REGION_FULL: RefusalFacts(503, True, 2.0),
+    RefusalReason.LINK_FULL: RefusalFacts(503, True, 2.0),
+    RefusalReason.DEADLINE_PASSED: RefusalFacts(504, True),
+    RefusalReason.IDEMPOTENCY_KEY_MISSING: RefusalFacts(400, True),
+    RefusalReason.IDEMPOTENCY_KEY_REUSED: RefusalFacts(422, True),
+    RefusalReason.STORE_UNAVAILABLE: RefusalFacts(503, True, 5.0),
+    RefusalReason.OUTCOME_UNKNOWN: RefusalFacts(409, False),
+    RefusalReason.UPSTREAM_FAILED: RefusalFacts(502, False),
+    RefusalReason.UPSTREAM_TIMEOUT: RefusalFacts(504, False),
+    RefusalReason.UPSTREAM_UNREACHABLE: RefusalFacts(503, True, 1.0),
+    RefusalReason.ANSWER_CUT: RefusalFacts(502, False),
+    RefusalReason.STOPPING: RefusalFacts(503, True, 0.0),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """A request that is not answered by an upstream.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+    detail : str
+        Text for a person; never holds a key or a header value.
+    retry_after_s : float or None
+        Overrides the reason's own figure, in seconds.
+    """
+
+    reason: RefusalReason
+    detail: str = ""
+    retry_after_s: float | None = None
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return REFUSAL_FACTS[self.reason].status
+
+    @property
+    def not_run(self) -> bool:
+        """Whether the request has certainly not run."""
+        return REFUSAL_FACTS[self.reason].not_run
+
+    @property
+    def retry_hint_s(self) -> float | None:
+        """Seconds after which a retry can help, or None."""
+        if self.retry_after_s is not None:
+            return self.retry_after_s
+        return REFUSAL_FACTS[self.reason].retry_after_s
--- /dev/null
+++ b/packages/core/src/cardamomquay/reducer/__init__.py
@@ -0,0 +1,21 @@
+"""One reducer over all events, with effects as data."""
+
+from __future__ import annotations
+
+from cardamomquay.reducer._reducer import CoreState
+from cardamomquay.reducer._reducer import Effect
+from cardamomquay.reducer._reducer import Event
+from cardamomquay.reducer._reducer import Identity
+from cardamomquay.reducer._reducer import Part
+from cardamomquay.reducer._reducer import Reducer
+from cardamomquay.reducer._reducer import Tick
+
+__all__ = [
+    "CoreState",
+    "Effect",
+    "Event",
+    "Identity",
+    "Part",
+    "Reducer",
+    "Tick",
+]
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/wire/__init__.py
@@ -0,0 +1,3 @@
+"""Generated code of the protocol between daemons."""
+
+from __future__ import annotations
