--- a/packages/core/src/cardamomquay/retries/__init__.py
+++ b/packages/core/src/cardamomquay/retries/__init__.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from cardamomquay.retries._retries import NOT_RUN_REASONS
 from cardamomquay.retries._retries import FailedAttempt
 from cardamomquay.retries._retries import RetryBudget
 from cardamomquay.retries._retries import may_retry
 
-__all__ = ["FailedAttempt", "RetryBudget", "may_retry"]
+__all__ = ["NOT_RUN_REASONS", "FailedAttempt", "RetryBudget", "may_retry"]
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -0,0 +1,157 @@
+"""The caller port: look-ups and relayed requests."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING
+
+from werkzeug import Request
+from werkzeug import Response
+
+from cardamomquay.membership import MembershipState
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+from cardamomquay.routing import LookupRequest
+from cardamomquay.routing import rank_hosts
+from cardamomquay_daemon._requests import KEY_HEADER
+from cardamomquay_daemon._requests import read_request
+from cardamomquay_daemon._telemetry import REQUEST_FAILED
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from _typeshed.wsgi import StartResponse
+    from _typeshed.wsgi import WSGIEnvironment
+
+    from cardamomquay.clock import Clock
+    from cardamomquay_daemon._relay import Relay
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+RESERVED_PREFIX = "/.cardamomquay/v1/"
+HOSTS_PATH = RESERVED_PREFIX + "hosts"
+READY_PATH = RESERVED_PREFIX + "ready"
+OUTCOMES_PREFIX = RESERVED_PREFIX + "outcomes/"
+
+
+class CallerPort:
+    """WSGI application of the caller port.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    clock : Clock
+    relay : Relay
+    telemetry : Telemetry
+    body_bytes : int
+        Largest request body.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        clock: Clock,
+        relay: Relay,
+        telemetry: Telemetry,
+        body_bytes: int,
+    ) -> None:
+        self._runtime = runtime
+        self._clock = clock
+        self._relay = relay
+        self._telemetry = telemetry
+        self._body_bytes = body_bytes
+        self.leaving = False
+
+    def __call__(
+        self, environ: WSGIEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = Request(environ, populate_request=False)
+        try:
+            response = self._respond(request)
+        except Exception as exc:
+            self._telemetry.count("requests.failed")
+            self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
+            response = Response("internal error\n", 500)
+        if self.leaving:
+            response.headers["Connection"] = "close"
+        return response(environ, start_response)
+
+    def _respond(self, request: Request) -> Response:
+        path = request.path
+        if path == HOSTS_PATH:
+            return self._lookup(request)
+        if path == READY_PATH:
+            ready = self._runtime.snapshot.config is not None and not self.leaving
+            return Response(
+                "ready\n" if ready else "not ready\n", 200 if ready else 503
+            )
+        if path.startswith(OUTCOMES_PREFIX):
+            key = request.headers.get(KEY_HEADER, "")
+            result = self._relay.outcome(key, path[len(OUTCOMES_PREFIX) :])
+        elif path.startswith(RESERVED_PREFIX):
+            result = Refusal(RefusalReason.NO_ROUTE)
+        else:
+            req = read_request(request, self._body_bytes)
+            result = req if isinstance(req, Refusal) else self._relay.relay(req)
+        if isinstance(result, Refusal):
+            self._telemetry.refused(result.reason)
+            return refusal_response(result)
+        response = Response(result.body, result.status)
+        response.headers.clear()
+        for name, value in result.headers:
+            response.headers.add(name, value)
+        response.headers["Content-Length"] = str(len(result.body))
+        if result.replayed:
+            response.headers["X-Cardamomquay-Replayed"] = "true"
+        return response
+
+    def _lookup(self, request: Request) -> Response:
+        snapshot = self._runtime.snapshot
+        answer = rank_hosts(
+            snapshot.core.part(MembershipState),
+            LookupRequest(
+                region=request.args.get("region", ""),
+                availability_zone=request.args.get("availability_zone", ""),
+                organisation=request.args.get("organisation", ""),
+            ),
+            self._clock.now_s(),
+        )
+        document = {
+            "hosts": [
+                {
+                    "host": host.host,
+                    "address": host.address,
+                    "region": host.region,
+                    "weight": host.weight,
+                }
+                for host in answer.hosts
+            ],
+            "ttl_s": answer.ttl_s,
+            "complete": answer.complete,
+            "config_version": snapshot.config.version if snapshot.config else 0,
+        }
+        return json_response(document)
+
+
+def json_response(document: object, status: int = 200) -> Response:
+    """Return a JSON response."""
+    return Response(json.dumps(document), status, mimetype="application/json")
+
+
+def refusal_response(refusal: Refusal) -> Response:
+    """Return the response that tells a caller about a refusal."""
+    response = json_response(
+        {
+            "reason": str(refusal.reason),
+            "not_run": refusal.not_run,
+            "retry_after_s": refusal.retry_hint_s,
+            "detail": refusal.detail,
+        },
+        refusal.status,
+    )
+    response.headers["X-Cardamomquay-Reason"] = str(refusal.reason)
+    response.headers["X-Cardamomquay-Not-Run"] = "true" if refusal.not_run else "false"
+    if refusal.retry_hint_s is not None:
+        response.headers["Retry-After"] = str(math.ceil(refusal.retry_hint_s))
+    return response
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_editor.py
@@ -0,0 +1,188 @@
+"""Reads and edits the configuration in the table service."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cardamomquay.config import HEAD
+from cardamomquay.config import TABLES
+from cardamomquay.config import Config
+from cardamomquay.config import EditConflict
+from cardamomquay.config import EditRejected
+from cardamomquay.config import head_version
+from cardamomquay.config import parse_config
+from cardamomquay.config import plan_edit
+from cardamomquay.platform import Committed
+from cardamomquay.platform import Conflicted
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Unavailable
+
+if TYPE_CHECKING:
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import ConfigEdit
+    from cardamomquay.outcomes import Finding
+    from cardamomquay.platform import TableService
+
+READ_ATTEMPTS = 5
+READ_PAUSE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class StoredConfig:
+    """All configuration rows of one version.
+
+    Parameters
+    ----------
+    head : Row
+    rows : tuple of Row
+    confirmed_at_s : float
+        Start of the last read that showed this head.
+    """
+
+    head: Row
+    rows: tuple[Row, ...]
+    confirmed_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EditAccepted:
+    """The edit is committed."""
+
+    config: Config
+    confirmed_at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class EditUnsettled:
+    """Whether the edit was committed is not known yet."""
+
+    edit_id: str
+
+
+def read_stored_config(
+    tables: TableService, clock: Clock
+) -> StoredConfig | Unavailable:
+    """Read the head and all rows of the same version.
+
+    Parameters
+    ----------
+    tables : TableService
+    clock : Clock
+
+    Returns
+    -------
+    StoredConfig or Unavailable
+    """
+    for attempt in range(READ_ATTEMPTS):
+        if attempt:
+            time.sleep(READ_PAUSE_S)
+        before = tables.read((HEAD,))
+        if isinstance(before, Unavailable):
+            return before
+        rows: list[Row] = []
+        lagging = False
+        for table in TABLES:
+            scan = tables.scan(table)
+            if isinstance(scan, Unavailable):
+                return scan
+            lagging = lagging or scan.revision < before.rows[0].version
+            rows.extend(scan.rows)
+        started_s = clock.now_s()
+        after = tables.read((HEAD,))
+        if isinstance(after, Unavailable):
+            return after
+        if not lagging and after.rows[0].version == before.rows[0].version:
+            return StoredConfig(after.rows[0], tuple(rows), started_s)
+    return Unavailable("the configuration changed during each read")
+
+
+def parse_stored(stored: StoredConfig) -> Config | tuple[Finding, ...]:
+    """Turn stored rows into a configuration."""
+    version, edit_id, _ = head_version(stored.head)
+    return parse_config(version, edit_id, stored.rows)
+
+
+def commit_edit(
+    tables: TableService, clock: Clock, edit: ConfigEdit
+) -> EditAccepted | EditRejected | EditConflict | EditUnsettled | Unavailable:
+    """Check and commit an edit.
+
+    Parameters
+    ----------
+    tables : TableService
+    clock : Clock
+    edit : ConfigEdit
+
+    Returns
+    -------
+    EditAccepted, EditRejected, EditConflict, EditUnsettled or Unavailable
+        Unavailable only if the edit certainly had no effect.
+    """
+    stored = read_stored_config(tables, clock)
+    if isinstance(stored, Unavailable):
+        return Unavailable(stored.reason)
+    if stored.head.value is not None and stored.head.value["edit_id"] == edit.edit_id:
+        return _accepted(stored)
+    planned = plan_edit(stored.head, stored.rows, edit)
+    if isinstance(planned, EditRejected | EditConflict):
+        return planned
+    started_s = clock.now_s()
+    outcome = tables.transact(planned.transaction)
+    match outcome:
+        case Committed():
+            return EditAccepted(planned.config, started_s)
+        case Conflicted(rows=rows):
+            return _conflict(rows)
+        case Unavailable(may_have_committed=False):
+            return outcome
+        case _:
+            return settle_edit(tables, clock, edit)
+
+
+def settle_edit(
+    tables: TableService, clock: Clock, edit: ConfigEdit
+) -> EditAccepted | EditConflict | EditUnsettled | Unavailable:
+    """Find out whether an edit whose answer was lost took effect.
+
+    Parameters
+    ----------
+    tables : TableService
+    clock : Clock
+    edit : ConfigEdit
+
+    Returns
+    -------
+    EditAccepted, EditConflict, EditUnsettled or Unavailable
+    """
+    id_key = RowKey("edit_ids", edit.edit_id)
+    found = tables.read((id_key, HEAD))
+    if isinstance(found, Unavailable):
+        return EditUnsettled(edit.edit_id)
+    id_row, head = found.rows
+    if id_row.value is None:
+        version, edit_id, operator = head_version(head)
+        if version != edit.expected_version:
+            # Another edit took the version that this one was conditional on.
+            return EditConflict(version, edit_id, operator)
+        return EditUnsettled(edit.edit_id)
+    stored = read_stored_config(tables, clock)
+    if isinstance(stored, Unavailable):
+        return EditUnsettled(edit.edit_id)
+    return _accepted(stored)
+
+
+def _accepted(stored: StoredConfig) -> EditAccepted | Unavailable:
+    config = parse_stored(stored)
+    if isinstance(config, tuple):
+        return Unavailable("the stored configuration is not valid")
+    return EditAccepted(config, stored.confirmed_at_s)
+
+
+def _conflict(rows: tuple[Row, ...]) -> EditConflict:
+    for row in rows:
+        if row.key == HEAD:
+            return EditConflict(*head_version(row))
+    return EditConflict(0, rows[0].key.key, "")
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_effects.py
@@ -0,0 +1,115 @@
+"""Carries out effects that call the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.config import HEAD
+from cardamomquay.config import head_version
+from cardamomquay.currency import ConfigInForce
+from cardamomquay.currency import ConfigLoaded
+from cardamomquay.currency import ConfigLoadFailed
+from cardamomquay.currency import HeadRead
+from cardamomquay.currency import HeadReadFailed
+from cardamomquay.currency import LoadConfig
+from cardamomquay.currency import OlderConfigIgnored
+from cardamomquay.currency import ReadHead
+from cardamomquay.membership import HostsListed
+from cardamomquay.membership import ReadHostList
+from cardamomquay.outcomes import format_findings
+from cardamomquay.platform import Unavailable
+from cardamomquay_daemon._editor import parse_stored
+from cardamomquay_daemon._editor import read_stored_config
+from cardamomquay_daemon._telemetry import CONFIG_IN_FORCE
+from cardamomquay_daemon._telemetry import CONFIG_INVALID
+from cardamomquay_daemon._telemetry import CONFIG_OLDER_IGNORED
+from cardamomquay_daemon._telemetry import STORE_UNAVAILABLE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.platform import HostList
+    from cardamomquay.platform import TableService
+    from cardamomquay.reducer import Effect
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+
+class ConfigEffects:
+    """Reads the head row and loads configurations."""
+
+    def __init__(
+        self,
+        tables: TableService,
+        clock: Clock,
+        runtime: Runtime,
+        telemetry: Telemetry,
+    ) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._runtime = runtime
+        self._telemetry = telemetry
+
+    def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
+        """Return the handler of each effect type."""
+        return {
+            ReadHead: self._read_head,
+            LoadConfig: self._load,
+            ConfigInForce: self._in_force,
+            OlderConfigIgnored: self._older,
+        }
+
+    def _read_head(self, effect: ReadHead) -> None:
+        started_s = self._clock.now_s()
+        found = self._tables.read((HEAD,))
+        now_s = self._clock.now_s()
+        if isinstance(found, Unavailable):
+            self._telemetry.count("store.unavailable")
+            self._telemetry.log(STORE_UNAVAILABLE, reason=found.reason)
+            self._runtime.post(HeadReadFailed(now_s, started_s, found.refused))
+            return
+        version, _, _ = head_version(found.rows[0])
+        self._runtime.post(HeadRead(now_s, started_s, version))
+
+    def _load(self, effect: LoadConfig) -> None:
+        stored = read_stored_config(self._tables, self._clock)
+        now_s = self._clock.now_s()
+        if isinstance(stored, Unavailable):
+            self._runtime.post(ConfigLoadFailed(now_s))
+            return
+        config = parse_stored(stored)
+        if isinstance(config, tuple):
+            self._telemetry.log(CONFIG_INVALID, findings=format_findings(config))
+            self._runtime.post(ConfigLoadFailed(now_s))
+            return
+        self._runtime.post(ConfigLoaded(now_s, config, stored.confirmed_at_s))
+
+    def _in_force(self, effect: ConfigInForce) -> None:
+        self._telemetry.log(CONFIG_IN_FORCE, version=effect.version)
+
+    def _older(self, effect: OlderConfigIgnored) -> None:
+        self._telemetry.count("config.older_ignored")
+        self._telemetry.log(
+            CONFIG_OLDER_IGNORED, offered=effect.offered_version, version=effect.version
+        )
+
+
+class HostListEffects:
+    """Reads the platform's host list."""
+
+    def __init__(self, host_list: HostList, clock: Clock, runtime: Runtime) -> None:
+        self._host_list = host_list
+        self._clock = clock
+        self._runtime = runtime
+
+    def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
+        """Return the handler of each effect type."""
+        return {ReadHostList: self._read}
+
+    def _read(self, effect: ReadHostList) -> None:
+        listed = self._host_list.listed()
+        if not isinstance(listed, Unavailable):
+            self._runtime.post(HostsListed(self._clock.now_s(), listed))
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -0,0 +1,396 @@
+"""Relays one request: admits it, chooses an upstream, sends it, answers."""
+
+from __future__ import annotations
+
+import uuid
+from collections import defaultdict
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from cardamomquay.balancing import Observation
+from cardamomquay.balancing import ObservedResult
+from cardamomquay.balancing import Reservation
+from cardamomquay.idempotency import Claim
+from cardamomquay.idempotency import Proceed
+from cardamomquay.idempotency import RecordedAnswer
+from cardamomquay.idempotency import Replay
+from cardamomquay.idempotency import digest_request
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+from cardamomquay.outcomes import RetryReason
+from cardamomquay.retries import NOT_RUN_REASONS
+from cardamomquay.retries import FailedAttempt
+from cardamomquay.retries import RetryBudget
+from cardamomquay.retries import may_retry
+from cardamomquay_daemon._upstream_client import UpstreamAnswer
+from cardamomquay_daemon._upstream_client import UpstreamClient
+from cardamomquay_daemon._upstream_client import UpstreamFailure
+from cardamomquay_daemon._upstream_client import UpstreamRequest
+
+if TYPE_CHECKING:
+    from cardamomquay.admission import Admission
+    from cardamomquay.admission import Admitted
+    from cardamomquay.balancing import UpstreamChooser
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import Config
+    from cardamomquay.config import Pool
+    from cardamomquay.config import Route
+    from cardamomquay.idempotency import OnceRegistry
+    from cardamomquay.reducer import Identity
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+UNHEALTHY_STATUS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A request as the caller port read it.
+
+    Parameters
+    ----------
+    method : str
+    path : str
+        Decoded and normalised.
+    target : str
+        Path and query as they go to the upstream.
+    headers : tuple of (str, str)
+        Without hop-by-hop headers and without the key.
+    body : bytes
+    key : str
+        The presented key; empty if there is none.
+    idempotency_key : str
+    timeout_s : float or None
+    """
+
+    method: str
+    path: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    key: str = field(default="", repr=False)
+    idempotency_key: str = ""
+    timeout_s: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RelayedAnswer:
+    """The answer that goes back to the caller."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    replayed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Authorised:
+    config: Config
+    route: Route
+    organisation: str
+
+
+class Relay:
+    """Carries out the request path.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    clock : Clock
+    identity : Identity
+    admission : Admission
+    chooser : UpstreamChooser
+    registry : OnceRegistry
+    client : UpstreamClient
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        clock: Clock,
+        identity: Identity,
+        admission: Admission,
+        chooser: UpstreamChooser,
+        registry: OnceRegistry,
+        client: UpstreamClient,
+        telemetry: Telemetry,
+    ) -> None:
+        self._runtime = runtime
+        self._clock = clock
+        self._identity = identity
+        self._admission = admission
+        self._chooser = chooser
+        self._registry = registry
+        self._client = client
+        self._telemetry = telemetry
+        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+
+    def relay(self, req: CallerRequest) -> RelayedAnswer | Refusal:
+        """Answer a request.
+
+        Parameters
+        ----------
+        req : CallerRequest
+
+        Returns
+        -------
+        RelayedAnswer or Refusal
+        """
+        authorised = self._authorise(req)
+        if isinstance(authorised, Refusal):
+            return authorised
+        route = authorised.route
+        timeout_s = min(req.timeout_s or route.timeout_s, route.timeout_s)
+        deadline_s = self._clock.now_s() + timeout_s
+        if not route.repeatable:
+            return self._relay_once(req, authorised, deadline_s)
+        admitted = self._admit(authorised, deadline_s)
+        if isinstance(admitted, Refusal):
+            return admitted
+        return self._attempts(req, authorised, admitted, deadline_s)
+
+    def outcome(self, key: str, idempotency_key: str) -> RelayedAnswer | Refusal:
+        """Return the recorded answer of a non-repeatable request."""
+        snapshot = self._runtime.snapshot
+        if snapshot.config is None:
+            return Refusal(RefusalReason.NOT_READY)
+        if not snapshot.is_current(self._clock.now_s()):
+            return Refusal(RefusalReason.CONFIGURATION_STALE)
+        stored = snapshot.config.find_key(key)
+        if stored is None:
+            return Refusal(RefusalReason.KEY_REJECTED)
+        found = self._registry.outcome(stored.holder, idempotency_key)
+        if isinstance(found, Refusal):
+            return found
+        return RelayedAnswer(found.status, found.headers, found.body, replayed=True)
+
+    def _authorise(self, req: CallerRequest) -> _Authorised | Refusal:
+        snapshot = self._runtime.snapshot
+        config = snapshot.config
+        if config is None:
+            return Refusal(RefusalReason.NOT_READY)
+        route = config.route_for(req.path)
+        if route is None:
+            return Refusal(RefusalReason.NO_ROUTE)
+        if req.method not in route.methods:
+            return Refusal(RefusalReason.METHOD_NOT_ALLOWED)
+        if route.open_to_all:
+            return _Authorised(config, route, "")
+        if not snapshot.is_current(self._clock.now_s()):
+            return Refusal(RefusalReason.CONFIGURATION_STALE)
+        if not req.key:
+            return Refusal(RefusalReason.KEY_MISSING)
+        stored = config.find_key(req.key)
+        if stored is None:
+            return Refusal(RefusalReason.KEY_REJECTED)
+        if not _may_use(route, stored.holder, stored.owner):
+            return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED)
+        return _Authorised(config, route, stored.holder)
+
+    def _admit(
+        self, authorised: _Authorised, deadline_s: float
+    ) -> Admitted | Refusal | None:
+        if not authorised.organisation:
+            return None
+        return self._admission.admit(authorised.organisation, deadline_s)
+
+    def _relay_once(
+        self, req: CallerRequest, authorised: _Authorised, deadline_s: float
+    ) -> RelayedAnswer | Refusal:
+        if not req.idempotency_key:
+            return Refusal(RefusalReason.IDEMPOTENCY_KEY_MISSING)
+        claim = Claim(
+            claim_id=uuid.uuid4().hex,
+            organisation=authorised.organisation,
+            idempotency_key=req.idempotency_key,
+            request_digest=digest_request(req.method, req.target, req.body),
+            host=self._identity.host,
+            incarnation=self._identity.incarnation,
+        )
+        admitted = self._admit(authorised, deadline_s)
+        if isinstance(admitted, Refusal):
+            return admitted
+        begun = self._registry.begin(claim)
+        if not isinstance(begun, Proceed):
+            self._return_token(authorised, admitted)
+            if isinstance(begun, Replay):
+                answer = begun.answer
+                return RelayedAnswer(
+                    answer.status, answer.headers, answer.body, replayed=True
+                )
+            return begun
+        result = self._attempts(req, authorised, admitted, deadline_s)
+        if isinstance(result, RelayedAnswer):
+            recorded = RecordedAnswer(result.status, result.headers, result.body)
+            if not self._registry.record(claim, recorded):
+                self._telemetry.count("claims.not_recorded")
+        elif result.not_run:
+            self._registry.abandon(claim)
+        return result
+
+    def _attempts(
+        self,
+        req: CallerRequest,
+        authorised: _Authorised,
+        admitted: Admitted | None,
+        deadline_s: float,
+    ) -> RelayedAnswer | Refusal:
+        route = authorised.route
+        pool = authorised.config.pools[route.pool]
+        budget = self._budgets[pool.name]
+        budget.earn()
+        excluded: set[str] = set()
+        attempts = 0
+        # A failure after which the request may have run: from then on no refusal
+        # may say "not run", whatever later attempts show.
+        may_have_run: UpstreamFailure | None = None
+        while True:
+            result = self._attempt(
+                req, authorised, pool, admitted, deadline_s, excluded
+            )
+            attempts += 1
+            if isinstance(result, RelayedAnswer):
+                return result
+            if isinstance(result, Refusal):
+                if may_have_run is not None:
+                    return _refusal_of(may_have_run)
+                self._return_token(authorised, admitted)
+                return result
+            if result.reason not in NOT_RUN_REASONS:
+                may_have_run = may_have_run or result
+            failed = FailedAttempt(
+                reason=result.reason,
+                repeatable=route.repeatable,
+                attempts=attempts,
+                remaining_s=deadline_s - self._clock.now_s(),
+                pool_sheds=False,
+            )
+            if not (may_retry(failed) and budget.spend()):
+                if may_have_run is None:
+                    self._return_token(authorised, admitted)
+                return _refusal_of(may_have_run or result)
+            if result.reason not in NOT_RUN_REASONS:
+                # The failed attempt may have used its token at an upstream.
+                again = self._admit(authorised, self._clock.now_s())
+                if isinstance(again, Refusal):
+                    return _refusal_of(result)
+                admitted = again
+            self._telemetry.retried(result.reason)
+
+    def _attempt(
+        self,
+        req: CallerRequest,
+        authorised: _Authorised,
+        pool: Pool,
+        admitted: Admitted | None,
+        deadline_s: float,
+        excluded: set[str],
+    ) -> RelayedAnswer | Refusal | UpstreamFailure:
+        reservation = self._chooser.reserve(
+            pool, authorised.organisation, excluded, deadline_s
+        )
+        if isinstance(reservation, Refusal):
+            return reservation
+        excluded.add(reservation.upstream.name)
+        observed = Observation(ObservedResult.NOT_SENT, 0.0)
+        try:
+            refusal = self._check_before_sending(
+                req, authorised, admitted, reservation, deadline_s
+            )
+            if refusal is not None:
+                return refusal
+            result = self._client.send(
+                reservation.upstream,
+                self._upstream_request(req, authorised, deadline_s),
+            )
+            observed = _observe(result)
+        finally:
+            self._chooser.release(reservation, observed)
+        if isinstance(result, UpstreamFailure):
+            return result
+        return RelayedAnswer(result.status, result.headers, result.body)
+
+    def _check_before_sending(
+        self,
+        req: CallerRequest,
+        authorised: _Authorised,
+        admitted: Admitted | None,
+        reservation: Reservation,
+        deadline_s: float,
+    ) -> Refusal | None:
+        """Check again what may have changed while the request waited.
+
+        The host may have been suspended since the first check.
+        """
+        now_s = self._clock.now_s()
+        if now_s >= deadline_s:
+            return Refusal(RefusalReason.DEADLINE_PASSED)
+        if now_s >= reservation.valid_until_s:
+            return Refusal(RefusalReason.POOL_BUSY, "slot grant expired")
+        if admitted is not None and now_s >= admitted.valid_until_s:
+            return Refusal(RefusalReason.QUOTA_UNAVAILABLE, "quota grant expired")
+        again = self._authorise(req)
+        if isinstance(again, Refusal):
+            return again
+        if again.organisation != authorised.organisation:
+            return Refusal(RefusalReason.KEY_REJECTED)
+        return None
+
+    def _upstream_request(
+        self, req: CallerRequest, authorised: _Authorised, deadline_s: float
+    ) -> UpstreamRequest:
+        remaining_s = max(0.001, deadline_s - self._clock.now_s())
+        headers = (
+            *req.headers,
+            ("Request-Timeout-Ms", str(int(remaining_s * 1000))),
+            ("X-Organisation", authorised.organisation or "-"),
+        )
+        return UpstreamRequest(
+            method=req.method,
+            target=req.target,
+            headers=headers,
+            body=req.body,
+            timeout_s=remaining_s,
+            repeatable=authorised.route.repeatable,
+        )
+
+    def _return_token(self, authorised: _Authorised, admitted: Admitted | None) -> None:
+        if admitted is not None:
+            self._admission.give_back(authorised.organisation, admitted)
+
+
+def _may_use(route: Route, organisation: str, owner: str) -> bool:
+    if route.organisations:
+        return organisation in route.organisations
+    return owner == route.owner
+
+
+def _observe(result: UpstreamAnswer | UpstreamFailure) -> Observation:
+    if isinstance(result, UpstreamAnswer):
+        failed = result.status >= UNHEALTHY_STATUS
+        kind = ObservedResult.FAILED if failed else ObservedResult.ANSWERED
+        return Observation(kind, result.latency_s)
+    kinds = {
+        RetryReason.CONNECTION_REFUSED: ObservedResult.UNREACHABLE,
+        RetryReason.NOTHING_SENT: ObservedResult.UNREACHABLE,
+        RetryReason.SHED_NOT_RUN: ObservedResult.SHED,
+        RetryReason.REPEATABLE_TIMEOUT: ObservedResult.TIMED_OUT,
+    }
+    kind = kinds.get(result.reason, ObservedResult.FAILED)
+    return Observation(kind, result.latency_s)
+
+
+def _refusal_of(failure: UpstreamFailure) -> Refusal:
+    if failure.cut:
+        return Refusal(RefusalReason.ANSWER_CUT)
+    match failure.reason:
+        case RetryReason.CONNECTION_REFUSED | RetryReason.NOTHING_SENT:
+            return Refusal(RefusalReason.UPSTREAM_UNREACHABLE)
+        case RetryReason.SHED_NOT_RUN:
+            return Refusal(RefusalReason.POOL_BUSY, "upstreams shed load")
+        case RetryReason.REPEATABLE_TIMEOUT:
+            return Refusal(RefusalReason.UPSTREAM_TIMEOUT)
+        case _:
+            return Refusal(RefusalReason.UPSTREAM_FAILED)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_runtime.py
@@ -0,0 +1,163 @@
+"""Runs the reducer: one thread for events, an executor for effects."""
+
+from __future__ import annotations
+
+import queue
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.currency import ConfigState
+from cardamomquay.currency import CurrencyView
+from cardamomquay.currency import currency_view
+from cardamomquay.currency import is_current
+from cardamomquay.reducer import CoreState
+from cardamomquay.reducer import Effect
+from cardamomquay.reducer import Event
+from cardamomquay.reducer import Tick
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import Config
+    from cardamomquay.reducer import Identity
+    from cardamomquay.reducer import Reducer
+    from cardamomquay_daemon._telemetry import Telemetry
+
+from contextlib import contextmanager
+
+TICK_INTERVAL_S = 0.1
+EFFECT_THREADS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Snapshot:
+    """What the request path reads; immutable.
+
+    Parameters
+    ----------
+    core : CoreState
+    config : Config or None
+    currency : CurrencyView
+    """
+
+    core: CoreState
+    config: Config | None
+    currency: CurrencyView
+
+    def is_current(self, now_s: float) -> bool:
+        """Whether closed routes may be served at `now_s`."""
+        return is_current(self.currency, now_s)
+
+
+def build_snapshot(core: CoreState, now_s: float) -> Snapshot:
+    """Derive the request path's snapshot from the core state."""
+    return Snapshot(core, core.part(ConfigState).config, currency_view(core, now_s))
+
+
+class Runtime:
+    """Applies events in order and hands their effects to handlers.
+
+    Parameters
+    ----------
+    reducer : Reducer
+    identity : Identity
+    clock : Clock
+    handlers : mapping from effect type to callable
+        Each runs in an executor's thread and may post events.
+    telemetry : Telemetry
+    queue_size : int
+        Events that can wait; further ones are dropped and counted.
+    """
+
+    def __init__(
+        self,
+        reducer: Reducer,
+        identity: Identity,
+        clock: Clock,
+        telemetry: Telemetry,
+        queue_size: int,
+    ) -> None:
+        self._reducer = reducer
+        self._clock = clock
+        self._telemetry = telemetry
+        self._events: queue.Queue[Event | None] = queue.Queue(queue_size)
+        self._handlers: dict[type[Effect], Callable[[Any], None]] = {}
+        self._listeners: list[Callable[[Snapshot], None]] = []
+        self._executor = ThreadPoolExecutor(EFFECT_THREADS, "effect")
+        self._stopping = threading.Event()
+        core = reducer.initial(identity)
+        self.snapshot = build_snapshot(core, clock.now_s())
+
+    def handle(self, handlers: Mapping[type[Effect], Callable[[Any], None]]) -> None:
+        """Add handlers of effects."""
+        self._handlers.update(handlers)
+
+    def listen(self, listener: Callable[[Snapshot], None]) -> None:
+        """Call `listener` on the reducer's thread with each new snapshot."""
+        self._listeners.append(listener)
+
+    def post(self, event: Event) -> bool:
+        """Queue an event.
+
+        Returns
+        -------
+        bool
+            False if the queue was full and the event was dropped.
+        """
+        try:
+            self._events.put_nowait(event)
+        except queue.Full:
+            self._telemetry.count("events.dropped")
+            return False
+        return True
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Run the threads for the time of a ``with`` block."""
+        threads = [
+            threading.Thread(target=self._reduce_loop, name="reducer", daemon=True),
+            threading.Thread(target=self._tick_loop, name="ticks", daemon=True),
+        ]
+        for thread in threads:
+            thread.start()
+        try:
+            yield
+        finally:
+            self._stopping.set()
+            self._events.put(None)
+            for thread in threads:
+                thread.join(timeout=2.0)
+            self._executor.shutdown(wait=False, cancel_futures=True)
+
+    def _tick_loop(self) -> None:
+        while not self._stopping.wait(TICK_INTERVAL_S):
+            self.post(Tick(self._clock.now_s()))
+
+    def _reduce_loop(self) -> None:
+        while (event := self._events.get()) is not None:
+            core, effects = self._reducer.reduce(self.snapshot.core, event)
+            if core is not self.snapshot.core or isinstance(event, Tick):
+                self.snapshot = build_snapshot(core, event.now_s)
+                for listener in self._listeners:
+                    listener(self.snapshot)
+            for effect in effects:
+                self._dispatch(effect)
+
+    def _dispatch(self, effect: Effect) -> None:
+        handler = self._handlers.get(type(effect))
+        if handler is None:
+            self._telemetry.count("effects.unhandled")
+            return
+        self._executor.submit(self._run_handler, handler, effect)
+
+    def _run_handler(self, handler: Callable[[Any], None], effect: Effect) -> None:
+        try:
+            handler(effect)
+        except Exception as exc:  # A fault in one effect must not stop the others.
+            self._telemetry.effect_failed(type(effect).__name__, exc)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -0,0 +1,115 @@
+"""Numbered log events and statsd counters."""
+
+from __future__ import annotations
+
+import sys
+import threading
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import eliot
+import statsd
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cardamomquay.outcomes import RefusalReason
+    from cardamomquay.outcomes import RetryReason
+
+METRIC_PREFIX = "cardamomquay"
+
+
+@dataclass(frozen=True, slots=True)
+class LogEvent:
+    """A numbered event of the catalogue in ``docs/events.md``."""
+
+    number: int
+    name: str
+    meaning: str
+
+
+STARTED = LogEvent(1001, "daemon_started", "The daemon listens.")
+STOPPING = LogEvent(1002, "daemon_stopping", "A planned stop began.")
+STOPPED = LogEvent(1003, "daemon_stopped", "The daemon has stopped.")
+CONFIG_IN_FORCE = LogEvent(2001, "config_in_force", "A new version is in force.")
+CONFIG_OLDER_IGNORED = LogEvent(
+    2002, "config_older_ignored", "A source offered an older configuration."
+)
+CONFIG_INVALID = LogEvent(
+    2003, "config_invalid", "The stored configuration did not validate."
+)
+EDIT_ACCEPTED = LogEvent(2004, "edit_accepted", "An operator's edit was committed.")
+EDIT_REJECTED = LogEvent(2005, "edit_rejected", "An edit was refused.")
+EDIT_UNSETTLED = LogEvent(
+    2006, "edit_unsettled", "The answer to an edit was lost; it is being settled."
+)
+STORE_UNAVAILABLE = LogEvent(
+    3001, "store_unavailable", "A call of the platform failed."
+)
+EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
+REQUEST_FAILED = LogEvent(
+    9002, "request_failed", "A request raised an exception and got a 500."
+)
+
+CATALOGUE = tuple(
+    value for value in tuple(globals().values()) if isinstance(value, LogEvent)
+)
+
+
+class Telemetry:
+    """Writes events and counts refusals and retries; safe for threads.
+
+    Parameters
+    ----------
+    host : str
+    statsd_address : str or None
+        ``ip:port``; without one, counters are kept in memory only.
+    """
+
+    def __init__(self, host: str, statsd_address: str | None = None) -> None:
+        self._host = host
+        self._lock = threading.Lock()
+        self._counts: Counter[str] = Counter()
+        self._client: Any = None
+        if statsd_address is not None:
+            address, _, port = statsd_address.rpartition(":")
+            self._client = statsd.StatsClient(address, int(port), METRIC_PREFIX)
+
+    def count(self, name: str, value: int = 1) -> None:
+        """Add to a counter."""
+        with self._lock:
+            self._counts[name] += value
+        if self._client is not None:
+            self._client.incr(name, value)
+
+    def refused(self, reason: RefusalReason) -> None:
+        """Count a refusal."""
+        self.count(f"refused.{reason}")
+
+    def retried(self, reason: RetryReason) -> None:
+        """Count a retry."""
+        self.count(f"retried.{reason}")
+
+    def counts(self) -> Mapping[str, int]:
+        """Return a copy of all counters."""
+        with self._lock:
+            return dict(self._counts)
+
+    def log(self, event: LogEvent, **fields: Any) -> None:
+        """Write a numbered event."""
+        eliot.log_message(
+            message_type=event.name, number=event.number, host=self._host, **fields
+        )
+
+    def effect_failed(self, effect: str, exc: Exception) -> None:
+        """Log and count an effect that raised."""
+        self.count("effects.failed")
+        self.log(EFFECT_FAILED, effect=effect, error=repr(exc))
+
+
+def log_to(path: str | None) -> None:
+    """Send events to a file, or to standard error."""
+    target = sys.stderr if path is None else open(path, "a", encoding="utf-8")  # noqa: SIM115
+    eliot.to_file(target)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_upstream_client.py
@@ -0,0 +1,219 @@
+"""Sends requests to upstreams over pooled connections."""
+
+from __future__ import annotations
+
+import io
+import threading
+import time
+from collections import defaultdict
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import pycurl
+
+from cardamomquay.outcomes import RetryReason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from cardamomquay.config import Upstream
+
+CONNECT_TIMEOUT_MS = 1000
+IDLE_MAX_PER_UPSTREAM = 8
+SHED_STATUS = 503
+NOT_RUN_HEADER = "x-not-run"
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamRequest:
+    """A request as it goes to an upstream; it carries no caller key."""
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    timeout_s: float
+    repeatable: bool
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamAnswer:
+    """An upstream's whole answer."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    latency_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class UpstreamFailure:
+    """No usable answer.
+
+    Parameters
+    ----------
+    reason : RetryReason
+        Tells whether the request may have run.
+    cut : bool
+        Whether an answer began and did not end.
+    latency_s : float
+    """
+
+    reason: RetryReason
+    cut: bool
+    latency_s: float
+
+
+@dataclass(slots=True)
+class _Connection:
+    curl: pycurl.Curl
+    reusable: bool = False
+
+
+class UpstreamClient:
+    """Keeps idle connections by upstream address; safe for threads.
+
+    Parameters
+    ----------
+    answer_bytes : int
+        Largest answer that is relayed.
+    """
+
+    def __init__(self, answer_bytes: int) -> None:
+        self._answer_bytes = answer_bytes
+        self._lock = threading.Lock()
+        self._idle: defaultdict[str, list[pycurl.Curl]] = defaultdict(list)
+
+    def send(
+        self, upstream: Upstream, request: UpstreamRequest
+    ) -> UpstreamAnswer | UpstreamFailure:
+        """Send one request and wait for its whole answer.
+
+        Parameters
+        ----------
+        upstream : Upstream
+        request : UpstreamRequest
+
+        Returns
+        -------
+        UpstreamAnswer or UpstreamFailure
+        """
+        started = time.perf_counter()
+        body = io.BytesIO()
+        header_lines: list[bytes] = []
+        with self._connection(upstream.address) as conn:
+            curl = conn.curl
+            self._prepare(curl, upstream, request, body, header_lines)
+            try:
+                curl.perform()
+            except pycurl.error as exc:
+                latency_s = time.perf_counter() - started
+                return _failure(curl, int(exc.args[0]), header_lines, latency_s)
+            conn.reusable = True
+            status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+        latency_s = time.perf_counter() - started
+        headers = _parse_headers(header_lines)
+        if status == SHED_STATUS and (NOT_RUN_HEADER, "true") in (
+            (name.lower(), value.lower()) for name, value in headers
+        ):
+            return UpstreamFailure(RetryReason.SHED_NOT_RUN, False, latency_s)
+        return UpstreamAnswer(status, headers, body.getvalue(), latency_s)
+
+    @contextmanager
+    def _connection(self, address: str) -> Iterator[_Connection]:
+        with self._lock:
+            idle = self._idle[address]
+            curl = idle.pop() if idle else pycurl.Curl()
+        conn = _Connection(curl)
+        try:
+            yield conn
+        finally:
+            if conn.reusable:
+                self._keep(address, curl)
+            else:
+                # A late answer on this connection would be taken for the answer
+                # to the next request.
+                curl.close()
+
+    def _keep(self, address: str, curl: pycurl.Curl) -> None:
+        with self._lock:
+            idle = self._idle[address]
+            if len(idle) < IDLE_MAX_PER_UPSTREAM:
+                idle.append(curl)
+                return
+        curl.close()
+
+    def _prepare(
+        self,
+        curl: pycurl.Curl,
+        upstream: Upstream,
+        request: UpstreamRequest,
+        body: io.BytesIO,
+        header_lines: list[bytes],
+    ) -> None:
+        curl.reset()
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.URL, f"http://{upstream.address}{request.target}")
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
+        curl.setopt(pycurl.MAXFILESIZE, self._answer_bytes)
+        curl.setopt(pycurl.WRITEDATA, body)
+        curl.setopt(pycurl.HEADERFUNCTION, header_lines.append)
+        if not request.repeatable:
+            # libcurl sends a request a second time when a reused connection
+            # turns out to be closed, so such a request gets a new connection.
+            curl.setopt(pycurl.FRESH_CONNECT, 1)
+        headers = [f"{name}: {value}" for name, value in request.headers]
+        curl.setopt(pycurl.HTTPHEADER, [*headers, "Expect:"])
+        if request.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        else:
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        if request.body or request.method in {"POST", "PUT", "PATCH"}:
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+
+
+def _failure(
+    curl: pycurl.Curl,
+    code: int,
+    header_lines: list[bytes],
+    latency_s: float,
+) -> UpstreamFailure:
+    sent_bytes = int(curl.getinfo(pycurl.REQUEST_SIZE))
+    if code == pycurl.E_COULDNT_CONNECT:
+        reason = RetryReason.CONNECTION_REFUSED
+    elif sent_bytes == 0:
+        reason = RetryReason.NOTHING_SENT
+    elif code == pycurl.E_OPERATION_TIMEDOUT:
+        reason = RetryReason.REPEATABLE_TIMEOUT
+    else:
+        reason = RetryReason.REPEATABLE_FAILURE
+    return UpstreamFailure(reason, bool(header_lines), latency_s)
+
+
+def _parse_headers(lines: list[bytes]) -> tuple[tuple[str, str], ...]:
+    headers: list[tuple[str, str]] = []
+    for line in lines:
+        if line.startswith(b"HTTP/"):
+            # An interim answer comes before the final one.
+            headers.clear()
+            continue
+        name, separator, value = line.decode("latin-1").partition(":")
+        if separator and name.strip().lower() not in HOP_BY_HOP:
+            headers.append((name.strip(), value.strip()))
+    return tuple(headers)
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/_checks.py
@@ -0,0 +1,151 @@
+"""Checks the records of callers and upstreams after a run."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay_dev._fleet import TENANTS
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cardamomquay_dev._callers import Sent
+
+LIMIT_REASONS = frozenset({"limit_exceeded", "quota_unavailable"})
+
+
+@dataclass(frozen=True, slots=True)
+class RunRecord:
+    """A request that an upstream ran; `base_id` is the same for all attempts."""
+
+    upstream: str
+    pool: str
+    attempt_id: str
+    organisation: str
+    started_s: float
+    key_seen: bool
+
+    @property
+    def base_id(self) -> str:
+        """Request id without the number of the attempt."""
+        return self.attempt_id.rpartition(".")[0]
+
+
+def read_runs(document: Any) -> list[RunRecord]:
+    """Return the runs of an upstreams' stand-in."""
+    return [
+        RunRecord(run[0], run[1], run[2], run[3], run[5], run[7])
+        for run in document["runs"]
+    ]
+
+
+def check_requests(sent: Sequence[Sent]) -> dict[str, Any]:
+    """Count what callers got."""
+    refused: Counter[str] = Counter()
+    answered = lost = mismatched = 0
+    for request in sent:
+        last = request.last
+        if last.answered:
+            answered += 1
+            mismatched += last.mismatched
+        elif last.status:
+            refused[last.reason] += 1
+        else:
+            lost += 1
+    return {
+        "sent": len(sent),
+        "answered": answered,
+        "refused": dict(refused),
+        "lost": lost,
+        "mismatched": mismatched,
+    }
+
+
+def check_non_repeatable(
+    sent: Sequence[Sent], runs: Sequence[RunRecord]
+) -> dict[str, int]:
+    """Count runs of requests that may run at most once."""
+    times = Counter(run.base_id for run in runs)
+    once = [request for request in sent if not request.repeatable]
+    return {
+        "sent": len(once),
+        "ran_once": sum(times[r.request_id] == 1 for r in once),
+        "ran_twice": sum(times[r.request_id] > 1 for r in once),
+        "refused_but_ran": refused_but_ran(sent, runs),
+        "unknown": sum(r.last.reason == "outcome_unknown" for r in once),
+    }
+
+
+def refused_but_ran(sent: Sequence[Sent], runs: Sequence[RunRecord]) -> int:
+    """Count attempts that were refused as not run and ran all the same."""
+    ran = {run.attempt_id for run in runs}
+    return sum(
+        attempt.not_run and attempt.attempt_id in ran
+        for request in sent
+        for attempt in request.attempts
+    )
+
+
+def check_limits(
+    sent: Sequence[Sent], runs: Sequence[RunRecord], seconds: float
+) -> list[dict[str, Any]]:
+    """Compare what ran of each organisation with its entitlement."""
+    starts: defaultdict[str, list[float]] = defaultdict(list)
+    for run in runs:
+        starts[run.organisation].append(run.started_s)
+    by_tenant: defaultdict[str, list[Sent]] = defaultdict(list)
+    for request in sent:
+        by_tenant[request.organisation].append(request)
+    rows = []
+    for tenant in TENANTS:
+        times = sorted(starts[tenant.name])
+        refused = sum(
+            request.last.reason in LIMIT_REASONS for request in by_tenant[tenant.name]
+        )
+        within = tenant.offered_per_s <= tenant.rate_per_s
+        rows.append(
+            {
+                "organisation": tenant.name,
+                "rate_per_s": tenant.rate_per_s,
+                "burst": tenant.burst,
+                "offered": len(by_tenant[tenant.name]),
+                "ran": len(times),
+                "bound": round(tenant.rate_per_s * seconds + tenant.burst, 1),
+                "largest_excess": round(
+                    largest_excess(times, tenant.rate_per_s, tenant.burst), 2
+                ),
+                "wrongly_refused": refused if within else 0,
+                "refused_by_limit": refused,
+            }
+        )
+    return rows
+
+
+def largest_excess(times: Sequence[float], rate_per_s: float, burst: float) -> float:
+    """Return the largest excess of runs over ``rate * t + burst`` in any window.
+
+    Parameters
+    ----------
+    times : sequence of float
+        Sorted start times in seconds.
+    rate_per_s, burst : float
+
+    Returns
+    -------
+    float
+        Not positive if the bound holds.
+    """
+    worst = -burst
+    # The level of a full bucket that each run drains by one: the bound is exceeded
+    # by as much as the level falls below zero.
+    level = burst
+    last = times[0] if times else 0.0
+    for time_s in times:
+        level = min(burst, level + (time_s - last) * rate_per_s) - 1.0
+        last = time_s
+        worst = max(worst, -level)
+    return worst
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/_fleet.py
@@ -0,0 +1,335 @@
+"""The deployments of both owners at the scale of one machine."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.config import HEAD
+from cardamomquay.config import digest_secret
+from cardamomquay.platform import Condition
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Write
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from cardamomquay.platform import TableService
+
+ADDRESS = "127.0.0.1"
+STORE_REGION = "mtl"
+PARTENAIRES = "partenaires"
+KURVEHAENG = "kurvehaeng"
+REGIONS = {
+    PARTENAIRES: ("mtl", "qc", "sag"),
+    KURVEHAENG: ("jylland", "fyn", "sjaelland"),
+}
+LINK_CAPS_BYTES_PER_S = {PARTENAIRES: 500_000_000.0, KURVEHAENG: 35_000_000.0}
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """A pool and the route to it."""
+
+    owner: str
+    pool: str
+    prefix: str
+    upstreams: int
+    slots: int
+    connections: int
+    repeatable: bool
+    mean_s: float
+
+
+SERVICES = (
+    Service(PARTENAIRES, "browse", "/browse", 12, 4, 330, True, 0.004),
+    Service(PARTENAIRES, "confirm", "/confirm", 12, 3, 330, False, 0.006),
+    Service(PARTENAIRES, "schedule", "/schedule", 12, 3, 330, True, 0.015),
+    Service(KURVEHAENG, "lookup", "/lookup", 16, 3, 390, True, 0.004),
+    Service(KURVEHAENG, "pledges", "/pledges", 12, 3, 390, False, 0.006),
+    Service(KURVEHAENG, "reconciliation", "/reconciliation", 16, 3, 390, True, 0.025),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """An organisation with its entitlement and its callers' offered load."""
+
+    owner: str
+    name: str
+    rate_per_s: float
+    burst: int
+    offered_per_s: float
+
+
+TENANTS = (
+    Tenant(PARTENAIRES, "salsa-mtl", 30.0, 30, 15.0),
+    Tenant(PARTENAIRES, "tango-qc", 30.0, 30, 15.0),
+    Tenant(PARTENAIRES, "swing-sag", 20.0, 24, 8.0),
+    Tenant(PARTENAIRES, "studio-owners", 10.0, 24, 30.0),
+    Tenant(KURVEHAENG, "nursery-nord", 30.0, 30, 15.0),
+    Tenant(KURVEHAENG, "nursery-syd", 30.0, 30, 15.0),
+    Tenant(KURVEHAENG, "council-odense", 20.0, 24, 8.0),
+    Tenant(KURVEHAENG, "garden-firm", 10.0, 24, 30.0),
+)
+
+
+@dataclass(frozen=True, slots=True)
+class HostPlan:
+    """Settings of one daemon."""
+
+    host: str
+    region: str
+    availability_zone: str
+    listen: str
+    operator_listen: str
+    peer_listen: str
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """Everything that a run starts.
+
+    Parameters
+    ----------
+    directory : Path
+        Holds settings, plans and logs.
+    base_port : int
+    hosts : tuple of HostPlan
+    """
+
+    directory: Path
+    base_port: int
+    hosts: tuple[HostPlan, ...]
+    platform: str = ""
+    upstream_control: str = ""
+    caller_keys: dict[str, str] = field(default_factory=dict)
+    operator_keys: dict[str, str] = field(default_factory=dict)
+
+
+def plan_fleet(directory: Path, base_port: int, hosts: int = 8) -> Fleet:
+    """Plan a fleet of daemons spread over the regions of both owners.
+
+    Parameters
+    ----------
+    directory : Path
+    base_port : int
+        First of about 200 ports.
+    hosts : int, default=8
+
+    Returns
+    -------
+    Fleet
+    """
+    # The store's region gets a second daemon first: an outage of the store is
+    # confirmed by two hosts there.
+    regions = ["mtl", "jylland", "qc", "fyn", "sag", "sjaelland", "mtl", "jylland"]
+    plans = []
+    for number in range(hosts):
+        region = regions[number % len(regions)]
+        port = base_port + 10 + 3 * number
+        plans.append(
+            HostPlan(
+                host=f"host-{number}",
+                region=region,
+                availability_zone=f"{region}-{'ab'[(number // 6) % 2]}",
+                listen=f"{ADDRESS}:{port}",
+                operator_listen=f"{ADDRESS}:{port + 1}",
+                peer_listen=f"{ADDRESS}:{port + 2}",
+            )
+        )
+    source = random.Random(base_port)
+    names = [tenant.name for tenant in TENANTS]
+    return Fleet(
+        directory=directory,
+        base_port=base_port,
+        hosts=tuple(plans),
+        platform=f"{ADDRESS}:{base_port}",
+        upstream_control=f"{ADDRESS}:{base_port + 1}",
+        caller_keys={
+            name: f"key-{name}.canary-{source.randbytes(12).hex()}" for name in names
+        },
+        operator_keys={
+            owner: f"op-{owner}.canary-{source.randbytes(12).hex()}"
+            for owner in REGIONS
+        },
+    )
+
+
+def write_settings(fleet: Fleet, plan: HostPlan, **extra: Any) -> Path:
+    """Write the settings file of one daemon and return its path."""
+    document = {
+        "host": plan.host,
+        "region": plan.region,
+        "availability_zone": plan.availability_zone,
+        "store_region": STORE_REGION,
+        "listen": plan.listen,
+        "operator_listen": plan.operator_listen,
+        "peer_listen": plan.peer_listen,
+        "platform": f"http://{fleet.platform}",
+        "log_file": str(fleet.directory / f"{plan.host}.log"),
+        **extra,
+    }
+    path = fleet.directory / f"{plan.host}.json"
+    text = json.dumps(document, indent=2)
+    path.write_text(f"// Settings of {plan.host}.\n{text}\n", encoding="utf-8")
+    return path
+
+
+def upstream_entries(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return the plan of the upstreams' stand-in."""
+    entries = []
+    port = fleet.base_port + 60
+    for service in SERVICES:
+        for number in range(service.upstreams):
+            regions = REGIONS[service.owner]
+            region = regions[number % len(regions)]
+            entries.append(
+                {
+                    "name": f"{service.pool}-{number}",
+                    "pool": service.pool,
+                    "address": f"{ADDRESS}:{port}",
+                    "region": region,
+                    "availability_zone": f"{region}-{'ab'[(number // 3) % 2]}",
+                    "slots": service.slots,
+                    "connections": service.connections,
+                    "behaviour": {"mean_s": service.mean_s},
+                }
+            )
+            port += 1
+    return entries
+
+
+def listed_hosts(fleet: Fleet) -> list[dict[str, Any]]:
+    """Return the platform's host list."""
+    return [
+        {
+            "host": plan.host,
+            "address": plan.listen,
+            "peer_address": plan.peer_listen,
+            "region": plan.region,
+            "availability_zone": plan.availability_zone,
+            "leaving": False,
+        }
+        for plan in fleet.hosts
+    ]
+
+
+def store_initial_config(fleet: Fleet, tables: TableService) -> None:
+    """Write version 1 of the configuration.
+
+    Raises
+    ------
+    RuntimeError
+        If the table service does not commit it.
+    """
+    rows = dict(_initial_rows(fleet))
+    head: dict[str, Any] = {"version": 1, "edit_id": "initial", "operator": "initial"}
+    writes = [Write(RowKey(*key), value) for key, value in rows.items()]
+    outcome = tables.transact(
+        Transaction((Condition(HEAD, 0),), (*writes, Write(HEAD, head)))
+    )
+    if type(outcome).__name__ != "Committed":
+        raise RuntimeError(f"initial configuration was not stored: {outcome}")
+
+
+def stored_key(presented: str, holder: str, owner: str) -> dict[str, Any]:
+    """Return the row value of a key from its presented form."""
+    key_id, _, secret = presented.partition(".")
+    salt = hashlib.sha256(key_id.encode()).hexdigest()[:32]
+    return {
+        "holder": holder,
+        "owner": owner,
+        "salt": salt,
+        "digest": digest_secret(salt, secret),
+    }
+
+
+def _initial_rows(fleet: Fleet) -> list[tuple[tuple[str, str], dict[str, Any]]]:
+    rows: list[tuple[tuple[str, str], dict[str, Any]]] = []
+    entries = upstream_entries(fleet)
+    for service in SERVICES:
+        upstreams = [
+            {
+                key: entry[key]
+                for key in (
+                    "name",
+                    "address",
+                    "region",
+                    "availability_zone",
+                    "slots",
+                    "connections",
+                )
+            }
+            for entry in entries
+            if entry["pool"] == service.pool
+        ]
+        rows.append(
+            (
+                ("pools", service.pool),
+                {"owner": service.owner, "upstreams": upstreams},
+            )
+        )
+        rows.append(
+            (
+                ("routes", service.pool),
+                {
+                    "owner": service.owner,
+                    "prefix": service.prefix,
+                    "pool": service.pool,
+                    "methods": ["GET"] if service.repeatable else ["POST"],
+                    "repeatable": service.repeatable,
+                    "timeout_s": 5.0,
+                },
+            )
+        )
+    for tenant in TENANTS:
+        rows.append(
+            (
+                ("organisations", tenant.name),
+                {
+                    "owner": tenant.owner,
+                    "rate_per_s": tenant.rate_per_s,
+                    "burst": tenant.burst,
+                },
+            )
+        )
+        presented = fleet.caller_keys[tenant.name]
+        rows.append(
+            (
+                ("keys", presented.partition(".")[0]),
+                stored_key(presented, tenant.name, tenant.owner),
+            )
+        )
+    for owner, presented in fleet.operator_keys.items():
+        rows.append(
+            (
+                ("operators", presented.partition(".")[0]),
+                stored_key(presented, f"{owner}-ops", owner),
+            )
+        )
+        for region in REGIONS[owner]:
+            rows.append(
+                (("regions", region), {"owner": owner, "capacity_per_s": 400.0})
+            )
+        for start in REGIONS[owner]:
+            for end in REGIONS[owner]:
+                if start != end:
+                    rows.append(
+                        (
+                            ("links", f"{start}-{end}"),
+                            {
+                                "owner": owner,
+                                "from_region": start,
+                                "to_region": end,
+                                "cap_bytes_per_s": LINK_CAPS_BYTES_PER_S[owner],
+                            },
+                        )
+                    )
+    return rows
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/_scenario.py
@@ -0,0 +1,264 @@
+"""The faults and edits of the demo, at fixed times."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay_dev._fleet import KURVEHAENG
+from cardamomquay_dev._fleet import PARTENAIRES
+from cardamomquay_dev._http import HttpAnswer
+from cardamomquay_dev._http import call
+from cardamomquay_dev._http import get_json
+from cardamomquay_dev._http import post_json
+from cardamomquay_dev._processes import wait_ready
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Sequence
+
+    from cardamomquay_dev._callers import Sent
+    from cardamomquay_dev._checks import RunRecord
+    from cardamomquay_dev._fleet import Fleet
+    from cardamomquay_dev._processes import Processes
+
+POLL_S = 0.05
+DRAINED_POOL = "browse"
+DRAINED = "browse-5"
+KILLED_HOST = 2
+STOPPED_HOST = 3
+EXTRA_SECRET = "canary-0123456789abcdef"
+EXTRA_KEY = f"key-extra.{EXTRA_SECRET}"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """An action at a time after the start of traffic."""
+
+    at_s: float
+    action: Callable[[], None]
+
+
+class Scenario:
+    """Runs the steps and keeps what they measured.
+
+    Parameters
+    ----------
+    fleet : Fleet
+    processes : Processes
+    """
+
+    def __init__(self, fleet: Fleet, processes: Processes) -> None:
+        self._fleet = fleet
+        self._processes = processes
+        self._in_force_s: list[float] = []
+        self._key_withdrawn_s = -1.0
+        self._drained_at_s = 0.0
+        self._stop_s = -1.0
+        self._stopping_at_s = float("inf")
+        self._reverted = 0
+        self._gone: set[str] = set()
+        self._finished = threading.Event()
+        self.failures: list[str] = []
+
+    def run(self) -> None:
+        """Run all steps in order."""
+        watcher = threading.Thread(target=self._watch_versions)
+        watcher.start()
+        steps = [
+            Step(2.0, self._grant_and_withdraw_key),
+            Step(7.0, self._kill_daemon),
+            Step(9.0, self._drain_upstream),
+            Step(13.0, self._edit_with_lost_answer),
+            Step(15.0, self._store_outage),
+            Step(18.5, self._restart_daemon),
+            Step(20.0, self._planned_stop),
+        ]
+        started = time.monotonic()
+        for step in steps:
+            time.sleep(max(0.0, started + step.at_s - time.monotonic()))
+            try:
+                step.action()
+            except Exception as exc:  # The report has to name a step that failed.
+                self.failures.append(f"{step.action.__name__}: {exc!r}")
+        self._finished.set()
+        watcher.join()
+
+    def results(
+        self, sent: Sequence[Sent], runs: Sequence[RunRecord]
+    ) -> dict[str, Any]:
+        """Return what the steps measured, with the records of the run."""
+        late = [
+            run.started_s - self._drained_at_s
+            for run in runs
+            if run.pool == DRAINED_POOL and run.upstream == DRAINED
+        ]
+        return {
+            "key_withdrawn_s": self._key_withdrawn_s,
+            "config_in_force_s": round(max(self._in_force_s, default=-1.0), 3),
+            "config_reverted": self._reverted,
+            "drain": {
+                "new_work_after_s": round(max(late, default=0.0), 3),
+                "requests_cut": self._requests_cut(sent),
+                "planned_stop_s": round(self._stop_s, 2),
+            },
+            "scenario_failures": self.failures,
+        }
+
+    def _requests_cut(self, sent: Sequence[Sent]) -> int:
+        """Count attempts that the planned stop cut before their answer."""
+        stopped = self._fleet.hosts[STOPPED_HOST].listen
+        return sum(
+            attempt.reason == "no_answer"
+            and attempt.host == stopped
+            and attempt.ended_s >= self._stopping_at_s
+            for request in sent
+            for attempt in request.attempts
+        )
+
+    def _grant_and_withdraw_key(self) -> None:
+        """Withdraw a key while callers on kept-alive connections use it."""
+        version = self._command(
+            PARTENAIRES, "grant", "key-extra", "salsa-mtl", "-", stdin=EXTRA_SECRET
+        )
+        self._wait_in_force(version)
+        last_accepted = 0.0
+        withdrawn = threading.Event()
+        lock = threading.Lock()
+
+        def use_key(address: str) -> None:
+            nonlocal last_accepted
+            end = time.monotonic() + 6.0
+            while time.monotonic() < end and not (
+                withdrawn.is_set() and time.time() - withdrawn_at > 3.5
+            ):
+                started = time.time()
+                answer = call(
+                    "GET",
+                    f"http://{address}/browse/key-check",
+                    (f"X-Api-Key: {EXTRA_KEY}", "X-Request-Id: key-check.0"),
+                )
+                if isinstance(answer, HttpAnswer) and answer.status == 200:
+                    with lock:
+                        last_accepted = max(last_accepted, started)
+                time.sleep(POLL_S)
+
+        withdrawn_at = float("inf")
+        threads = [
+            threading.Thread(target=use_key, args=(plan.listen,))
+            for plan in self._fleet.hosts
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.5)
+        self._command(PARTENAIRES, "delete", "keys", "key-extra")
+        withdrawn_at = time.time()
+        withdrawn.set()
+        for thread in threads:
+            thread.join()
+        self._key_withdrawn_s = round(max(0.0, last_accepted - withdrawn_at), 3)
+
+    def _kill_daemon(self) -> None:
+        victim = self._fleet.hosts[KILLED_HOST]
+        self._gone.add(victim.host)
+        self._processes.kill(victim.host)
+
+    def _restart_daemon(self) -> None:
+        victim = self._fleet.hosts[KILLED_HOST]
+        self._processes.start_daemon(victim)
+        wait_ready(victim.listen)
+        self._gone.discard(victim.host)
+
+    def _drain_upstream(self) -> None:
+        shown = self._show(PARTENAIRES, "pools", DRAINED_POOL)
+        for upstream in shown["upstreams"]:
+            if upstream["name"] == DRAINED:
+                upstream["draining"] = True
+        version = self._command(
+            PARTENAIRES, "set", "pools", DRAINED_POOL, json.dumps(shown)
+        )
+        self._drained_at_s = time.time()
+        self._wait_in_force(version)
+
+    def _edit_with_lost_answer(self) -> None:
+        route = self._show(KURVEHAENG, "routes", "lookup")
+        route["timeout_s"] = 4.0
+        post_json(f"http://{self._fleet.platform}/control/faults", {"lose_answers": 1})
+        self._command(KURVEHAENG, "set", "routes", "lookup", json.dumps(route))
+
+    def _store_outage(self) -> None:
+        url = f"http://{self._fleet.platform}/control/faults"
+        post_json(url, {"down": True})
+        time.sleep(3.0)
+        post_json(url, {"down": False})
+
+    def _planned_stop(self) -> None:
+        victim = self._fleet.hosts[STOPPED_HOST]
+        self._gone.add(victim.host)
+        self._stopping_at_s = time.time()
+        self._stop_s = self._processes.stop(victim.host)
+
+    def _wait_in_force(self, version: int) -> None:
+        started = time.monotonic()
+        for plan in self._fleet.hosts:
+            if plan.host in self._gone:
+                continue
+            while self._version_of(plan.listen) < version:
+                if time.monotonic() - started > 10.0:
+                    raise TimeoutError(f"version {version} not in force on {plan.host}")
+                time.sleep(0.01)
+        self._in_force_s.append(time.monotonic() - started)
+
+    def _version_of(self, address: str) -> int:
+        document = get_json(f"http://{address}/.cardamomquay/v1/hosts")
+        return int(document["config_version"]) if document else 0
+
+    def _watch_versions(self) -> None:
+        """Count every version that is older than one that a host showed before."""
+        highest: dict[str, int] = {}
+        while not self._finished.wait(0.1):
+            for plan in self._fleet.hosts:
+                version = self._version_of(plan.listen)
+                if 0 < version < highest.get(plan.host, 0):
+                    self._reverted += 1
+                highest[plan.host] = max(version, highest.get(plan.host, 0))
+
+    def _show(self, owner: str, *arguments: str) -> Any:
+        return json.loads(self._run_cli(owner, "show", *arguments).stdout)
+
+    def _command(self, owner: str, *arguments: str, stdin: str = "") -> int:
+        """Run an edit of the command line and return the version that it made."""
+        result = self._run_cli(owner, *arguments, stdin=stdin)
+        if result.returncode != 0:
+            raise RuntimeError(f"{arguments}: {result.stderr or result.stdout}")
+        return int(json.loads(result.stdout)["version"])
+
+    def _run_cli(
+        self, owner: str, *arguments: str, stdin: str = ""
+    ) -> subprocess.CompletedProcess[str]:
+        servers = [
+            f"http://{plan.operator_listen}"
+            for plan in self._fleet.hosts
+            if plan.host not in self._gone
+        ]
+        environment = {
+            **os.environ,
+            "CARDAMOMQUAY_KEY": self._fleet.operator_keys[owner],
+            "CARDAMOMQUAY_SERVER": ",".join(servers),
+        }
+        return subprocess.run(
+            [sys.executable, "-m", "cardamomquay_cli.main", "--json", *arguments],
+            env=environment,
+            input=stdin,
+            capture_output=True,
+            text=True,
+            timeout=30,
+            check=False,
+        )
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/demo.py
@@ -0,0 +1,160 @@
+"""Runs both owners' traffic over a small fleet with faults, and checks the rules."""
+
+from __future__ import annotations
+
+import json
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay_dev import _checks
+from cardamomquay_dev._callers import Organisation
+from cardamomquay_dev._fleet import REGIONS
+from cardamomquay_dev._fleet import TENANTS
+from cardamomquay_dev._fleet import Fleet
+from cardamomquay_dev._fleet import plan_fleet
+from cardamomquay_dev._http import get_json
+from cardamomquay_dev._processes import running_fleet
+from cardamomquay_dev._scenario import Scenario
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cardamomquay_dev._callers import Sent
+
+SEED = 20261204
+BASE_PORT = 21000
+TRAFFIC_S = 30.0
+BUILD = Path("build")
+KEY_BOUND_S = 3.0
+CONFIG_BOUND_S = 4.0
+DRAIN_BOUND_S = 3.0
+
+
+def run_demo() -> dict[str, Any]:
+    """Run the fleet and return the report."""
+    with tempfile.TemporaryDirectory(prefix="cardamomquay-") as directory:
+        fleet = plan_fleet(Path(directory), BASE_PORT)
+        with running_fleet(fleet) as processes:
+            started = time.monotonic()
+            scenario = Scenario(fleet, processes)
+            sent = _run_traffic(fleet, scenario)
+            duration_s = time.monotonic() - started
+            document = get_json(f"http://{fleet.upstream_control}/control/runs")
+            runs = _checks.read_runs(document)
+            report = _report(sent, runs, scenario, duration_s)
+            report["processes"] = processes.started
+            report["shed_by_upstreams"] = document["shed"]
+            report["key_in_logs"] = _keys_in_logs(fleet)
+    report["broken"] = _broken_rules(report)
+    report["ok"] = not report["broken"]
+    return report
+
+
+def _run_traffic(fleet: Fleet, scenario: Scenario) -> list[Sent]:
+    organisations = [
+        Organisation(fleet, tenant, REGIONS[tenant.owner][number % 3], SEED)
+        for number, tenant in enumerate(TENANTS)
+    ]
+    threads = [
+        threading.Thread(target=organisation.run, args=(TRAFFIC_S,))
+        for organisation in organisations
+    ]
+    threads.append(threading.Thread(target=scenario.run))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return [sent for organisation in organisations for sent in organisation.sent]
+
+
+def _report(
+    sent: Sequence[Sent],
+    runs: Sequence[_checks.RunRecord],
+    scenario: Scenario,
+    duration_s: float,
+) -> dict[str, Any]:
+    return {
+        "duration_s": round(duration_s, 2),
+        "requests": _checks.check_requests(sent),
+        "non_repeatable": _checks.check_non_repeatable(sent, runs),
+        "limits": _checks.check_limits(sent, runs, duration_s),
+        "key_seen_by_upstream": sum(run.key_seen for run in runs),
+        **scenario.results(sent, runs),
+    }
+
+
+def _keys_in_logs(fleet: Fleet) -> int:
+    """Count log files in which a key's secret stands."""
+    secrets = [
+        key.partition(".")[2].encode()
+        for key in (*fleet.caller_keys.values(), *fleet.operator_keys.values())
+    ]
+    return sum(
+        any(secret in path.read_bytes() for secret in secrets)
+        for path in (*fleet.directory.glob("*.log"), *fleet.directory.glob("*.out"))
+    )
+
+
+def _broken_rules(report: dict[str, Any]) -> list[str]:
+    requests = report["requests"]
+    once = report["non_repeatable"]
+    rules = {
+        "a request was lost": requests["lost"] > 0,
+        "an answer was mismatched": requests["mismatched"] > 0,
+        "a non-repeatable request ran twice": once["ran_twice"] > 0,
+        "a refusal said not run, but the request ran": once["refused_but_ran"] > 0,
+        "an upstream saw a key": report["key_seen_by_upstream"] > 0,
+        "a key stands in a log": report["key_in_logs"] > 0,
+        "an organisation exceeded its limit": any(
+            row["largest_excess"] > 0 for row in report["limits"]
+        ),
+        "a withdrawn key worked too long": report["key_withdrawn_s"] > KEY_BOUND_S,
+        "a configuration was late": report["config_in_force_s"] > CONFIG_BOUND_S,
+        "a configuration reverted": report["config_reverted"] > 0,
+        "a drained upstream got new work": report["drain"]["new_work_after_s"]
+        > DRAIN_BOUND_S,
+        "a planned stop cut requests": report["drain"]["requests_cut"] > 0,
+    }
+    return [rule for rule, broken in rules.items() if broken]
+
+
+def _print_table(report: dict[str, Any]) -> None:
+    requests = report["requests"]
+    once = report["non_repeatable"]
+    rows = [
+        ("processes", report["processes"]),
+        ("duration", f"{report['duration_s']} s"),
+        ("requests", f"{requests['sent']} sent, {requests['answered']} answered"),
+        ("refused", requests["refused"]),
+        ("lost / mismatched", f"{requests['lost']} / {requests['mismatched']}"),
+        ("non-repeatable", once),
+        ("key withdrawn after", f"{report['key_withdrawn_s']} s"),
+        ("configuration in force after", f"{report['config_in_force_s']} s"),
+        ("configuration reverted", report["config_reverted"]),
+        ("drain", report["drain"]),
+        ("wrongly refused", sum(r["wrongly_refused"] for r in report["limits"])),
+        ("largest excess", max(r["largest_excess"] for r in report["limits"])),
+        ("broken rules", ", ".join(report["broken"]) or "none"),
+    ]
+    for name, value in rows:
+        print(f"{name:<30} {value}")
+
+
+def main() -> int:
+    """Run the demo, print its table and write ``build/demo.json``."""
+    report = run_demo()
+    BUILD.mkdir(exist_ok=True)
+    path = BUILD / "demo.json"
+    path.write_text(json.dumps(report, indent=2), encoding="utf-8")
+    _print_table(report)
+    print(f"ok: {str(report['ok']).lower()} ({path})")
+    return 0 if report["ok"] else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/standins/upstreams.py
@@ -0,0 +1,219 @@
+"""Stand-ins for upstreams: many in one process, each on a port of its own.
+
+An upstream has slots, service times, a cold start, and sheds load with
+``503`` and ``X-Not-Run: true``. ``POST /control/behaviour`` changes upstreams,
+``GET /control/runs`` returns what really ran.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from absl import app
+from absl import flags
+from werkzeug import Request
+from werkzeug import Response
+
+from cardamomquay_dev.standins._serve import json_response
+from cardamomquay_dev.standins._serve import make_server
+from cardamomquay_dev.standins._serve import serve_until_stopped
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from _typeshed.wsgi import StartResponse
+    from _typeshed.wsgi import WSGIEnvironment
+
+PLAN = flags.DEFINE_string("plan", "", "JSON file that lists the upstreams.")
+CONTROL = flags.DEFINE_string("control", "127.0.0.1:7100", "ip:port.")
+EXTRA_THREADS = 3
+COLD_FACTOR = 3.0
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that an upstream ran."""
+
+    upstream: str
+    pool: str
+    request_id: str
+    organisation: str
+    path: str
+    started_s: float
+    finished_s: float
+    key_seen: bool
+
+
+@dataclass(slots=True)
+class Behaviour:
+    """How an upstream behaves now.
+
+    Parameters
+    ----------
+    mean_s : float
+        Mean service time in seconds.
+    error_share : float
+        Share of requests answered with 500.
+    cold_until_s : float
+        Service times are `COLD_FACTOR` times longer until then.
+    body_bytes : int
+    hang_share : float
+        Share of requests whose answer is cut in the middle.
+    """
+
+    mean_s: float = 0.005
+    error_share: float = 0.0
+    cold_until_s: float = 0.0
+    body_bytes: int = 1024
+    hang_share: float = 0.0
+
+
+@dataclass(slots=True)
+class Journal:
+    """Everything that the upstreams of this process ran or shed."""
+
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    runs: list[Run] = field(default_factory=list)
+    shed: int = 0
+    over_slots: int = 0
+
+
+class UpstreamApp:
+    """WSGI application of one upstream."""
+
+    def __init__(
+        self, name: str, pool: str, slots: int, behaviour: Behaviour, journal: Journal
+    ) -> None:
+        self.name = name
+        self.pool = pool
+        self.behaviour = behaviour
+        self._slots = threading.Semaphore(slots)
+        self._journal = journal
+        self._random = random.Random(f"{pool}/{name}")
+
+    def __call__(
+        self, environ: WSGIEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = Request(environ, populate_request=False)
+        body = request.get_data()
+        if not self._slots.acquire(blocking=False):
+            with self._journal.lock:
+                self._journal.shed += 1
+            response = Response("busy\n", 503, headers={"X-Not-Run": "true"})
+            return response(environ, start_response)
+        try:
+            response = self._run(request, body)
+        finally:
+            self._slots.release()
+        return response(environ, start_response)
+
+    def _run(self, request: Request, body: bytes) -> Response:
+        started_s = time.time()
+        behaviour = self.behaviour
+        service_s = self._random.expovariate(1.0 / behaviour.mean_s)
+        if started_s < behaviour.cold_until_s:
+            service_s *= COLD_FACTOR
+        time.sleep(min(service_s, 30.0))
+        request_id = request.headers.get("X-Request-Id", "")
+        run = Run(
+            upstream=self.name,
+            pool=self.pool,
+            request_id=request_id,
+            organisation=request.headers.get("X-Organisation", ""),
+            path=request.path,
+            started_s=started_s,
+            finished_s=time.time(),
+            key_seen=_key_seen(request, body),
+        )
+        with self._journal.lock:
+            self._journal.runs.append(run)
+        if self._random.random() < behaviour.error_share:
+            return json_response({"request_id": request_id, "error": True}, 500)
+        document = {
+            "request_id": request_id,
+            "upstream": self.name,
+            "pool": self.pool,
+            "padding": "x" * behaviour.body_bytes,
+        }
+        return json_response(document)
+
+
+class ControlApp:
+    """WSGI application that steers and reads the upstreams."""
+
+    def __init__(self, upstreams: list[UpstreamApp], journal: Journal) -> None:
+        self._upstreams = upstreams
+        self._journal = journal
+
+    def __call__(
+        self, environ: WSGIEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        request = Request(environ, populate_request=False)
+        return self._respond(request)(environ, start_response)
+
+    def _respond(self, request: Request) -> Response:
+        if request.path == "/control/runs":
+            with self._journal.lock:
+                runs = [
+                    [
+                        run.upstream,
+                        run.pool,
+                        run.request_id,
+                        run.organisation,
+                        run.path,
+                        run.started_s,
+                        run.finished_s,
+                        run.key_seen,
+                    ]
+                    for run in self._journal.runs
+                ]
+                shed = self._journal.shed
+            return json_response({"runs": runs, "shed": shed})
+        document = json.loads(request.get_data())
+        for upstream in self._upstreams:
+            if upstream.pool == document["pool"] and document.get(
+                "upstream", upstream.name
+            ) == (upstream.name):
+                for name, value in document["set"].items():
+                    setattr(upstream.behaviour, name, value)
+        return json_response({})
+
+
+def _key_seen(request: Request, body: bytes) -> bool:
+    text = " ".join(f"{name}:{value}" for name, value in request.headers.items())
+    return "x-api-key" in text.lower() or "canary-" in text or b"canary-" in body
+
+
+def build(plan: list[dict[str, Any]], control: str) -> list[Any]:
+    """Return the servers of a plan: a dict with name, pool, address, slots each."""
+    journal = Journal()
+    servers = []
+    apps = []
+    for entry in plan:
+        behaviour = Behaviour(**entry.get("behaviour", {}))
+        upstream = UpstreamApp(
+            entry["name"], entry["pool"], entry["slots"], behaviour, journal
+        )
+        apps.append(upstream)
+        threads = entry["slots"] + EXTRA_THREADS
+        servers.append(make_server(entry["address"], upstream, threads))
+    servers.append(make_server(control, ControlApp(apps, journal), 4))
+    return servers
+
+
+def main(argv: list[str]) -> None:
+    """Serve the upstreams of a plan."""
+    with open(PLAN.value, encoding="utf-8") as file:
+        plan = json.load(file)
+    serve_until_stopped(build(plan, CONTROL.value))
+
+
+if __name__ == "__main__":
+    app.run(main)
