--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/_bench_relay.py
@@ -0,0 +1,186 @@
+"""Relay and look-up throughput of one daemon beside baselines of the same run."""
+
+from __future__ import annotations
+
+import json
+import statistics
+import tempfile
+from contextlib import contextmanager
+from functools import partial
+from pathlib import Path
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.config import HEAD
+from cardamomquay.platform import Condition
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Write
+from cardamomquay_daemon._platform_client import HttpTableService
+from cardamomquay_daemon._platform_client import PlatformConnection
+from cardamomquay_dev import _fleet
+from cardamomquay_dev._http import get_json
+from cardamomquay_dev._http import post_json
+from cardamomquay_dev._load import LoadResult
+from cardamomquay_dev._load import run_load
+from cardamomquay_dev._processes import Processes
+from cardamomquay_dev._processes import resident_mb
+from cardamomquay_dev._processes import wait_ready
+from cardamomquay_dev._processes import wait_until
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+BASE_PORT = 22000
+UPSTREAMS = 4
+UPSTREAM_SLOTS = 64
+SERVICE_TIME_S = 0.0001
+CONNECTIONS = 8
+ROUNDS = 3
+KEY = "key-bench.canary-bench"
+
+
+def measure_relay(seconds: float = 3.0) -> dict[str, Any]:
+    """Measure relay, bare relay, direct calls, look-ups and a constant answer.
+
+    Parameters
+    ----------
+    seconds : float
+        Time of each measurement; each is made three times, in turn, and the
+        median by throughput counts, since other work on the machine comes and goes.
+
+    Returns
+    -------
+    dict
+    """
+    with tempfile.TemporaryDirectory(prefix="cardamomquay-") as directory:
+        fleet = _fleet.plan_fleet(Path(directory), BASE_PORT, hosts=1)
+        with _running(fleet) as processes:
+            daemon = f"http://{fleet.hosts[0].listen}"
+            bare = f"http://{_address(2)}"
+            direct = [f"http://{_address(20 + n)}/bench" for n in range(UPSTREAMS)]
+            key = [f"X-Api-Key: {KEY}"]
+            lookup_url = f"{daemon}/.cardamomquay/v1/hosts?region=mtl"
+            loads = {
+                "relay": ([f"{daemon}/bench"], key),
+                "bare_relay": ([f"{bare}/bench"], []),
+                "direct": (direct, []),
+                "lookup": ([lookup_url], []),
+                "constant_answer": ([f"{bare}/constant"], []),
+            }
+            results: dict[str, list[LoadResult]] = {name: [] for name in loads}
+            for _ in range(ROUNDS):
+                for name, (urls, headers) in loads.items():
+                    results[name].append(run_load(urls, headers, seconds, CONNECTIONS))
+            memory_mb = resident_mb(processes.pid(fleet.hosts[0].host))
+    report: dict[str, Any] = {
+        name: _median(rounds).as_dict() for name, rounds in results.items()
+    }
+    relay, bare_relay = report["relay"], report["bare_relay"]
+    report["relay"]["of_bare_relay"] = round(
+        relay["requests_per_s"] / bare_relay["requests_per_s"], 3
+    )
+    report["lookup"]["of_constant_answer"] = round(
+        report["lookup"]["requests_per_s"]
+        / report["constant_answer"]["requests_per_s"],
+        3,
+    )
+    report["relay"]["resident_mb"] = memory_mb
+    return report
+
+
+@contextmanager
+def _running(fleet: _fleet.Fleet) -> Iterator[Processes]:
+    processes = Processes(fleet)
+    try:
+        processes.start(
+            "platform",
+            "cardamomquay_dev.standins.platform",
+            f"--platform_listen={fleet.platform}",
+        )
+        for number in range(UPSTREAMS):
+            _start_upstream(fleet, processes, number)
+        targets = ",".join(_address(20 + n) for n in range(UPSTREAMS))
+        processes.start(
+            "bare",
+            "cardamomquay_dev.standins.bare_relay",
+            f"--bare_listen={_address(2)}",
+            f"--targets={targets}",
+        )
+        load_url = f"http://{fleet.platform}/control/load"
+        wait_until(partial(_answers, load_url))
+        wait_until(partial(_answers, f"http://{_address(2)}/constant"))
+        for number in range(UPSTREAMS):
+            url = f"http://{_address(40 + number)}/control/runs"
+            wait_until(partial(_answers, url))
+        post_json(
+            f"http://{fleet.platform}/control/hosts",
+            {"hosts": _fleet.listed_hosts(fleet)},
+        )
+        _store_config(fleet)
+        _fleet.write_settings(fleet, fleet.hosts[0])
+        processes.start_daemon(fleet.hosts[0])
+        wait_ready(fleet.hosts[0].listen)
+        yield processes
+    finally:
+        processes.end_all()
+
+
+def _start_upstream(fleet: _fleet.Fleet, processes: Processes, number: int) -> None:
+    plan = fleet.directory / f"bench-{number}.json"
+    entry = {
+        "name": f"bench-{number}",
+        "pool": "bench",
+        "address": _address(20 + number),
+        "slots": UPSTREAM_SLOTS,
+        "behaviour": {"mean_s": SERVICE_TIME_S},
+    }
+    plan.write_text(json.dumps([entry]), encoding="utf-8")
+    processes.start(
+        f"bench-{number}",
+        "cardamomquay_dev.standins.upstreams",
+        f"--plan={plan}",
+        f"--control={_address(40 + number)}",
+    )
+
+
+def _store_config(fleet: _fleet.Fleet) -> None:
+    tables = HttpTableService(PlatformConnection(f"http://{fleet.platform}"))
+    upstreams = [
+        {
+            "name": f"bench-{number}",
+            "address": _address(20 + number),
+            "region": "mtl",
+            "availability_zone": "mtl-a",
+            "slots": UPSTREAM_SLOTS,
+            "connections": 330,
+        }
+        for number in range(UPSTREAMS)
+    ]
+    owner = _fleet.PARTENAIRES
+    rows: dict[tuple[str, str], dict[str, Any]] = {
+        ("pools", "bench"): {"owner": owner, "upstreams": upstreams},
+        ("routes", "bench"): {"owner": owner, "prefix": "/bench", "pool": "bench"},
+        ("organisations", "bench"): {
+            "owner": owner,
+            "rate_per_s": 1_000_000.0,
+            "burst": 1_000_000,
+        },
+        ("keys", "key-bench"): _fleet.stored_key(KEY, "bench", owner),
+        ("config", "head"): {"version": 1, "edit_id": "bench", "operator": "bench"},
+    }
+    writes = tuple(Write(RowKey(*key), value) for key, value in rows.items())
+    tables.transact(Transaction((Condition(HEAD, 0),), writes))
+
+
+def _answers(url: str) -> bool:
+    return get_json(url) is not None
+
+
+def _address(offset: int) -> str:
+    return f"{_fleet.ADDRESS}:{BASE_PORT + offset}"
+
+
+def _median(rounds: list[LoadResult]) -> LoadResult:
+    middle = statistics.median_low(r.requests_per_s for r in rounds)
+    return next(r for r in rounds if r.requests_per_s == middle)
--- a/packages/dev/src/cardamomquay_dev/_processes.py
+++ b/packages/dev/src/cardamomquay_dev/_processes.py
@@ -17,6 +17,7 @@
 from cardamomquay_dev._http import post_json
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from cardamomquay_dev._fleet import Fleet
@@ -118,8 +119,10 @@
         f"--plan={plan}",
         f"--control={fleet.upstream_control}",
     )
-    _wait(lambda: get_json(f"http://{fleet.platform}/control/load") is not None)
-    _wait(lambda: get_json(f"http://{fleet.upstream_control}/control/runs") is not None)
+    wait_until(lambda: get_json(f"http://{fleet.platform}/control/load") is not None)
+    wait_until(
+        lambda: get_json(f"http://{fleet.upstream_control}/control/runs") is not None
+    )
     post_json(
         f"http://{fleet.platform}/control/hosts", {"hosts": _fleet.listed_hosts(fleet)}
     )
@@ -135,14 +138,29 @@
     TimeoutError
         If it does not within 20 s.
     """
-    _wait(lambda: get_json(f"http://{address}/.cardamomquay/v1/ready") is not None)
+    wait_until(lambda: get_json(f"http://{address}/.cardamomquay/v1/ready") is not None)
+
 
+def wait_until(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds.
 
-def _wait(condition: object) -> None:
-    assert callable(condition)
+    Raises
+    ------
+    TimeoutError
+        If it does not within 20 s.
+    """
     end = time.monotonic() + READY_TIMEOUT_S
     while time.monotonic() < end:
         if condition():
             return
         time.sleep(POLL_S)
     raise TimeoutError("a process did not become ready")
+
+
+def resident_mb(pid: int) -> float:
+    """Return the resident memory of a process in MB."""
+    with open(f"/proc/{pid}/status", encoding="ascii") as file:
+        for line in file:
+            if line.startswith("VmRSS:"):
+                return round(int(line.split()[1]) / 1024, 1)
+    return -1.0
