Report links and regions in the demo from records of both ends

Cause: the demo said nothing about links and regions. Change: the host of an attempt comes from the caller's record and the upstream from the upstream's, so the peak of each link and region is counted at the stand-ins; caps are scaled with the load of one machine.

--- a/packages/dev/src/cardamomquay_dev/_checks.py
+++ b/packages/dev/src/cardamomquay_dev/_checks.py
@@ -11,6 +11,7 @@
 from cardamomquay_dev._fleet import TENANTS
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from cardamomquay_dev._callers import Sent
@@ -28,6 +29,7 @@
     organisation: str
     started_s: float
     key_seen: bool
+    answer_bytes: int
 
     @property
     def base_id(self) -> str:
@@ -38,7 +40,7 @@
 def read_runs(document: Any) -> list[RunRecord]:
     """Return the runs of an upstreams' stand-in."""
     return [
-        RunRecord(run[0], run[1], run[2], run[3], run[5], run[7])
+        RunRecord(run[0], run[1], run[2], run[3], run[5], run[7], run[8])
         for run in document["runs"]
     ]
 
@@ -125,6 +127,75 @@
     return rows
 
 
+def check_regions(
+    runs: Sequence[RunRecord], regions: Mapping[str, str], capacity_per_s: float
+) -> list[dict[str, Any]]:
+    """Return the busiest second of each region.
+
+    Parameters
+    ----------
+    runs : sequence of RunRecord
+    regions : mapping
+        Region of each upstream.
+    capacity_per_s : float
+    """
+    counts: Counter[tuple[str, int]] = Counter()
+    for run in runs:
+        counts[regions[run.upstream], int(run.started_s)] += 1
+    return [
+        {"name": name, "capacity": capacity_per_s, "peak": _peak(counts, name)}
+        for name in sorted(set(regions.values()))
+    ]
+
+
+def check_links(
+    sent: Sequence[Sent],
+    runs: Sequence[RunRecord],
+    regions: Mapping[str, str],
+    host_regions: Mapping[str, str],
+    caps: Mapping[tuple[str, str], float],
+) -> list[dict[str, Any]]:
+    """Return the busiest second of each link in bytes of answers.
+
+    The host that an attempt went to comes from the caller's record and the upstream
+    that ran it from the upstream's.
+
+    Parameters
+    ----------
+    sent : sequence of Sent
+    runs : sequence of RunRecord
+    regions : mapping
+        Region of each upstream.
+    host_regions : mapping
+        Region of each host's address.
+    caps : mapping
+        Cap in bytes/s of each pair of regions; 0 for a pair without a link.
+    """
+    hosts = {a.attempt_id: a.host for request in sent for a in request.attempts}
+    counts: Counter[tuple[tuple[str, str], int]] = Counter()
+    for run in runs:
+        host = hosts.get(run.attempt_id)
+        if host is None:
+            continue
+        link = (regions[run.upstream], host_regions[host])
+        if link[0] != link[1]:
+            counts[link, int(run.started_s)] += run.answer_bytes
+    used = {link for link, _ in counts}
+    return [
+        {
+            "from": link[0],
+            "to": link[1],
+            "cap_bytes_per_s": caps.get(link, 0.0),
+            "peak_bytes_per_s": _peak(counts, link),
+        }
+        for link in sorted(used | set(caps))
+    ]
+
+
+def _peak(counts: Counter[tuple[Any, int]], name: Any) -> int:
+    return max((n for (key, _), n in counts.items() if key == name), default=0)
+
+
 def largest_excess(times: Sequence[float], rate_per_s: float, burst: float) -> float:
     """Return the largest excess of runs over ``rate * t + burst`` in any window.
 
--- a/packages/dev/src/cardamomquay_dev/_fleet.py
+++ b/packages/dev/src/cardamomquay_dev/_fleet.py
@@ -30,7 +30,9 @@
     PARTENAIRES: ("mtl", "qc", "sag"),
     KURVEHAENG: ("jylland", "fyn", "sjaelland"),
 }
-LINK_CAPS_BYTES_PER_S = {PARTENAIRES: 500_000_000.0, KURVEHAENG: 35_000_000.0}
+REGION_CAPACITY_PER_S = 80.0
+# 4 Gbit/s and 280 Mbit/s, divided by 1000 as the load of one machine is.
+LINK_CAPS_BYTES_PER_S = {PARTENAIRES: 500_000.0, KURVEHAENG: 35_000.0}
 
 
 @dataclass(frozen=True, slots=True)
@@ -316,7 +318,10 @@
         )
         for region in REGIONS[owner]:
             rows.append(
-                (("regions", region), {"owner": owner, "capacity_per_s": 400.0})
+                (
+                    ("regions", region),
+                    {"owner": owner, "capacity_per_s": REGION_CAPACITY_PER_S},
+                )
             )
         for start in REGIONS[owner]:
             for end in REGIONS[owner]:
@@ -333,3 +338,14 @@
                         )
                     )
     return rows
+
+
+def link_caps() -> dict[tuple[str, str], float]:
+    """Return the cap in bytes/s of each directed link between two regions."""
+    return {
+        (start, end): LINK_CAPS_BYTES_PER_S[owner]
+        for owner, regions in REGIONS.items()
+        for start in regions
+        for end in regions
+        if start != end
+    }
--- a/packages/dev/src/cardamomquay_dev/demo.py
+++ b/packages/dev/src/cardamomquay_dev/demo.py
@@ -13,10 +13,13 @@
 
 from cardamomquay_dev import _checks
 from cardamomquay_dev._callers import Organisation
+from cardamomquay_dev._fleet import REGION_CAPACITY_PER_S
 from cardamomquay_dev._fleet import REGIONS
 from cardamomquay_dev._fleet import TENANTS
 from cardamomquay_dev._fleet import Fleet
+from cardamomquay_dev._fleet import link_caps
 from cardamomquay_dev._fleet import plan_fleet
+from cardamomquay_dev._fleet import upstream_entries
 from cardamomquay_dev._http import get_json
 from cardamomquay_dev._processes import running_fleet
 from cardamomquay_dev._scenario import Scenario
@@ -47,6 +50,7 @@
             document = get_json(f"http://{fleet.upstream_control}/control/runs")
             runs = _checks.read_runs(document)
             report = _report(sent, runs, scenario, duration_s)
+            report |= _headroom(fleet, sent, runs)
             report["processes"] = processes.started
             report["shed_by_upstreams"] = document["shed"]
             report["key_in_logs"] = _keys_in_logs(fleet)
@@ -88,6 +92,17 @@
     }
 
 
+def _headroom(
+    fleet: Fleet, sent: Sequence[Sent], runs: Sequence[_checks.RunRecord]
+) -> dict[str, Any]:
+    regions = {e["name"]: e["region"] for e in upstream_entries(fleet)}
+    host_regions = {plan.listen: plan.region for plan in fleet.hosts}
+    return {
+        "regions": _checks.check_regions(runs, regions, REGION_CAPACITY_PER_S),
+        "links": _checks.check_links(sent, runs, regions, host_regions, link_caps()),
+    }
+
+
 def _keys_in_logs(fleet: Fleet) -> int:
     """Count log files in which a key's secret stands."""
     secrets = [
@@ -113,6 +128,13 @@
         "an organisation exceeded its limit": any(
             row["largest_excess"] > 0 for row in report["limits"]
         ),
+        "a region was overloaded": any(
+            row["peak"] > row["capacity"] for row in report["regions"]
+        ),
+        "a link was overloaded": any(
+            row["peak_bytes_per_s"] > row["cap_bytes_per_s"] for row in report["links"]
+        ),
+        "a step of the scenario failed": bool(report["scenario_failures"]),
         "a withdrawn key worked too long": report["key_withdrawn_s"] > KEY_BOUND_S,
         "a configuration was late": report["config_in_force_s"] > CONFIG_BOUND_S,
         "a configuration reverted": report["config_reverted"] > 0,
--- a/packages/dev/src/cardamomquay_dev/standins/upstreams.py
+++ b/packages/dev/src/cardamomquay_dev/standins/upstreams.py
@@ -49,6 +49,7 @@
     started_s: float
     finished_s: float
     key_seen: bool
+    answer_bytes: int = 0
 
 
 @dataclass(slots=True)
@@ -132,17 +133,18 @@
             finished_s=time.time(),
             key_seen=_key_seen(request, body),
         )
-        with self._journal.lock:
-            self._journal.runs.append(run)
-        if self._random.random() < behaviour.error_share:
-            return json_response({"request_id": request_id, "error": True}, 500)
+        failed = self._random.random() < behaviour.error_share
         document = {
             "request_id": request_id,
             "upstream": self.name,
             "pool": self.pool,
-            "padding": "x" * behaviour.body_bytes,
+            "padding": "" if failed else "x" * behaviour.body_bytes,
         }
-        return json_response(document)
+        response = json_response(document, 500 if failed else 200)
+        run.answer_bytes = len(response.get_data())
+        with self._journal.lock:
+            self._journal.runs.append(run)
+        return response
 
 
 class ControlApp:
@@ -171,6 +173,7 @@
                         run.started_s,
                         run.finished_s,
                         run.key_seen,
+                        run.answer_bytes,
                     ]
                     for run in self._journal.runs
                 ]
