Exchange records, evidence and configurations between daemons

Cause: daemons knew each other from the platform's list only, and each needed the store for its configuration. A killed host stayed in look-up answers, and a store outage stopped closed routes (`configuration_stale`), because no host heard the reports of the store's region.

Change: `PeerNode` serves and calls `Exchange` and `FetchConfig` in one asyncio thread, with mutual TLS by `peer_tls` and a deadline on each call. `Borrow` has a hook (`PeerNode.lend`) and a client (`PeerNode.borrow`). `MembershipPart` keeps what peers state. Answers are dated from the start of the call. `ConfigPart` takes pulled evidence and fetches newer versions from peers. A starting host takes a peer's configuration only if it is shown to be current. Incarnations begin with the wall time so that they have an order.

Conclusion: the exchange carries membership, evidence and configurations.

--- a/packages/core/src/cardamomquay/config/__init__.py
+++ b/packages/core/src/cardamomquay/config/__init__.py
@@ -22,6 +22,7 @@
 from cardamomquay.config._model import StoredKey
 from cardamomquay.config._model import Upstream
 from cardamomquay.config._model import digest_secret
+from cardamomquay.config._rows import config_rows
 from cardamomquay.config._validate import parse_config
 from cardamomquay.config._validate import validate_config
 
@@ -43,6 +44,7 @@
     "StoredKey",
     "Upstream",
     "check_address",
+    "config_rows",
     "digest_secret",
     "head_version",
     "parse_config",
--- /dev/null
+++ b/packages/core/src/cardamomquay/config/_rows.py
@@ -0,0 +1,39 @@
+"""The configuration as rows."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict
+from typing import TYPE_CHECKING
+
+from cardamomquay.config._model import TABLES
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+
+if TYPE_CHECKING:
+    from cardamomquay.config._model import Config
+
+# The row's key stands in these fields of the dataclasses.
+KEY_FIELDS = ("name", "key_id")
+
+
+def config_rows(config: Config) -> tuple[Row, ...]:
+    """Return the rows from which `parse_config` makes the same configuration.
+
+    Parameters
+    ----------
+    config : Config
+
+    Returns
+    -------
+    tuple of Row
+        Their versions are 0.
+    """
+    rows = []
+    for table in TABLES:
+        for key, entry in getattr(config, table).items():
+            value = json.loads(json.dumps(asdict(entry)))
+            for field in KEY_FIELDS:
+                value.pop(field, None)
+            rows.append(Row(RowKey(table, key), 0, value))
+    return tuple(rows)
--- a/packages/core/src/cardamomquay/currency/__init__.py
+++ b/packages/core/src/cardamomquay/currency/__init__.py
@@ -7,11 +7,16 @@
 from cardamomquay.currency._currency import RegionReport
 from cardamomquay.currency._currency import is_current
 from cardamomquay.currency._currency import is_outage_confirmed
+from cardamomquay.currency._exchange import Statement
+from cardamomquay.currency._exchange import exchange_statement
+from cardamomquay.currency._exchange import own_record
 from cardamomquay.currency._part import ConfigInForce
 from cardamomquay.currency._part import ConfigLoaded
 from cardamomquay.currency._part import ConfigLoadFailed
 from cardamomquay.currency._part import ConfigPart
 from cardamomquay.currency._part import ConfigState
+from cardamomquay.currency._part import ConfigWithoutEvidence
+from cardamomquay.currency._part import FetchConfigFromPeer
 from cardamomquay.currency._part import HeadRead
 from cardamomquay.currency._part import HeadReadFailed
 from cardamomquay.currency._part import LoadConfig
@@ -26,14 +31,19 @@
     "ConfigLoaded",
     "ConfigPart",
     "ConfigState",
+    "ConfigWithoutEvidence",
     "CurrencyView",
+    "FetchConfigFromPeer",
     "HeadRead",
     "HeadReadFailed",
     "LoadConfig",
     "OlderConfigIgnored",
     "ReadHead",
     "RegionReport",
+    "Statement",
     "currency_view",
+    "exchange_statement",
     "is_current",
     "is_outage_confirmed",
+    "own_record",
 ]
--- a/packages/core/src/cardamomquay/currency/_currency.py
+++ b/packages/core/src/cardamomquay/currency/_currency.py
@@ -26,12 +26,16 @@
         Start of the read that gave the report, on the clock of the evaluating host.
     config_version : int
         Version in force on the reporting host.
+    live : bool
+        Whether the reporting host is live. A report of a host that is not live can
+        contradict an outage, and is not needed to confirm one.
     """
 
     host: str
     report: StoreReport
     at_s: float
     config_version: int
+    live: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +49,8 @@
     confirmed_at_s : float
         Newest time at which no version above `config_version` was accepted.
     reports : sequence of RegionReport
-        Newest report of each live host of the store's region, own one included.
+        Newest report of each host of the store's region that is not dead, own one
+        included.
     """
 
     config_version: int
@@ -89,8 +94,8 @@
     bool
     """
     fresh = [r for r in view.reports if now_s - r.at_s <= CURRENCY_BOUND_S]
-    needed = min(OUTAGE_REPORTS_NEEDED, len(view.reports))
-    if needed == 0 or len(fresh) < needed:
+    live = sum(r.live for r in view.reports)
+    if not fresh or len(fresh) < min(OUTAGE_REPORTS_NEEDED, live):
         return False
     if any(r.report is not StoreReport.REFUSED for r in fresh):
         return False
--- a/packages/core/src/cardamomquay/currency/_part.py
+++ b/packages/core/src/cardamomquay/currency/_part.py
@@ -8,6 +8,9 @@
 
 from cardamomquay.currency._currency import CurrencyView
 from cardamomquay.currency._currency import RegionReport
+from cardamomquay.currency._currency import is_current
+from cardamomquay.membership import ExchangeAnswered
+from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import MembershipState
 from cardamomquay.membership import MemberState
 from cardamomquay.membership import StoreReport
@@ -37,6 +40,17 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class FetchConfigFromPeer(Effect):
+    """Fetch the configuration of at least `version` from a peer.
+
+    The answer is `ConfigLoaded` or `ConfigLoadFailed`.
+    """
+
+    version: int
+    peer_address: str
+
+
 @dataclass(frozen=True, slots=True)
 class HeadRead(Event):
     """The head row was read; the read began at `started_s`."""
@@ -58,10 +72,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigLoaded(Event):
-    """A configuration that was the newest at `confirmed_at_s`."""
+    """A configuration that was the newest at `confirmed_at_s`.
+
+    `from_peer` tells that a peer gave it, and not the store.
+    """
 
     config: Config
     confirmed_at_s: float
+    from_peer: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +102,13 @@
     version: int
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigWithoutEvidence(Effect):
+    """Tells the shell that a peer's configuration was not shown to be current."""
+
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigState:
     """State of the configuration part.
@@ -141,9 +166,13 @@
                 failed = replace(own, head_due_s=due_s)
                 return _with_report(failed, report, event.started_s), ()
             case ConfigLoaded():
-                return _config_loaded(own, event)
+                return _config_loaded(own, event, core)
             case ConfigLoadFailed():
                 return replace(own, loading=False), ()
+            case ExchangeAnswered():
+                return _exchange_answered(own, event)
+            case ExchangeReceived():
+                return _exchange_received(own, event, core)
             case _:
                 return own, ()
 
@@ -170,8 +199,40 @@
     return replace(own, loading=True), (LoadConfig(event.version),)
 
 
+def _exchange_answered(
+    own: ConfigState, event: ExchangeAnswered
+) -> tuple[ConfigState, tuple[Effect, ...]]:
+    if event.config_version == own.version and event.confirmed_age_s is not None:
+        # The answer was made after the call began, so the evidence is not older.
+        at_s = event.started_s - max(0.0, event.confirmed_age_s)
+        if at_s > own.confirmed_at_s:
+            own = replace(own, confirmed_at_s=at_s)
+    return _fetch_newer(own, event.config_version, event.target.peer_address)
+
+
+def _exchange_received(
+    own: ConfigState, event: ExchangeReceived, core: CoreState
+) -> tuple[ConfigState, tuple[Effect, ...]]:
+    # A request that was sent unasked gives no evidence, only a newer version.
+    sender = core.part(MembershipState).members.get(event.sender)
+    if sender is None:
+        return own, ()
+    return _fetch_newer(own, event.config_version, sender.record.peer_address)
+
+
+def _fetch_newer(
+    own: ConfigState, version: int, peer_address: str
+) -> tuple[ConfigState, tuple[Effect, ...]]:
+    if version <= own.version:
+        return own, ()
+    own = replace(own, known_version=max(own.known_version, version))
+    if own.loading:
+        return own, ()
+    return replace(own, loading=True), (FetchConfigFromPeer(version, peer_address),)
+
+
 def _config_loaded(
-    own: ConfigState, event: ConfigLoaded
+    own: ConfigState, event: ConfigLoaded, core: CoreState
 ) -> tuple[ConfigState, tuple[Effect, ...]]:
     own = replace(own, loading=False)
     version = event.config.version
@@ -180,6 +241,13 @@
     if version == own.version:
         confirmed = max(own.confirmed_at_s, event.confirmed_at_s)
         return replace(own, confirmed_at_s=confirmed), ()
+    if event.from_peer and own.config is None:
+        # A host that starts has nothing to compare with. An old configuration of
+        # a host that is cut off would be a step back for this host's callers.
+        offered = replace(own, config=event.config, confirmed_at_s=event.confirmed_at_s)
+        view = _view(offered, core, event.now_s)
+        if not is_current(view, event.now_s):
+            return own, (ConfigWithoutEvidence(version),)
     own = replace(
         own,
         config=event.config,
@@ -201,20 +269,25 @@
     -------
     CurrencyView
     """
-    own = core.part(ConfigState)
+    return _view(core.part(ConfigState), core, now_s)
+
+
+def _view(own: ConfigState, core: CoreState, now_s: float) -> CurrencyView:
     members = core.part(MembershipState)
     identity = core.identity
+    states = {name: members.state_of(name, now_s) for name in members.members}
     reports = [
         RegionReport(
             name,
             member.record.store_report,
             member.record.store_report_at_s,
             member.record.config_version,
+            live=states[name] is not MemberState.SUSPECT,
         )
         for name, member in members.members.items()
         if member.record.region == identity.store_region
         and name != identity.host
-        and members.state_of(name, now_s) is not MemberState.DEAD
+        and states[name] is not MemberState.DEAD
     ]
     if identity.region == identity.store_region:
         reports.append(
--- a/packages/core/src/cardamomquay/membership/_records.py
+++ b/packages/core/src/cardamomquay/membership/_records.py
@@ -3,8 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
 from enum import StrEnum
 
+import immutables
+
 
 class MemberState(StrEnum):
     """Whether a host takes part."""
@@ -44,6 +48,8 @@
         record: a receiver converts it from an age.
     load : float
         Share of the host's request threads that are busy, 0 to 1.
+    extra : immutables.Map
+        State of other parts as JSON, by name.
     """
 
     host: str
@@ -58,3 +64,40 @@
     store_report: StoreReport = StoreReport.NONE
     store_report_at_s: float = 0.0
     load: float = 0.0
+    extra: immutables.Map[str, str] = field(default_factory=immutables.Map)
+
+
+@dataclass(frozen=True, slots=True)
+class PeerRecord:
+    """A record as a peer stated it, with ages at the time of sending.
+
+    Parameters
+    ----------
+    record : MemberRecord
+        Its `store_report_at_s` has no meaning before `dated` set it.
+    heard_age_s : float
+        How long ago the sender knew the record to be current.
+    store_report_age_s : float
+    """
+
+    record: MemberRecord
+    heard_age_s: float
+    store_report_age_s: float
+
+    def dated(self, sent_after_s: float) -> tuple[MemberRecord, float]:
+        """Convert the ages to the receiver's clock.
+
+        Parameters
+        ----------
+        sent_after_s : float
+            Time on the receiver's clock before which the message was not sent.
+
+        Returns
+        -------
+        record : MemberRecord
+        heard_at_s : float
+            The host made this statement or a newer one at this time or later.
+        """
+        report_at_s = sent_after_s - max(0.0, self.store_report_age_s)
+        record = replace(self.record, store_report_at_s=report_at_s)
+        return record, sent_after_s - max(0.0, self.heard_age_s)
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -4,6 +4,7 @@
 
 import random
 import threading
+import time
 import uuid
 from contextlib import ExitStack
 from contextlib import contextmanager
@@ -23,6 +24,7 @@
 from cardamomquay_daemon._effects import ConfigEffects
 from cardamomquay_daemon._effects import HostListEffects
 from cardamomquay_daemon._operator_port import OperatorPort
+from cardamomquay_daemon._peer import PeerNode
 from cardamomquay_daemon._platform_client import HttpHostList
 from cardamomquay_daemon._platform_client import HttpTableService
 from cardamomquay_daemon._platform_client import PlatformConnection
@@ -57,7 +59,7 @@
         self._telemetry = Telemetry(settings.host, settings.statsd)
         self.identity = Identity(
             host=settings.host,
-            incarnation=uuid.uuid4().hex,
+            incarnation=new_incarnation(),
             region=settings.region,
             availability_zone=settings.availability_zone,
             store_region=settings.store_region,
@@ -82,6 +84,14 @@
             HttpHostList(connection), self._clock, self._runtime
         )
         self._runtime.handle(host_list.handlers())
+        self.peers = PeerNode(
+            self._runtime,
+            self._clock,
+            self.identity,
+            self._telemetry,
+            settings.peer_tls,
+        )
+        self._runtime.handle(self.peers.handlers())
         self._admission = StaticSplitAdmission(self._clock)
         self._runtime.listen(self._apply_quota)
         relay = Relay(
@@ -121,6 +131,7 @@
         )
         with ExitStack() as stack:
             stack.enter_context(self._runtime.running())
+            stack.enter_context(self.peers.running())
             stack.enter_context(serving(operators, "operators"))
             stack.enter_context(serving(callers, "callers"))
             self._telemetry.log(STARTED, listen=settings.listen)
@@ -145,3 +156,8 @@
         if self._applied != (config.version, hosts):
             self._applied = (config.version, hosts)
             self._admission.apply(config.organisations, hosts)
+
+
+def new_incarnation() -> str:
+    """Return an incarnation that sorts after those of earlier runs."""
+    return f"{time.time_ns():020d}-{uuid.uuid4().hex[:8]}"
--- a/packages/daemon/src/cardamomquay_daemon/_effects.py
+++ b/packages/daemon/src/cardamomquay_daemon/_effects.py
@@ -10,6 +10,7 @@
 from cardamomquay.currency import ConfigInForce
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigLoadFailed
+from cardamomquay.currency import ConfigWithoutEvidence
 from cardamomquay.currency import HeadRead
 from cardamomquay.currency import HeadReadFailed
 from cardamomquay.currency import LoadConfig
@@ -24,6 +25,7 @@
 from cardamomquay_daemon._telemetry import CONFIG_IN_FORCE
 from cardamomquay_daemon._telemetry import CONFIG_INVALID
 from cardamomquay_daemon._telemetry import CONFIG_OLDER_IGNORED
+from cardamomquay_daemon._telemetry import CONFIG_WITHOUT_EVIDENCE
 from cardamomquay_daemon._telemetry import STORE_UNAVAILABLE
 
 if TYPE_CHECKING:
@@ -60,6 +62,7 @@
             LoadConfig: self._load,
             ConfigInForce: self._in_force,
             OlderConfigIgnored: self._older,
+            ConfigWithoutEvidence: self._without_evidence,
         }
 
     def _read_head(self, effect: ReadHead) -> None:
@@ -96,6 +99,9 @@
             CONFIG_OLDER_IGNORED, offered=effect.offered_version, version=effect.version
         )
 
+    def _without_evidence(self, effect: ConfigWithoutEvidence) -> None:
+        self._telemetry.log(CONFIG_WITHOUT_EVIDENCE, version=effect.version)
+
 
 class HostListEffects:
     """Reads the platform's host list."""
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -0,0 +1,392 @@
+"""Serves and calls other daemons, in one asyncio thread."""
+
+from __future__ import annotations
+
+import asyncio
+import concurrent.futures
+import ssl
+import threading
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from grpclib import GRPCError
+from grpclib import Status
+from grpclib.client import Channel
+from grpclib.exceptions import ProtocolError
+from grpclib.exceptions import StreamTerminatedError
+from grpclib.server import Server
+
+from cardamomquay.currency import ConfigLoaded
+from cardamomquay.currency import ConfigLoadFailed
+from cardamomquay.currency import ConfigState
+from cardamomquay.currency import FetchConfigFromPeer
+from cardamomquay.currency import exchange_statement
+from cardamomquay.membership import ExchangeAnswered
+from cardamomquay.membership import ExchangeReceived
+from cardamomquay.membership import ExchangeWithPeers
+from cardamomquay.membership import MembershipState
+from cardamomquay.outcomes import format_findings
+from cardamomquay_daemon import _peer_codec
+from cardamomquay_daemon._telemetry import CONFIG_INVALID
+from cardamomquay_daemon._telemetry import PEER_FAILED
+from cardamomquay_daemon.wire import peer_pb2
+from cardamomquay_daemon.wire.peer_grpc import PeerBase
+from cardamomquay_daemon.wire.peer_grpc import PeerStub
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.membership import PeerTarget
+    from cardamomquay.reducer import Effect
+    from cardamomquay.reducer import Identity
+    from cardamomquay_daemon._peer_codec import BorrowAnswer
+    from cardamomquay_daemon._peer_codec import BorrowItem
+    from cardamomquay_daemon._peer_codec import GrantItem
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._settings import TlsFiles
+    from cardamomquay_daemon._telemetry import Telemetry
+
+    Lend = Callable[[str, str, Sequence[BorrowItem]], Sequence[GrantItem]]
+
+EXCHANGE_DEADLINE_S = 1.0
+FETCH_DEADLINE_S = 1.0
+BORROW_DEADLINE_S = 0.5
+# A connection whose peer vanished without closing it never fails by itself.
+FAILURES_BEFORE_RECONNECT = 2
+CALL_ERRORS = (
+    GRPCError,
+    OSError,
+    ProtocolError,
+    StreamTerminatedError,
+    TimeoutError,
+)
+START_TIMEOUT_S = 10.0
+STOP_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PeerFailure:
+    """A call of a peer that gave no answer; the peer may have carried it out."""
+
+    reason: str
+
+
+class _Connection:
+    """A channel to one peer; used in the asyncio thread only."""
+
+    def __init__(self, address: str, tls: ssl.SSLContext | None) -> None:
+        host, _, port = address.rpartition(":")
+        self._channel = Channel(host.strip("[]"), int(port), ssl=tls)
+        self.stub: Any = PeerStub(self._channel)
+        self.failures = 0
+
+    def close(self) -> None:
+        self._channel.close()
+
+
+class PeerNode(PeerBase):
+    """Server and client of the peer protocol.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    clock : Clock
+    identity : Identity
+    telemetry : Telemetry
+    tls : TlsFiles or None
+        Both sides present certificates that `client_authority` has signed.
+
+    Attributes
+    ----------
+    lend : callable or None
+        Answers `Borrow`: takes borrower, its incarnation and the items, and returns
+        the grants. Runs in the asyncio thread and must not block.
+    load : callable
+        Share of this host's request threads that are busy, 0 to 1.
+    """
+
+    def __init__(
+        self,
+        runtime: Runtime,
+        clock: Clock,
+        identity: Identity,
+        telemetry: Telemetry,
+        tls: TlsFiles | None = None,
+    ) -> None:
+        self._runtime = runtime
+        self._clock = clock
+        self._identity = identity
+        self._telemetry = telemetry
+        self._server_tls = None if tls is None else _tls(tls, ssl.Purpose.CLIENT_AUTH)
+        self._client_tls = None if tls is None else _tls(tls, ssl.Purpose.SERVER_AUTH)
+        self._connections: dict[str, _Connection] = {}
+        self._exchanging: set[str] = set()
+        self._loop = asyncio.new_event_loop()
+        self._stop = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.lend: Lend | None = None
+        self.load: Callable[[], float] = lambda: 0.0
+
+    def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
+        """Return the handler of each effect type."""
+        return {ExchangeWithPeers: self._exchange_all, FetchConfigFromPeer: self._fetch}
+
+    @contextmanager
+    def running(self) -> Iterator[None]:
+        """Serve and call peers for the time of a ``with`` block.
+
+        Raises
+        ------
+        OSError
+            If the peer address cannot be bound.
+        """
+        started: concurrent.futures.Future[None] = concurrent.futures.Future()
+        thread = threading.Thread(
+            target=self._run, args=(started,), name="peers", daemon=True
+        )
+        thread.start()
+        started.result(START_TIMEOUT_S)
+        try:
+            yield
+        finally:
+            self._loop.call_soon_threadsafe(self._stop.set)
+            thread.join(timeout=STOP_TIMEOUT_S)
+
+    def borrow(
+        self, host: str, items: Sequence[BorrowItem]
+    ) -> BorrowAnswer | PeerFailure:
+        """Ask a host for tokens or slots; blocks until its answer or the deadline.
+
+        Parameters
+        ----------
+        host : str
+        items : sequence of BorrowItem
+
+        Returns
+        -------
+        BorrowAnswer or PeerFailure
+            After a failure the peer may still have lent what was asked.
+        """
+        member = self._runtime.snapshot.core.part(MembershipState).members.get(host)
+        if member is None:
+            return PeerFailure("unknown host")
+        request = _peer_codec.borrow_to_wire(
+            self._identity.host, self._identity.incarnation, items
+        )
+        address = member.record.peer_address
+        call = self._call(address, "Borrow", request, BORROW_DEADLINE_S)
+        try:
+            fut = asyncio.run_coroutine_threadsafe(call, self._loop)
+            reply = fut.result(2 * BORROW_DEADLINE_S)
+        except RuntimeError:
+            call.close()
+            return PeerFailure("this daemon stops")
+        except TimeoutError:
+            return PeerFailure("no answer")
+        except concurrent.futures.CancelledError:
+            return PeerFailure("this daemon stops")
+        if isinstance(reply, PeerFailure):
+            return reply
+        return _peer_codec.borrow_answer_from_wire(reply)
+
+    async def Exchange(self, stream: Any) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        assert request is not None
+        records = _peer_codec.records_from_wire(request.records)
+        await stream.send_message(_peer_codec.reply_to_wire(self._statement()))
+        if records:
+            self._runtime.post(
+                ExchangeReceived(
+                    self._clock.now_s(),
+                    records[0].record.host,
+                    records,
+                    request.config_version,
+                )
+            )
+
+    async def FetchConfig(self, stream: Any) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        assert request is not None
+        own = self._runtime.snapshot.core.part(ConfigState)
+        if own.config is None or own.version < request.at_least_version:
+            raise GRPCError(Status.NOT_FOUND, "no such version here")
+        age_s = self._clock.now_s() - own.confirmed_at_s
+        await stream.send_message(_peer_codec.config_to_wire(own.config, age_s))
+
+    async def Borrow(self, stream: Any) -> None:  # noqa: N802
+        request = await stream.recv_message()
+        assert request is not None
+        if self.lend is None:
+            raise GRPCError(Status.UNIMPLEMENTED, "this host lends nothing")
+        items = _peer_codec.borrow_items_from_wire(request)
+        grants = self.lend(request.borrower, request.incarnation, items)
+        identity = self._identity
+        await stream.send_message(
+            _peer_codec.grants_to_wire(grants, identity.host, identity.incarnation)
+        )
+
+    def _run(self, started: concurrent.futures.Future[None]) -> None:
+        asyncio.set_event_loop(self._loop)
+        try:
+            self._loop.run_until_complete(self._serve(started))
+        finally:
+            self._loop.close()
+
+    async def _serve(self, started: concurrent.futures.Future[None]) -> None:
+        host, _, port = self._identity.peer_address.rpartition(":")
+        server = Server([self])
+        try:
+            await server.start(host.strip("[]"), int(port), ssl=self._server_tls)
+        except OSError as exc:
+            started.set_exception(exc)
+            return
+        started.set_result(None)
+        await self._stop.wait()
+        for task in tuple(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for connection in self._connections.values():
+            connection.close()
+        server.close()
+        await server.wait_closed()
+
+    def _statement(self) -> Any:
+        # In the asyncio thread only, so that the sequence numbers grow.
+        core = self._runtime.snapshot.core
+        return exchange_statement(core, self._clock.now_s(), self.load())
+
+    def _exchange_all(self, effect: ExchangeWithPeers) -> None:
+        self._spawn(self._exchange_targets(effect.targets))
+
+    def _fetch(self, effect: FetchConfigFromPeer) -> None:
+        self._spawn(self._fetch_config(effect))
+
+    def _spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        def start() -> None:
+            if self._stop.is_set():
+                coroutine.close()
+                return
+            task = self._loop.create_task(coroutine)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+        try:
+            self._loop.call_soon_threadsafe(start)
+        except RuntimeError:  # The loop is closed: this daemon stops.
+            coroutine.close()
+
+    async def _exchange_targets(self, targets: Sequence[PeerTarget]) -> None:
+        wanted = {target.peer_address for target in targets}
+        for address in tuple(self._connections):
+            if address not in wanted:
+                self._connections.pop(address).close()
+        request = _peer_codec.request_to_wire(self._statement())
+        await asyncio.gather(*(self._exchange(target, request) for target in targets))
+
+    async def _exchange(self, target: PeerTarget, request: Any) -> None:
+        address = target.peer_address
+        if address in self._exchanging:
+            # One call at a time to a peer that does not read.
+            self._telemetry.count("peers.exchange_skipped")
+            return
+        self._exchanging.add(address)
+        started_s = self._clock.now_s()
+        try:
+            reply = await self._call(address, "Exchange", request, EXCHANGE_DEADLINE_S)
+        finally:
+            self._exchanging.discard(address)
+        if isinstance(reply, PeerFailure):
+            self._telemetry.count("peers.exchange_failed")
+            return
+        records = _peer_codec.records_from_wire(reply.records)
+        if not records:
+            return
+        self._runtime.post(
+            ExchangeAnswered(
+                self._clock.now_s(),
+                started_s,
+                target,
+                records[0].record.host,
+                records,
+                reply.config_version,
+                reply.confirmed_age_s if reply.has_evidence else None,
+            )
+        )
+
+    async def _fetch_config(self, effect: FetchConfigFromPeer) -> None:
+        request = peer_pb2.ConfigRequest(at_least_version=effect.version)
+        started_s = self._clock.now_s()
+        reply = await self._call(
+            effect.peer_address, "FetchConfig", request, FETCH_DEADLINE_S
+        )
+        now_s = self._clock.now_s()
+        if isinstance(reply, PeerFailure):
+            self._runtime.post(ConfigLoadFailed(now_s))
+            return
+        try:
+            config = _peer_codec.config_from_wire(reply)
+        except (TypeError, ValueError) as exc:
+            self._telemetry.log(CONFIG_INVALID, findings=str(exc))
+            self._runtime.post(ConfigLoadFailed(now_s))
+            return
+        if isinstance(config, tuple):
+            self._telemetry.log(CONFIG_INVALID, findings=format_findings(config))
+            self._runtime.post(ConfigLoadFailed(now_s))
+            return
+        confirmed_at_s = started_s - reply.confirmed_age_s
+        self._runtime.post(ConfigLoaded(now_s, config, confirmed_at_s, from_peer=True))
+
+    async def _call(
+        self, address: str, method: str, request: Any, deadline_s: float
+    ) -> Any:
+        connection = self._connection(address)
+        try:
+            # The time-out covers connection and TLS handshake too.
+            reply = await getattr(connection.stub, method)(request, timeout=deadline_s)
+        except CALL_ERRORS as exc:
+            answered = isinstance(exc, GRPCError)
+            if not answered:
+                self._failed(address, connection, exc)
+            return PeerFailure(f"{type(exc).__name__}: {exc}")
+        connection.failures = 0
+        return reply
+
+    def _connection(self, address: str) -> _Connection:
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = _Connection(address, self._client_tls)
+            self._connections[address] = connection
+        return connection
+
+    def _failed(self, address: str, connection: _Connection, exc: Exception) -> None:
+        connection.failures += 1
+        if connection.failures == 1:
+            self._telemetry.log(PEER_FAILED, address=address, error=repr(exc))
+        if (
+            connection.failures % FAILURES_BEFORE_RECONNECT == 0
+            and self._connections.get(address) is connection
+        ):
+            connection.close()
+            fresh = _Connection(address, self._client_tls)
+            fresh.failures = connection.failures
+            self._connections[address] = fresh
+
+
+def _tls(files: TlsFiles, purpose: ssl.Purpose) -> ssl.SSLContext:
+    if files.client_authority is None:
+        raise ValueError("peer_tls needs client_authority: peers check each other")
+    context = ssl.create_default_context(purpose, cafile=files.client_authority)
+    context.load_cert_chain(files.certificate, files.private_key)
+    context.minimum_version = ssl.TLSVersion.TLSv1_3
+    # Addresses change when hosts are replaced; the authority signs hosts only.
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_REQUIRED
+    context.set_alpn_protocols(["h2"])
+    return context
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
@@ -0,0 +1,242 @@
+"""Converts between the core's values and the messages of the peer protocol."""
+
+from __future__ import annotations
+
+import json
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+import immutables
+
+from cardamomquay.config import check_address
+from cardamomquay.config import config_rows
+from cardamomquay.config import parse_config
+from cardamomquay.membership import MemberRecord
+from cardamomquay.membership import PeerRecord
+from cardamomquay.membership import StoreReport
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay_daemon.wire import peer_pb2
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from cardamomquay.config import Config
+    from cardamomquay.currency import Statement
+    from cardamomquay.outcomes import Finding
+
+# Stands for an age of something that never happened.
+LONGEST_AGE_S = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class BorrowItem:
+    """What a borrower asks for.
+
+    Parameters
+    ----------
+    resource : str
+    wanted : float
+    spent_total, returned_total : float
+        Cumulative counters of the borrower's incarnation.
+    """
+
+    resource: str
+    wanted: float
+    spent_total: float = 0.0
+    returned_total: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class GrantItem:
+    """What a lender gives.
+
+    Parameters
+    ----------
+    resource : str
+    granted : float
+    valid_s : float
+        Counts from the start of the borrower's call.
+    refusal : str
+        Empty unless the answering host does not lend the resource.
+    retry_after_s : float
+    """
+
+    resource: str
+    granted: float = 0.0
+    valid_s: float = 0.0
+    refusal: str = ""
+    retry_after_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class BorrowAnswer:
+    """A lender's answer, and who gave it."""
+
+    items: tuple[GrantItem, ...]
+    lender: str
+    incarnation: str
+
+
+def record_to_wire(stated: PeerRecord) -> Any:
+    """Return the message of a record."""
+    record = stated.record
+    return peer_pb2.MemberRecord(
+        host=record.host,
+        incarnation=record.incarnation,
+        sequence=record.sequence,
+        region=record.region,
+        availability_zone=record.availability_zone,
+        address=record.address,
+        peer_address=record.peer_address,
+        leaving=record.leaving,
+        config_version=record.config_version,
+        store_report=str(record.store_report),
+        store_report_age_s=_age(stated.store_report_age_s),
+        load=record.load,
+        heard_age_s=_age(stated.heard_age_s),
+        extra=dict(record.extra),
+    )
+
+
+def record_from_wire(message: Any) -> PeerRecord | None:
+    """Return the record of a message, None if it is not a usable one."""
+    try:
+        check_address(message.address)
+        check_address(message.peer_address)
+        report = StoreReport(message.store_report)
+    except ValueError:
+        return None
+    numbers = (message.store_report_age_s, message.heard_age_s, message.load)
+    if not message.host or not all(math.isfinite(number) for number in numbers):
+        return None
+    record = MemberRecord(
+        host=message.host,
+        incarnation=message.incarnation,
+        sequence=message.sequence,
+        region=message.region,
+        availability_zone=message.availability_zone,
+        address=message.address,
+        peer_address=message.peer_address,
+        leaving=message.leaving,
+        config_version=message.config_version,
+        store_report=report,
+        load=message.load,
+        extra=immutables.Map(message.extra),
+    )
+    return PeerRecord(record, message.heard_age_s, message.store_report_age_s)
+
+
+def records_from_wire(messages: Sequence[Any]) -> tuple[PeerRecord, ...]:
+    """Return the usable records of messages."""
+    records = (record_from_wire(message) for message in messages)
+    return tuple(record for record in records if record is not None)
+
+
+def request_to_wire(statement: Statement) -> Any:
+    """Return the request of an exchange."""
+    return peer_pb2.ExchangeRequest(
+        records=[record_to_wire(record) for record in statement.records],
+        config_version=statement.config_version,
+    )
+
+
+def reply_to_wire(statement: Statement) -> Any:
+    """Return the reply of an exchange."""
+    age_s = statement.confirmed_age_s
+    return peer_pb2.ExchangeReply(
+        records=[record_to_wire(record) for record in statement.records],
+        config_version=statement.config_version,
+        confirmed_age_s=_age(age_s if age_s is not None else LONGEST_AGE_S),
+        has_evidence=age_s is not None,
+    )
+
+
+def config_to_wire(config: Config, confirmed_age_s: float) -> Any:
+    """Return the message of a configuration and of its evidence."""
+    rows = [[row.key.table, row.key.key, row.value] for row in config_rows(config)]
+    return peer_pb2.ConfigReply(
+        version=config.version,
+        edit_id=config.edit_id,
+        confirmed_age_s=_age(confirmed_age_s),
+        rows=json.dumps(rows).encode(),
+    )
+
+
+def config_from_wire(message: Any) -> Config | tuple[Finding, ...]:
+    """Return the configuration of a message, or what is wrong with it.
+
+    Raises
+    ------
+    ValueError
+        If the rows are not a JSON list of [table, key, value].
+    """
+    rows = [
+        Row(RowKey(str(table), str(key)), 0, value)
+        for table, key, value in json.loads(message.rows)
+    ]
+    return parse_config(message.version, message.edit_id, rows)
+
+
+def borrow_to_wire(borrower: str, incarnation: str, items: Sequence[BorrowItem]) -> Any:
+    """Return the request of a loan."""
+    return peer_pb2.BorrowRequest(
+        borrower=borrower,
+        incarnation=incarnation,
+        items=[
+            peer_pb2.BorrowItem(
+                resource=item.resource,
+                wanted=item.wanted,
+                spent_total=item.spent_total,
+                returned_total=item.returned_total,
+            )
+            for item in items
+        ],
+    )
+
+
+def borrow_items_from_wire(message: Any) -> tuple[BorrowItem, ...]:
+    """Return the items of a request for a loan."""
+    return tuple(
+        BorrowItem(item.resource, item.wanted, item.spent_total, item.returned_total)
+        for item in message.items
+    )
+
+
+def grants_to_wire(grants: Sequence[GrantItem], lender: str, incarnation: str) -> Any:
+    """Return the reply of a loan."""
+    return peer_pb2.BorrowReply(
+        items=[
+            peer_pb2.GrantItem(
+                resource=grant.resource,
+                granted=grant.granted,
+                valid_s=grant.valid_s,
+                refusal=grant.refusal,
+                retry_after_s=grant.retry_after_s,
+            )
+            for grant in grants
+        ],
+        lender=lender,
+        incarnation=incarnation,
+    )
+
+
+def borrow_answer_from_wire(message: Any) -> BorrowAnswer:
+    """Return the answer of a loan."""
+    items = tuple(
+        GrantItem(
+            item.resource,
+            item.granted,
+            item.valid_s,
+            item.refusal,
+            item.retry_after_s,
+        )
+        for item in message.items
+    )
+    return BorrowAnswer(items, message.lender, message.incarnation)
+
+
+def _age(age_s: float) -> float:
+    return min(max(0.0, age_s), LONGEST_AGE_S)
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -48,6 +48,10 @@
 STORE_UNAVAILABLE = LogEvent(
     3001, "store_unavailable", "A call of the platform failed."
 )
+PEER_FAILED = LogEvent(4001, "peer_failed", "A call of another daemon failed.")
+CONFIG_WITHOUT_EVIDENCE = LogEvent(
+    2007, "config_without_evidence", "A peer's configuration was not shown current."
+)
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
--- /dev/null
+++ b/packages/daemon/tests/peer/test_peer.py
@@ -0,0 +1,293 @@
+from __future__ import annotations
+
+import json
+import socket
+import tempfile
+import threading
+import time
+import unittest
+from contextlib import ExitStack
+from contextlib import closing
+from pathlib import Path
+
+import trustme
+
+from cardamomquay.clock import SystemClock
+from cardamomquay.config import Config
+from cardamomquay.config import Organisation
+from cardamomquay.config import Pool
+from cardamomquay.config import Route
+from cardamomquay.config import StoredKey
+from cardamomquay.config import Upstream
+from cardamomquay.currency import ConfigLoaded
+from cardamomquay.currency import ConfigPart
+from cardamomquay.currency import ConfigState
+from cardamomquay.membership import HostsListed
+from cardamomquay.membership import MembershipPart
+from cardamomquay.membership import MembershipState
+from cardamomquay.platform import ListedHost
+from cardamomquay.reducer import Identity
+from cardamomquay.reducer import Reducer
+from cardamomquay_daemon import _peer_codec
+from cardamomquay_daemon._peer import BORROW_DEADLINE_S
+from cardamomquay_daemon._peer import PeerFailure
+from cardamomquay_daemon._peer import PeerNode
+from cardamomquay_daemon._peer_codec import BorrowAnswer
+from cardamomquay_daemon._peer_codec import BorrowItem
+from cardamomquay_daemon._peer_codec import GrantItem
+from cardamomquay_daemon._runtime import Runtime
+from cardamomquay_daemon._settings import TlsFiles
+from cardamomquay_daemon._telemetry import Telemetry
+
+CONFIG = Config(
+    version=7,
+    edit_id="edit-7",
+    routes={"r": Route("r", "owner", "/r", "p", organisations=("o",))},
+    pools={"p": Pool("p", "owner", (Upstream("u", "127.0.0.1:1", "x", "x-a", 3, 9),))},
+    organisations={"o": Organisation("o", "owner", 10.0, 5)},
+    keys={"k": StoredKey("k", "o", "owner", "00", "a" * 64)},
+)
+
+
+def free_port() -> int:
+    with closing(socket.socket()) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Node:
+    """A daemon's reducer and peer port, without its other ports."""
+
+    def __init__(self, name: str, tls: TlsFiles | None = None) -> None:
+        self.clock = SystemClock()
+        telemetry = Telemetry(name)
+        self.identity = Identity(
+            name, "1", "mtl", "mtl-a", "mtl", "127.0.0.1:1", f"127.0.0.1:{free_port()}"
+        )
+        reducer = Reducer((MembershipPart(), ConfigPart()))
+        self.runtime = Runtime(reducer, self.identity, self.clock, telemetry, 1000)
+        self.peers = PeerNode(self.runtime, self.clock, self.identity, telemetry, tls)
+        self.runtime.handle(self.peers.handlers())
+
+    def list_hosts(self, *nodes: Node) -> None:
+        listed = tuple(
+            ListedHost(
+                n.identity.host, n.identity.address, n.identity.peer_address, "mtl", "a"
+            )
+            for n in nodes
+        )
+        self.runtime.post(HostsListed(self.clock.now_s(), listed))
+
+    def load(self, config: Config) -> None:
+        now_s = self.clock.now_s()
+        self.runtime.post(ConfigLoaded(now_s, config, now_s))
+
+    def hears(self, host: str) -> bool:
+        members = self.runtime.snapshot.core.part(MembershipState).members
+        return host in members and members[host].heard
+
+    def version(self) -> int:
+        return self.runtime.snapshot.core.part(ConfigState).version
+
+
+class PeerCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.stack = ExitStack()
+        self.addCleanup(self.stack.close)
+
+    def start(self, *nodes: Node) -> None:
+        for node in nodes:
+            self.stack.enter_context(node.runtime.running())
+            self.stack.enter_context(node.peers.running())
+
+    def wait(self, condition: object, seconds: float = 5.0) -> None:
+        assert callable(condition)
+        end = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), end, "condition not met in time")
+            time.sleep(0.02)
+
+
+class ExchangeTest(PeerCase):
+    """Guards against hosts that do not hear each other over real sockets."""
+
+    def test_hosts_hear_each_other_and_pass_on_the_configuration(self) -> None:
+        one, other = Node("one"), Node("other")
+        self.start(one, other)
+        # Only one side is told of the other.
+        one.list_hosts(other)
+        self.wait(lambda: one.hears("other") and other.hears("one"))
+        one.load(CONFIG)
+        self.wait(lambda: other.version() == CONFIG.version)
+        state = other.runtime.snapshot.core.part(ConfigState)
+        self.assertEqual(state.config, CONFIG)
+
+    def test_peer_that_does_not_answer_does_not_delay_the_others(self) -> None:
+        one, other = Node("one"), Node("other")
+        silent = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(silent.close)
+        self.start(one, other)
+        address = f"127.0.0.1:{silent.getsockname()[1]}"
+        listed = [
+            ListedHost(name, "127.0.0.1:1", address, "mtl", "a")
+            for name, address in (
+                ("silent", address),
+                ("other", other.identity.peer_address),
+            )
+        ]
+        one.runtime.post(HostsListed(one.clock.now_s(), tuple(listed)))
+        self.wait(lambda: one.hears("other"))
+        time.sleep(2.5)
+        members = one.runtime.snapshot.core.part(MembershipState)
+        age_s = one.clock.now_s() - members.members["other"].heard_at_s
+        self.assertLess(age_s, 1.0)
+        self.assertFalse(one.hears("silent"))
+
+    def test_peer_that_was_replaced_is_called_again(self) -> None:
+        one, other = Node("one"), Node("other")
+        self.start(one)
+        one.list_hosts(other)
+        with other.runtime.running(), other.peers.running():
+            self.wait(lambda: one.hears("other"))
+        successor = Node("successor")
+        successor.identity = other.identity.__class__(
+            "successor",
+            "2",
+            "mtl",
+            "mtl-a",
+            "mtl",
+            "127.0.0.1:1",
+            other.identity.peer_address,
+        )
+        reducer = Reducer((MembershipPart(), ConfigPart()))
+        telemetry = Telemetry("successor")
+        successor.runtime = Runtime(
+            reducer, successor.identity, successor.clock, telemetry, 1000
+        )
+        successor.peers = PeerNode(
+            successor.runtime, successor.clock, successor.identity, telemetry
+        )
+        self.start(successor)
+        self.wait(lambda: one.hears("successor") and not one.hears("other"), 10.0)
+
+
+class MutualTlsTest(PeerCase):
+    """Guards against hosts of nobody's authority that join the exchange."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.authority = trustme.CA()
+
+    def tls(self, name: str, authority: trustme.CA) -> TlsFiles:
+        certificate = authority.issue_cert(f"{name}.example.org")
+        path = self.directory / f"{name}.pem"
+        certificate.private_key_and_cert_chain_pem.write_to_path(str(path))
+        roots = self.directory / "authority.pem"
+        self.authority.cert_pem.write_to_path(str(roots))
+        return TlsFiles(str(path), str(path), str(roots))
+
+    def test_only_hosts_of_the_authority_are_heard(self) -> None:
+        one, other = (Node(n, self.tls(n, self.authority)) for n in ("one", "other"))
+        foreign = Node("foreign", self.tls("foreign", trustme.CA()))
+        plain = Node("plain")
+        self.start(one, other, foreign, plain)
+        for node in (foreign, plain):
+            node.list_hosts(one)
+        one.list_hosts(other, foreign, plain)
+        self.wait(lambda: one.hears("other") and other.hears("one"))
+        time.sleep(2.0)
+        for node in (one, other):
+            self.assertFalse(node.hears("foreign") or node.hears("plain"))
+        self.assertFalse(foreign.hears("one") or plain.hears("one"))
+
+    def test_authority_is_required(self) -> None:
+        with self.assertRaises(ValueError):
+            Node("one", TlsFiles("a", "b", None))
+
+
+class BorrowTest(PeerCase):
+    """Guards against a borrower that waits for ever or takes a failure for a grant."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.lender, self.borrower = Node("lender"), Node("borrower")
+        self.start(self.lender, self.borrower)
+        self.borrower.list_hosts(self.lender)
+        self.wait(lambda: self.borrower.hears("lender"))
+
+    def test_answer(self) -> None:
+        asked = []
+
+        def lend(host: str, incarnation: str, items: object) -> list[GrantItem]:
+            asked.append((host, incarnation, items))
+            return [GrantItem("quota/o/mtl", 5.0, 1.0), GrantItem("x", refusal="no")]
+
+        self.lender.peers.lend = lend
+        item = BorrowItem("quota/o/mtl", 8.0, 3.0, 1.0)
+        answer = self.borrower.peers.borrow("lender", [item])
+        self.assertEqual(asked, [("borrower", "1", (item,))])
+        self.assertEqual(
+            answer,
+            BorrowAnswer(
+                (GrantItem("quota/o/mtl", 5.0, 1.0), GrantItem("x", refusal="no")),
+                "lender",
+                "1",
+            ),
+        )
+
+    def test_failures(self) -> None:
+        item = BorrowItem("r", 1.0)
+        self.assertIsInstance(
+            self.borrower.peers.borrow("unknown", [item]), PeerFailure
+        )
+        self.assertIsInstance(self.borrower.peers.borrow("lender", [item]), PeerFailure)
+
+        def fail(host: str, incarnation: str, items: object) -> list[GrantItem]:
+            raise ValueError("a fault of the lender")
+
+        self.lender.peers.lend = fail
+        self.assertIsInstance(self.borrower.peers.borrow("lender", [item]), PeerFailure)
+
+    def test_lender_that_is_paused(self) -> None:
+        paused = threading.Event()
+        self.lender.peers.lend = lambda *_: paused.wait(2.0) and [] or []
+        started = time.monotonic()
+        result = self.borrower.peers.borrow("lender", [BorrowItem("r", 1.0)])
+        paused.set()
+        self.assertIsInstance(result, PeerFailure)
+        self.assertLess(time.monotonic() - started, 3 * BORROW_DEADLINE_S)
+
+
+class CodecTest(unittest.TestCase):
+    """Guards against records that would break the reducer of the receiver."""
+
+    def test_unusable_records_are_dropped(self) -> None:
+        node = Node("one")
+        wire = _peer_codec.request_to_wire(node.peers._statement())
+        sound = wire.records[0]
+        for field, value in {
+            "host": "",
+            "address": "nowhere",
+            "peer_address": "127.0.0.1:0",
+            "store_report": "maybe",
+            "heard_age_s": float("nan"),
+            "store_report_age_s": float("inf"),
+        }.items():
+            with self.subTest(field):
+                broken = type(sound).FromString(sound.SerializeToString())
+                setattr(broken, field, value)
+                self.assertEqual(len(_peer_codec.records_from_wire([broken])), 0)
+        self.assertEqual(len(_peer_codec.records_from_wire([sound])), 1)
+
+    def test_configuration_comes_back_unchanged(self) -> None:
+        message = _peer_codec.config_to_wire(CONFIG, 0.5)
+        self.assertEqual(_peer_codec.config_from_wire(message), CONFIG)
+        message.rows = json.dumps([["routes", "r", {"owner": 3}]]).encode()
+        self.assertIsInstance(_peer_codec.config_from_wire(message), tuple)
+
+
+if __name__ == "__main__":
+    unittest.main()
