Give each finding of an edit its place, value and expectation

Cause: findings repeated pydantic's messages, moves that share a source or a target were accepted, an owner could take requests away from the other owner by a longer prefix, a misplaced secret was repeated in a finding, and the configuration had no place for an operator's wish to drain a host. Change: texts of what a field has to be, hidden values in key tables, checks of overlapping moves, nested prefixes, repeated names and addresses, and a table 'hosts' whose rows name the host's region, so that region ownership decides who may drain a host. Before: no test of findings. After: 26 rejected cases, 5 accepted cases pass. Conclusion: a rejected edit now says where, what was found and what is expected.

--- a/packages/core/src/cardamomquay/config/__init__.py
+++ b/packages/core/src/cardamomquay/config/__init__.py
@@ -11,8 +11,11 @@
 from cardamomquay.config._edits import RowChange
 from cardamomquay.config._edits import head_version
 from cardamomquay.config._edits import plan_edit
+from cardamomquay.config._expected import expected_text
+from cardamomquay.config._expected import found_text
 from cardamomquay.config._model import TABLES
 from cardamomquay.config._model import Config
+from cardamomquay.config._model import HostWish
 from cardamomquay.config._model import Link
 from cardamomquay.config._model import MovePlan
 from cardamomquay.config._model import Organisation
@@ -32,6 +35,7 @@
     "ConfigEdit",
     "EditConflict",
     "EditRejected",
+    "HostWish",
     "Link",
     "MovePlan",
     "Organisation",
@@ -44,6 +48,8 @@
     "Upstream",
     "check_address",
     "digest_secret",
+    "expected_text",
+    "found_text",
     "head_version",
     "parse_config",
     "plan_edit",
--- a/packages/core/src/cardamomquay/config/_border.py
+++ b/packages/core/src/cardamomquay/config/_border.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from typing import TYPE_CHECKING
 from typing import Annotated
 from typing import Any
@@ -14,6 +15,9 @@
 from pydantic import Field
 from pydantic import ValidationError
 
+from cardamomquay.config._expected import expected_text
+from cardamomquay.config._expected import found_text
+from cardamomquay.config._model import HostWish
 from cardamomquay.config._model import Link
 from cardamomquay.config._model import MovePlan
 from cardamomquay.config._model import Organisation
@@ -29,7 +33,13 @@
 
     from cardamomquay.platform import RowKey
 
+PORT = re.compile(r"[0-9]{1,5}")
 PORT_MAX = 65535
+IPV6 = 6
+# A secret that stands in a wrong field of these tables is not repeated in findings,
+# which are shown and logged.
+SECRET_TABLES = frozenset({"keys", "operators"})
+SHOWN_FIELDS = frozenset({("holder",), ("owner",)})
 RESERVED_PREFIX = "/.cardamomquay"
 
 
@@ -51,9 +61,15 @@
         If it is not an IP number and a port of 1 to 65535.
     """
     host, separator, port = address.rpartition(":")
-    if not separator or not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
-        raise ValueError("an address is ip:port with a port of 1 to 65535")
-    ipaddress.ip_address(host.strip("[]"))
+    if not separator or not PORT.fullmatch(port) or not 0 < int(port) <= PORT_MAX:
+        raise ValueError("ip:port with a port of 1 to 65535")
+    bracketed = host.startswith("[") and host.endswith("]")
+    try:
+        number = ipaddress.ip_address(host[1:-1] if bracketed else host)
+    except ValueError:
+        raise ValueError("ip:port with an IPv4 or bracketed IPv6 number") from None
+    if bracketed is not (number.version == IPV6):
+        raise ValueError("ip:port with brackets around an IPv6 number only")
     return address
 
 
@@ -76,7 +92,9 @@
 
 
 class _Border(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
 
 
 class UpstreamModel(_Border):
@@ -155,6 +173,14 @@
     cap_bytes_per_s: float = Field(gt=0)
 
 
+class HostModel(_Border):
+    """Border model of a row of `hosts`."""
+
+    owner: Name
+    region: Name
+    draining: bool = False
+
+
 MODELS: dict[str, type[_Border]] = {
     "routes": RouteModel,
     "pools": PoolModel,
@@ -163,6 +189,7 @@
     "operators": StoredKeyModel,
     "regions": RegionModel,
     "links": LinkModel,
+    "hosts": HostModel,
 }
 
 
@@ -186,18 +213,19 @@
     try:
         model = MODELS[key.table].model_validate(dict(value))
     except ValidationError as exc:
-        findings.extend(_findings_of(str(key), exc))
+        findings.extend(_findings_of(key, exc))
         return None
     return _to_dataclass(key.key, model)
 
 
-def _findings_of(source: str, exc: ValidationError) -> list[Finding]:
+def _findings_of(key: RowKey, exc: ValidationError) -> list[Finding]:
+    secret = key.table in SECRET_TABLES
     return [
         Finding(
-            source=source,
+            source=str(key),
             path=".".join(str(part) for part in error["loc"]),
-            found="nothing" if error["type"] == "missing" else repr(error["input"]),
-            expected=error["msg"],
+            found=found_text(error, hide=secret and error["loc"] not in SHOWN_FIELDS),
+            expected=expected_text(error),
         )
         for error in exc.errors()
     ]
@@ -221,5 +249,7 @@
             return StoredKey(key_id=name, **values)
         case RegionModel():
             return RegionCapacity(name=name, **values)
+        case HostModel():
+            return HostWish(name=name, **values)
         case _:
             return Link(name=name, **values)
--- /dev/null
+++ b/packages/core/src/cardamomquay/config/_expected.py
@@ -0,0 +1,70 @@
+"""Texts of findings from pydantic's errors."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from pydantic_core import ErrorDetails
+
+FOUND_MAX = 120
+TEXTS = {
+    "missing": "a value",
+    "extra_forbidden": "no such field",
+    "greater_than": "a number above {gt}",
+    "greater_than_equal": "a number of at least {ge}",
+    "less_than_equal": "a number of at most {le}",
+    "less_than": "a number below {lt}",
+    "finite_number": "a finite number",
+    "float_type": "a number",
+    "int_type": "a whole number",
+    "bool_type": "true or false",
+    "string_type": "a string",
+    "list_type": "a list",
+    "dict_type": "an object",
+    "model_type": "an object",
+    "literal_error": "one of {expected}",
+    "string_pattern_mismatch": "a string that matches {pattern}",
+    "too_short": "at least {min_length} entries",
+    "value_error": "{error}",
+}
+
+
+def expected_text(error: ErrorDetails) -> str:
+    """Return what a field has to be.
+
+    Parameters
+    ----------
+    error : dict
+        One of pydantic's errors.
+
+    Returns
+    -------
+    str
+    """
+    text = TEXTS.get(error["type"])
+    if text is None:
+        return error["msg"]
+    return text.format_map(error.get("ctx", {}))
+
+
+def found_text(error: ErrorDetails, hide: bool = False) -> str:
+    """Return the value found, shortened.
+
+    Parameters
+    ----------
+    error : dict
+        One of pydantic's errors.
+    hide : bool, default=False
+        Whether the value may be a secret.
+
+    Returns
+    -------
+    str
+    """
+    if error["type"] == "missing":
+        return "nothing"
+    if hide:
+        return "a value that is not shown"
+    text = repr(error["input"])
+    return text if len(text) <= FOUND_MAX else text[: FOUND_MAX - 3] + "..."
--- a/packages/core/src/cardamomquay/config/_model.py
+++ b/packages/core/src/cardamomquay/config/_model.py
@@ -12,7 +12,16 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-TABLES = ("routes", "pools", "organisations", "keys", "operators", "regions", "links")
+TABLES = (
+    "routes",
+    "pools",
+    "organisations",
+    "keys",
+    "operators",
+    "regions",
+    "links",
+    "hosts",
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +182,26 @@
     cap_bytes_per_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class HostWish:
+    """What operators want of a host.
+
+    Parameters
+    ----------
+    name, owner : str
+    region : str
+        Region of the host. A daemon of another region ignores the row, so that an
+        owner can drain only hosts of its own regions.
+    draining : bool
+        Whether callers are sent to other hosts.
+    """
+
+    name: str
+    owner: str
+    region: str
+    draining: bool = False
+
+
 @dataclass(frozen=True)
 class Config:
     """One version of the whole configuration; immutable."""
@@ -186,6 +215,7 @@
     operators: Mapping[str, StoredKey] = field(default_factory=dict)
     regions: Mapping[str, RegionCapacity] = field(default_factory=dict)
     links: Mapping[str, Link] = field(default_factory=dict)
+    hosts: Mapping[str, HostWish] = field(default_factory=dict)
 
     @cached_property
     def _routes_by_length(self) -> tuple[Route, ...]:
@@ -208,6 +238,21 @@
                 return route
         return None
 
+    def is_draining(self, host: str, region: str) -> bool:
+        """Whether operators want callers to leave a host.
+
+        Parameters
+        ----------
+        host, region : str
+            Name of the host, and the region that it is in.
+
+        Returns
+        -------
+        bool
+        """
+        wish = self.hosts.get(host)
+        return wish is not None and wish.draining and wish.region == region
+
     def find_key(self, presented: str) -> StoredKey | None:
         """Return the stored key of a presented ``<id>.<secret>``, or None."""
         return _find(self.keys, presented)
--- a/packages/core/src/cardamomquay/config/_validate.py
+++ b/packages/core/src/cardamomquay/config/_validate.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from cardamomquay.config._model import Route
     from cardamomquay.platform import Row
 
 NAME = re.compile(r"^[a-z0-9][a-z0-9_.-]{0,63}$")
@@ -78,6 +79,7 @@
         *_check_pools(config),
         *_check_keys(config),
         *_check_links(config),
+        *_check_hosts(config),
     )
 
 
@@ -96,6 +98,11 @@
                 yield Finding(
                     source, "organisations", repr(name), "the name of an organisation"
                 )
+        for field, names in (
+            ("methods", route.methods),
+            ("organisations", route.organisations),
+        ):
+            yield from _repeated(source, field, names)
         if not route.repeatable and route.open_to_all:
             yield Finding(
                 source, "open_to_all", "true", "false where repeatable is false"
@@ -103,17 +110,35 @@
 
 
 def _check_prefixes(config: Config) -> Iterable[Finding]:
-    by_prefix: dict[str, str] = {}
-    for route in sorted(config.routes.values(), key=lambda r: r.name):
+    by_prefix: dict[str, Route] = {}
+    routes = sorted(config.routes.values(), key=lambda r: r.name)
+    for route in routes:
         prefix = route.prefix.rstrip("/")
-        first = by_prefix.setdefault(prefix, route.name)
-        if first != route.name:
+        first = by_prefix.setdefault(prefix, route)
+        if first is not route:
             yield Finding(
                 f"routes/{route.name}",
                 "prefix",
                 repr(route.prefix),
-                f"a prefix other than that of routes/{first}",
+                f"a prefix other than that of routes/{first.name}",
             )
+    for route in routes:
+        for outer in _outer_prefixes(route.prefix):
+            other = by_prefix.get(outer)
+            # A longer prefix takes requests away from a shorter one. An owner may
+            # do this to its own routes only.
+            if other is not None and other.owner != route.owner:
+                yield Finding(
+                    f"routes/{route.name}",
+                    "prefix",
+                    repr(route.prefix),
+                    f"a prefix outside that of routes/{other.name} of {other.owner}",
+                )
+
+
+def _outer_prefixes(prefix: str) -> Iterable[str]:
+    segments = prefix.rstrip("/").split("/")
+    return ("/".join(segments[:length]) for length in range(1, len(segments)))
 
 
 def _check_moves(config: Config) -> Iterable[Finding]:
@@ -142,27 +167,38 @@
         if ids[move.move_id] > 1:
             yield Finding(source, "move.move_id", repr(move.move_id), "a unique id")
         for other in moving:
-            if other.name != route.name and move.to_pool == other.pool:
-                yield Finding(
-                    source,
-                    "move.to_pool",
-                    repr(move.to_pool),
-                    f"a pool that routes/{other.name} is not moving away from",
-                )
+            if other.name != route.name:
+                yield from _check_overlap(route, other)
+
+
+def _check_overlap(route: Route, other: Route) -> Iterable[Finding]:
+    """Find what keeps the moves of two routes from being judged apart."""
+    assert route.move is not None
+    assert other.move is not None
+    source = f"routes/{route.name}"
+    target = route.move.to_pool
+    if target == other.pool:
+        expected = f"a pool that routes/{other.name} is not moving away from"
+        yield Finding(source, "move.to_pool", repr(target), expected)
+    if target == other.move.to_pool:
+        expected = f"a pool that routes/{other.name} is not moving to"
+        yield Finding(source, "move.to_pool", repr(target), expected)
+    if route.pool == other.pool:
+        expected = f"no move while routes/{other.name} moves away from the same pool"
+        yield Finding(source, "move", f"a move from {route.pool!r}", expected)
 
 
 def _check_pools(config: Config) -> Iterable[Finding]:
     for pool in config.pools.values():
         for field in ("name", "address"):
-            counts = Counter(getattr(u, field) for u in pool.upstreams)
-            for value, count in counts.items():
-                if count > 1:
-                    yield Finding(
-                        f"pools/{pool.name}",
-                        f"upstreams.{field}",
-                        f"{value!r} {count} times",
-                        "a unique value",
-                    )
+            values = [getattr(upstream, field) for upstream in pool.upstreams]
+            yield from _repeated(f"pools/{pool.name}", f"upstreams.{field}", values)
+
+
+def _repeated(source: str, path: str, values: Iterable[str]) -> Iterable[Finding]:
+    for value, count in Counter(values).items():
+        if count > 1:
+            yield Finding(source, path, f"{value!r} {count} times", "a unique value")
 
 
 def _check_keys(config: Config) -> Iterable[Finding]:
@@ -193,3 +229,19 @@
                 repr(link.to_region),
                 "another region than `from_region`",
             )
+
+
+def _check_hosts(config: Config) -> Iterable[Finding]:
+    for host in config.hosts.values():
+        region = config.regions.get(host.region)
+        if region is None:
+            yield Finding(
+                f"hosts/{host.name}", "region", repr(host.region), "a row of `regions`"
+            )
+        elif region.owner != host.owner:
+            yield Finding(
+                f"hosts/{host.name}",
+                "region",
+                f"a region of {region.owner}",
+                f"a region of {host.owner}",
+            )
--- /dev/null
+++ b/packages/core/tests/config/test_edit_findings.py
@@ -0,0 +1,335 @@
+from __future__ import annotations
+
+import copy
+import unittest
+from typing import Any
+
+from cardamomquay.config import HEAD
+from cardamomquay.config import ConfigEdit
+from cardamomquay.config import EditConflict
+from cardamomquay.config import EditRejected
+from cardamomquay.config import PlannedEdit
+from cardamomquay.config import RowChange
+from cardamomquay.config import plan_edit
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+
+UPSTREAM = {
+    "name": "u0",
+    "address": "127.0.0.1:9000",
+    "region": "mtl",
+    "availability_zone": "mtl-a",
+    "slots": 3,
+    "connections": 330,
+}
+MOVE = {"move_id": "m1", "to_pool": "browse-2", "finish_within_s": 600}
+KEY = {"holder": "salsa", "owner": "a", "salt": "00", "digest": "0" * 64}
+
+
+def pool(owner: str, port: int) -> dict[str, Any]:
+    return {
+        "owner": owner,
+        "upstreams": [{**UPSTREAM, "address": f"127.0.0.1:{port}"}],
+    }
+
+
+ROWS: dict[str, dict[str, Any]] = {
+    "pools/browse": pool("a", 9000),
+    "pools/browse-2": pool("a", 9001),
+    "pools/browse-3": pool("a", 9002),
+    "pools/lookup": pool("b", 9003),
+    "routes/browse": {"owner": "a", "prefix": "/browse", "pool": "browse"},
+    "routes/search": {"owner": "a", "prefix": "/search", "pool": "browse-3"},
+    "routes/lookup": {"owner": "b", "prefix": "/lookup", "pool": "lookup"},
+    "organisations/salsa": {"owner": "a", "rate_per_s": 10, "burst": 10},
+    "regions/mtl": {"owner": "a", "capacity_per_s": 400},
+    "regions/fyn": {"owner": "b", "capacity_per_s": 400},
+}
+BROWSE = ROWS["routes/browse"]
+SEARCH = ROWS["routes/search"]
+
+
+def key_of(name: str) -> RowKey:
+    return RowKey(*name.split("/", 1))
+
+
+def plan(
+    changes: dict[str, Any], owner: str = "a", expected_version: int = 1
+) -> PlannedEdit | EditRejected | EditConflict:
+    head = Row(HEAD, 7, {"version": 1, "edit_id": "e1", "operator": "ops"})
+    rows = [Row(key_of(name), 7, value) for name, value in ROWS.items()]
+    wanted = tuple(
+        RowChange(key_of(name), value) for name, value in copy.deepcopy(changes).items()
+    )
+    return plan_edit(
+        head, rows, ConfigEdit("e2", "ops", owner, expected_version, wanted)
+    )
+
+
+def moving(route: dict[str, Any], **fields: Any) -> dict[str, Any]:
+    return {**route, "move": {**MOVE, **fields}}
+
+
+class FindingsTest(unittest.TestCase):
+    """Guards against accepting a configuration that a daemon cannot carry out."""
+
+    def test_rejected(self) -> None:
+        first = ROWS["pools/browse"]["upstreams"][0]
+        # Change of one row; source, path, found and expected of a finding.
+        cases: dict[str, tuple[dict[str, Any], tuple[str, str, str, str]]] = {
+            "absent pool": (
+                {"routes/browse": {**BROWSE, "pool": "none"}},
+                ("routes/browse", "pool", "'none'", "the name of a pool"),
+            ),
+            "deleted pool in use": (
+                {"pools/browse": None},
+                ("routes/browse", "pool", "'browse'", "the name of a pool"),
+            ),
+            "pool of the other owner": (
+                {"routes/browse": {**BROWSE, "pool": "lookup"}},
+                ("routes/browse", "pool", "a pool of b", "a pool of a"),
+            ),
+            "cap of 0": (
+                {"routes/browse": moving(BROWSE, cap_percent=0)},
+                ("routes/browse", "move.cap_percent", "0", "a number above 0.0"),
+            ),
+            "cap of 101": (
+                {"routes/browse": moving(BROWSE, cap_percent=101)},
+                (
+                    "routes/browse",
+                    "move.cap_percent",
+                    "101",
+                    "a number of at most 100.0",
+                ),
+            ),
+            "cap that is no number": (
+                {"routes/browse": moving(BROWSE, cap_percent=float("nan"))},
+                ("routes/browse", "move.cap_percent", "nan", "a finite number"),
+            ),
+            "move to an absent pool": (
+                {"routes/browse": moving(BROWSE, to_pool="none")},
+                ("routes/browse", "move.to_pool", "'none'", "the name of a pool"),
+            ),
+            "move to the same pool": (
+                {"routes/browse": moving(BROWSE, to_pool="browse")},
+                (
+                    "routes/browse",
+                    "move.to_pool",
+                    "'browse'",
+                    "another pool than `pool`",
+                ),
+            ),
+            "two moves of one route": (
+                {"routes/browse": {**BROWSE, "move": [{}, {}]}},
+                ("routes/browse", "move", "[{}, {}]", "an object"),
+            ),
+            "moves that share a target": (
+                {
+                    "routes/browse": moving(BROWSE),
+                    "routes/search": moving(SEARCH, move_id="m2"),
+                },
+                (
+                    "routes/browse",
+                    "move.to_pool",
+                    "'browse-2'",
+                    "a pool that routes/search is not moving to",
+                ),
+            ),
+            "moves that share a source": (
+                {
+                    "routes/browse": moving(BROWSE),
+                    "routes/search": moving(
+                        {**SEARCH, "pool": "browse"}, move_id="m2", to_pool="browse-3"
+                    ),
+                },
+                (
+                    "routes/search",
+                    "move",
+                    "a move from 'browse'",
+                    "no move while routes/browse moves away from the same pool",
+                ),
+            ),
+            "move to a pool that another move leaves": (
+                {
+                    "routes/browse": moving(BROWSE, to_pool="browse-3"),
+                    "routes/search": moving(SEARCH, move_id="m2"),
+                },
+                (
+                    "routes/browse",
+                    "move.to_pool",
+                    "'browse-3'",
+                    "a pool that routes/search is not moving away from",
+                ),
+            ),
+            "move id used twice": (
+                {
+                    "routes/browse": moving(BROWSE),
+                    "routes/search": moving(SEARCH, to_pool="browse"),
+                },
+                ("routes/browse", "move.move_id", "'m1'", "a unique id"),
+            ),
+            "prefix used twice": (
+                {"routes/search": {**SEARCH, "prefix": "/browse/"}},
+                (
+                    "routes/search",
+                    "prefix",
+                    "'/browse/'",
+                    "a prefix other than that of routes/browse",
+                ),
+            ),
+            "prefix inside the other owner's": (
+                {"routes/search": {**SEARCH, "prefix": "/lookup/crews"}},
+                (
+                    "routes/search",
+                    "prefix",
+                    "'/lookup/crews'",
+                    "a prefix outside that of routes/lookup of b",
+                ),
+            ),
+            "upstream name used twice": (
+                {
+                    "pools/browse": {
+                        "owner": "a",
+                        "upstreams": [first, {**first, "address": "127.0.0.1:9009"}],
+                    }
+                },
+                ("pools/browse", "upstreams.name", "'u0' 2 times", "a unique value"),
+            ),
+            "method used twice": (
+                {"routes/browse": {**BROWSE, "methods": ["GET", "GET"]}},
+                ("routes/browse", "methods", "'GET' 2 times", "a unique value"),
+            ),
+            "host name for an address": (
+                {
+                    "pools/browse": {
+                        "owner": "a",
+                        "upstreams": [{**first, "address": "localhost:80"}],
+                    }
+                },
+                (
+                    "pools/browse",
+                    "upstreams.0.address",
+                    "'localhost:80'",
+                    "ip:port with an IPv4 or bracketed IPv6 number",
+                ),
+            ),
+            "port out of range": (
+                {
+                    "pools/browse": {
+                        "owner": "a",
+                        "upstreams": [{**first, "address": "127.0.0.1:65536"}],
+                    }
+                },
+                (
+                    "pools/browse",
+                    "upstreams.0.address",
+                    "'127.0.0.1:65536'",
+                    "ip:port with a port of 1 to 65535",
+                ),
+            ),
+            "IPv6 without brackets": (
+                {
+                    "pools/browse": {
+                        "owner": "a",
+                        "upstreams": [{**first, "address": "::1:80"}],
+                    }
+                },
+                (
+                    "pools/browse",
+                    "upstreams.0.address",
+                    "'::1:80'",
+                    "ip:port with brackets around an IPv6 number only",
+                ),
+            ),
+            "unknown field": (
+                {"routes/browse": {**BROWSE, "colour": "red"}},
+                ("routes/browse", "colour", "'red'", "no such field"),
+            ),
+            "row of the other owner": (
+                {"routes/lookup": {**ROWS["routes/lookup"], "timeout_s": 1}},
+                ("routes/lookup", "owner", "'b'", "'a'"),
+            ),
+            "key of the other owner's organisation": (
+                {"keys/k1": {**KEY, "holder": "nobody"}},
+                ("keys/k1", "holder", "'nobody'", "the name of an organisation"),
+            ),
+            "secret in the place of its digest": (
+                {"keys/k1": {**KEY, "digest": "canary-secret"}},
+                (
+                    "keys/k1",
+                    "digest",
+                    "a value that is not shown",
+                    "a string that matches ^[0-9a-f]{64}$",
+                ),
+            ),
+            "host in a region of the other owner": (
+                {"hosts/h1": {"owner": "a", "region": "fyn", "draining": True}},
+                ("hosts/h1", "region", "a region of b", "a region of a"),
+            ),
+            "bad row name": (
+                {"routes/Browse": BROWSE},
+                ("routes/Browse", "", "'Browse'", "a lower-case name"),
+            ),
+        }
+        for name, (changes, expected) in cases.items():
+            with self.subTest(name):
+                result = plan(changes)
+                assert isinstance(result, EditRejected), result
+                found = [
+                    (f.source, f.path, f.found, f.expected) for f in result.findings
+                ]
+                self.assertIn(expected, found)
+
+    def test_all_findings_together(self) -> None:
+        result = plan(
+            {
+                "routes/browse": moving({**BROWSE, "timeout_s": 0}, cap_percent=0),
+                "pools/browse": {"owner": "a", "upstreams": []},
+            }
+        )
+        assert isinstance(result, EditRejected)
+        self.assertEqual(
+            [(f.source, f.path) for f in result.findings],
+            [
+                ("pools/browse", "upstreams"),
+                ("routes/browse", "timeout_s"),
+                ("routes/browse", "move.cap_percent"),
+            ],
+        )
+
+    def test_accepted(self) -> None:
+        cases: dict[str, dict[str, Any]] = {
+            "move": {"routes/browse": moving(BROWSE, cap_percent=0.5)},
+            "cap of 100": {"routes/browse": moving(BROWSE, cap_percent=100)},
+            "prefix inside an own route": {
+                "routes/search": {**SEARCH, "prefix": "/browse/search"}
+            },
+            "IPv6": {
+                "pools/browse": {
+                    "owner": "a",
+                    "upstreams": [{**UPSTREAM, "address": "[::1]:80"}],
+                }
+            },
+            "drained host": {
+                "hosts/h1": {"owner": "a", "region": "mtl", "draining": True}
+            },
+        }
+        for name, changes in cases.items():
+            with self.subTest(name):
+                self.assertIsInstance(plan(changes), PlannedEdit)
+
+    def test_conflict_names_the_first_edit(self) -> None:
+        result = plan({"routes/browse": BROWSE}, expected_version=0)
+        self.assertEqual(result, EditConflict(1, "e1", "ops"))
+
+    def test_drain_is_for_the_region_of_the_row(self) -> None:
+        # Without the region an owner could drain hosts of the other owner.
+        planned = plan({"hosts/h1": {"owner": "a", "region": "mtl", "draining": True}})
+        assert isinstance(planned, PlannedEdit)
+        self.assertTrue(planned.config.is_draining("h1", "mtl"))
+        self.assertFalse(planned.config.is_draining("h1", "fyn"))
+        self.assertFalse(planned.config.is_draining("h2", "mtl"))
+
+
+if __name__ == "__main__":
+    unittest.main()
