Give the command line moves, drains, keys, settling and help

Change: a class per command in modules of their own; edits carry the version of the rows that they were made from; lost edits are settled by their id, also a repeated one after later edits; 'history', 'moves' and 'settle' resources on the operator port; host drains in look-ups, readiness and Connection headers.

--- a/packages/cli/src/cardamomquay_cli/_client.py
+++ b/packages/cli/src/cardamomquay_cli/_client.py
@@ -1,9 +1,10 @@
-"""Calls the operator port of a daemon."""
+"""Calls the operator ports of daemons."""
 
 from __future__ import annotations
 
 import io
 import json
+from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,6 +12,19 @@
 
 CONNECT_TIMEOUT_MS = 2000
 CALL_TIMEOUT_MS = 20_000
+# Failures of libcurl after which no byte of the request has reached a daemon.
+NOTHING_SENT = frozenset(
+    {
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_SSL_CONNECT_ERROR,
+        pycurl.E_SSL_CACERT_BADFILE,
+        pycurl.E_SSL_CERTPROBLEM,
+        pycurl.E_PEER_FAILED_VERIFICATION,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,9 +37,34 @@
 
 @dataclass(frozen=True, slots=True)
 class NoReply:
-    """No daemon answered."""
+    """No daemon answered.
+
+    Parameters
+    ----------
+    detail : str
+    may_have_arrived : bool
+        Whether a daemon may have received the request.
+    """
 
     detail: str
+    may_have_arrived: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ClientTls:
+    """Files for the operator ports' TLS.
+
+    Parameters
+    ----------
+    authority : str or None
+        Certificate authority of the daemons.
+    certificate, private_key : str or None
+        For daemons that ask operators for a certificate.
+    """
+
+    authority: str | None = None
+    certificate: str | None = None
+    private_key: str | None = None
 
 
 class OperatorClient:
@@ -37,21 +76,30 @@
         Base URLs of operator ports.
     key : str
         The operator's key.
-    authority : str or None
-        File with the certificate authority of the operator ports.
+    tls : ClientTls
     """
 
     def __init__(
-        self, servers: list[str], key: str, authority: str | None = None
+        self, servers: list[str], key: str, tls: ClientTls | None = None
     ) -> None:
         self._servers = servers
         self._key = key
-        self._authority = authority
+        self._tls = tls or ClientTls()
 
     def get(self, path: str) -> Reply | NoReply:
         """Read a resource."""
         return self._call("GET", path, None)
 
+    def get_all(self, path: str) -> list[Reply | NoReply]:
+        """Read a resource of every daemon of the list at the same time."""
+        with ThreadPoolExecutor(max_workers=min(32, len(self._servers))) as executor:
+            return list(
+                executor.map(
+                    lambda server: self._call_one(server, "GET", path, None),
+                    self._servers,
+                )
+            )
+
     def post(self, path: str, document: Any) -> Reply | NoReply:
         """Send a document.
 
@@ -61,13 +109,15 @@
         return self._call("POST", path, json.dumps(document).encode())
 
     def _call(self, method: str, path: str, body: bytes | None) -> Reply | NoReply:
-        failure = NoReply("no server given")
+        details = []
+        may_have_arrived = False
         for server in self._servers:
             outcome = self._call_one(server, method, path, body)
             if isinstance(outcome, Reply):
                 return outcome
-            failure = outcome
-        return failure
+            details.append(outcome.detail)
+            may_have_arrived = may_have_arrived or outcome.may_have_arrived
+        return NoReply("; ".join(details) or "no server given", may_have_arrived)
 
     def _call_one(
         self, server: str, method: str, path: str, body: bytes | None
@@ -83,16 +133,26 @@
         curl.setopt(pycurl.WRITEDATA, buffer)
         if body is not None:
             curl.setopt(pycurl.POSTFIELDS, body)
-        if self._authority is not None:
-            curl.setopt(pycurl.CAINFO, self._authority)
+        for option, value in (
+            (pycurl.CAINFO, self._tls.authority),
+            (pycurl.SSLCERT, self._tls.certificate),
+            (pycurl.SSLKEY, self._tls.private_key),
+        ):
+            if value is not None:
+                curl.setopt(option, value)
         try:
             curl.perform()
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
         except pycurl.error as exc:
-            return NoReply(f"{server}: {exc}")
+            code, text = exc.args[0], exc.args[-1]
+            connecting = curl.getinfo(pycurl.CONNECT_TIME) == 0
+            return NoReply(
+                f"{server}: {text or f'libcurl error {code}'}",
+                code not in NOTHING_SENT and not connecting,
+            )
         finally:
             curl.close()
         try:
             return Reply(status, json.loads(buffer.getvalue()))
         except ValueError:
-            return NoReply(f"{server}: status {status} without JSON")
+            return NoReply(f"{server}: status {status} without JSON", True)
--- /dev/null
+++ b/packages/cli/src/cardamomquay_cli/_moves.py
@@ -0,0 +1,226 @@
+"""Commands that start, watch, finish and take back version moves."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+import uuid
+from typing import TYPE_CHECKING
+from typing import Any
+
+from absl import flags
+
+from cardamomquay_cli._client import NoReply
+from cardamomquay_cli._editing import EDIT_FLAGS
+from cardamomquay_cli._editing import change
+from cardamomquay_cli._editing import fetch_config
+from cardamomquay_cli._editing import send_edit
+from cardamomquay_cli._results import HTTP_OK
+from cardamomquay_cli._results import Command
+from cardamomquay_cli._results import ExitCode
+from cardamomquay_cli._results import Result
+from cardamomquay_cli._results import failed
+from cardamomquay_cli._results import failure
+
+if TYPE_CHECKING:
+    from cardamomquay_cli._client import OperatorClient
+
+FINISH_WITHIN_S = flags.DEFINE_float(
+    "finish_within_s",
+    3600.0,
+    "Seconds in which a move has to be completed, or else it is rolled back.",
+)
+CAP_PERCENT = flags.DEFINE_float(
+    "cap_percent", 5.0, "Largest share of traffic before the new version is proved."
+)
+STEP_CAP_PERCENT = flags.DEFINE_float(
+    "step_cap_percent", 25.0, "Largest change of the share in one step."
+)
+MOVE_ID = flags.DEFINE_string("move_id", None, "Id of the move; a new one by default.")
+WATCH_S = flags.DEFINE_float(
+    "watch_s", 3600.0, "Watch for up to this many seconds.", lower_bound=0.0
+)
+POLL_S = 0.5
+COMPLETED = "completed"
+TAKEN_BACK = "taken_back"
+
+
+class Move(Command):
+    """Starts a version move."""
+
+    name = "move"
+    usage = "ROUTE POOL"
+    summary = "Start moving a route's traffic to another pool."
+    details = "The move is the field `move` of the route's row; `watch` follows it."
+    flags = (
+        "finish_within_s",
+        "cap_percent",
+        "step_cap_percent",
+        "move_id",
+        *EDIT_FLAGS,
+    )
+
+    def run(self, client: OperatorClient, arguments: list[str]) -> Result:
+        if len(arguments) != 2:
+            return self.usage_error()
+        name, pool = arguments
+        shown = fetch_config(client)
+        if isinstance(shown, Result):
+            return shown
+        row = shown.row("routes", name)
+        if row is None:
+            return failed(f"no route {name}")
+        if row.get("move") is not None:
+            move_id = row["move"]["move_id"]
+            return failed(
+                f"route {name} already has move {move_id}; take it back first"
+            )
+        row["move"] = {
+            "move_id": MOVE_ID.value or f"{name}-{uuid.uuid4().hex[:8]}"[-64:],
+            "to_pool": pool,
+            "finish_within_s": FINISH_WITHIN_S.value,
+            "cap_percent": CAP_PERCENT.value,
+            "step_cap_percent": STEP_CAP_PERCENT.value,
+        }
+        result = send_edit(client, shown, [change("routes", name, row)])
+        if result.code is not ExitCode.OK:
+            return result
+        document = {**result.document, "move_id": row["move"]["move_id"]}
+        text = f"{result.text}\nmove {row['move']['move_id']}"
+        return Result(result.code, document, text)
+
+
+class TakeBack(Command):
+    """Takes a version move back."""
+
+    name = "take-back"
+    usage = "ROUTE"
+    summary = "Take a move back: the route's traffic returns to its own pool."
+    details = "It removes the field `move` from the route's row."
+    flags = EDIT_FLAGS
+
+    def run(self, client: OperatorClient, arguments: list[str]) -> Result:
+        return _end_move(self, client, arguments, to_target=False)
+
+
+class Finish(Command):
+    """Makes the target of a completed move the route's pool."""
+
+    name = "finish"
+    usage = "ROUTE"
+    summary = "Make the new pool of a completed move the route's own pool."
+    details = (
+        "Until then the old pool stays available for a rollback. It is refused while\n"
+        "the move is not completed."
+    )
+    flags = EDIT_FLAGS
+
+    def run(self, client: OperatorClient, arguments: list[str]) -> Result:
+        return _end_move(self, client, arguments, to_target=True)
+
+
+class Moves(Command):
+    """Shows version moves."""
+
+    name = "moves"
+    usage = "[ROUTE]"
+    summary = "Show version moves with state, share, reason and figures."
+
+    def run(self, client: OperatorClient, arguments: list[str]) -> Result:
+        if len(arguments) > 1:
+            return self.usage_error()
+        moves = _fetch(client)
+        if isinstance(moves, Result):
+            return moves
+        if arguments:
+            moves = {name: move for name, move in moves.items() if name in arguments}
+        lines = [line(name, move) for name, move in sorted(moves.items())]
+        return Result(ExitCode.OK, {"moves": moves}, "\n".join(lines) or "no moves")
+
+
+class Watch(Command):
+    """Follows a version move to its end."""
+
+    name = "watch"
+    usage = "ROUTE"
+    summary = "Follow a move until it is completed or taken back."
+    details = "Exit code 0 for a completed move, 8 for one that was taken back."
+    flags = ("watch_s",)
+
+    def run(self, client: OperatorClient, arguments: list[str]) -> Result:
+        if len(arguments) != 1:
+            return self.usage_error()
+        route = arguments[0]
+        end = time.monotonic() + WATCH_S.value
+        shown = ""
+        while True:
+            moves = _fetch(client)
+            if isinstance(moves, Result):
+                # A daemon that stops must not end the watch; others may answer.
+                if moves.code is ExitCode.REJECTED or time.monotonic() >= end:
+                    return moves
+                time.sleep(POLL_S)
+                continue
+            move = moves.get(route)
+            if move is None:
+                return failed(f"route {route} has no move")
+            text = line(route, move)
+            if text != shown:
+                shown = text
+                print(text, file=sys.stderr, flush=True)
+            document = {"route": route, **move}
+            if move["state"] == COMPLETED:
+                return Result(ExitCode.OK, document, f"{route}: {move['state']}")
+            if move["state"] == TAKEN_BACK:
+                return Result(
+                    ExitCode.TAKEN_BACK, document, f"{route}: {move['state']}"
+                )
+            if time.monotonic() >= end:
+                return Result(ExitCode.TIMED_OUT, document, f"{route}: {move['state']}")
+            time.sleep(POLL_S)
+
+
+def _end_move(
+    command: Command, client: OperatorClient, arguments: list[str], to_target: bool
+) -> Result:
+    if len(arguments) != 1:
+        return command.usage_error()
+    name = arguments[0]
+    moves = _fetch(client) if to_target else {}
+    if isinstance(moves, Result):
+        return moves
+    shown = fetch_config(client)
+    if isinstance(shown, Result):
+        return shown
+    row = shown.row("routes", name)
+    if row is None or row.get("move") is None:
+        return failed(f"route {name} has no move")
+    wanted = row.pop("move")
+    if to_target:
+        move = moves.get(name, {})
+        if (move.get("move_id"), move.get("state")) != (wanted["move_id"], COMPLETED):
+            return failed(f"move {wanted['move_id']} is not completed")
+        row["pool"] = wanted["to_pool"]
+    return send_edit(client, shown, [change("routes", name, row)])
+
+
+def _fetch(client: OperatorClient) -> dict[str, dict[str, Any]] | Result:
+    reply = client.get("/v1/moves")
+    if isinstance(reply, NoReply) or reply.status != HTTP_OK:
+        return failure(reply)
+    moves: dict[str, dict[str, Any]] = reply.document["moves"]
+    return moves
+
+
+def line(route: str, move: dict[str, Any]) -> str:
+    """Return one line about a move."""
+    text = (
+        f"{route}: {move['state']}, {move.get('share_percent', 0.0):g}% to "
+        f"{move['to_pool']} ({move['move_id']})"
+    )
+    if move.get("reason"):
+        text += f"; {move['reason']}"
+    if move.get("figures"):
+        text += f" {json.dumps(move['figures'])}"
+    return text
--- a/packages/cli/src/cardamomquay_cli/main.py
+++ b/packages/cli/src/cardamomquay_cli/main.py
@@ -9,9 +9,13 @@
 from absl import app
 from absl import flags
 
+from cardamomquay_cli._client import ClientTls
 from cardamomquay_cli._client import OperatorClient
 from cardamomquay_cli._commands import COMMANDS
-from cardamomquay_cli._commands import ExitCode
+from cardamomquay_cli._results import EXIT_MEANINGS
+from cardamomquay_cli._results import Command
+from cardamomquay_cli._results import ExitCode
+from cardamomquay_cli._results import Result
 
 SERVER = flags.DEFINE_list(
     "server",
@@ -24,18 +28,77 @@
 AUTHORITY = flags.DEFINE_string(
     "authority", None, "File with the operator ports' certificate authority."
 )
+CLIENT_CERTIFICATE = flags.DEFINE_string(
+    "client_certificate", None, "File with the operator's own certificate."
+)
+CLIENT_KEY = flags.DEFINE_string(
+    "client_key", None, "File with the private key of --client_certificate."
+)
 JSON = flags.DEFINE_bool("json", False, "Print JSON.")
+COMMON_FLAGS = (
+    "server",
+    "key_file",
+    "authority",
+    "client_certificate",
+    "client_key",
+    "json",
+)
+HELP_FLAGS = frozenset({"--help", "-help", "-h", "--helpfull", "--helpshort"})
 
 
 def usage() -> str:
-    """Return the text that lists the commands."""
+    """Return the help of the tool."""
     lines = ["usage: cardamomquay [flags] COMMAND [arguments]", "", "commands:"]
     for command in COMMANDS.values():
-        lines.append(f"  {command.name + ' ' + command.usage:<24} {command.summary}")
-    lines += ["", "`cardamomquay --help` lists the flags."]
+        lines.append(f"  {command.name + ' ' + command.usage:<36} {command.summary}")
+    lines += ["", "flags:", *_flag_lines(COMMON_FLAGS), "", "exit codes:"]
+    lines += [f"  {code:d}  {meaning}" for code, meaning in EXIT_MEANINGS.items()]
+    lines += ["", "`cardamomquay COMMAND --help` explains a command."]
     return "\n".join(lines)
 
 
+def command_help(command: Command) -> str:
+    """Return the help of a command."""
+    lines = [f"usage: cardamomquay {command.name} {command.usage}".rstrip(), ""]
+    lines += [command.summary]
+    if command.details:
+        lines += [command.details]
+    if command.flags:
+        lines += ["", "flags of this command:", *_flag_lines(command.flags)]
+    lines += ["", "flags:", *_flag_lines(COMMON_FLAGS)]
+    return "\n".join(lines)
+
+
+def _flag_lines(names: tuple[str, ...]) -> list[str]:
+    lines = []
+    for name in names:
+        flag = flags.FLAGS[name]
+        default = flag.default_as_str
+        shown = f" (default {default})" if default is not None else ""
+        lines.append(f"  --{name:<20} {flag.help}{shown}")
+    return lines
+
+
+def parse_flags(argv: list[str]) -> list[str]:
+    """Parse flags; print help or the fault of a flag.
+
+    Raises
+    ------
+    SystemExit
+        With 0 after help, with `ExitCode.USAGE` after a wrong flag.
+    """
+    if HELP_FLAGS & set(argv[1:]):
+        named = [COMMANDS[word] for word in argv[1:] if word in COMMANDS]
+        print(command_help(named[0]) if named else usage())
+        sys.exit(ExitCode.OK)
+    try:
+        remaining: list[str] = flags.FLAGS(argv)
+    except flags.Error as exc:
+        print(f"{exc}\n`cardamomquay --help` lists the flags.", file=sys.stderr)
+        sys.exit(ExitCode.USAGE)
+    return remaining
+
+
 def main(argv: list[str]) -> int:
     """Run one command.
 
@@ -46,13 +109,35 @@
     """
     command = COMMANDS.get(argv[1]) if len(argv) > 1 else None
     if command is None:
-        print(usage(), file=sys.stderr)
-        return ExitCode.USAGE
+        text = usage()
+        if len(argv) > 1:
+            text = f"no command {argv[1]!r}\n{text}"
+        return _print(Result(ExitCode.USAGE, {"error": text.splitlines()[0]}, text))
+    foreign = _flags_of_others(command)
+    if foreign:
+        return _print(
+            command.usage_error(f"not a flag of this command: --{foreign[0]}")
+        )
     servers = SERVER.value
     if not SERVER.present and "CARDAMOMQUAY_SERVER" in os.environ:
         servers = os.environ["CARDAMOMQUAY_SERVER"].split(",")
-    client = OperatorClient(servers, _key(), AUTHORITY.value)
-    result = command.run(client, argv[2:])
+    try:
+        key = _key()
+    except OSError as exc:
+        return _print(command.usage_error(f"--key_file: {exc}"))
+    tls = ClientTls(AUTHORITY.value, CLIENT_CERTIFICATE.value, CLIENT_KEY.value)
+    return _print(command.run(OperatorClient(servers, key, tls), argv[2:]))
+
+
+def _flags_of_others(command: Command) -> list[str]:
+    """Return flags that were given and that another command has, not this one."""
+    names = {name for other in COMMANDS.values() for name in other.flags}
+    return sorted(
+        name for name in names - set(command.flags) if flags.FLAGS[name].present
+    )
+
+
+def _print(result: Result) -> int:
     if JSON.value:
         print(json.dumps(result.document, indent=2))
     else:
@@ -70,7 +155,7 @@
 
 def run() -> None:
     """Console script."""
-    app.run(main)
+    app.run(main, flags_parser=parse_flags)
 
 
 if __name__ == "__main__":
--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -73,7 +73,7 @@
             self._telemetry.count("requests.failed")
             self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
             response = Response("internal error\n", 500)
-        if self.leaving:
+        if self.leaving or self._is_draining():
             response.headers["Connection"] = "close"
         return response(environ, start_response)
 
@@ -82,7 +82,8 @@
         if path == HOSTS_PATH:
             return self._lookup(request)
         if path == READY_PATH:
-            ready = self._runtime.snapshot.config is not None and not self.leaving
+            has_config = self._runtime.snapshot.config is not None
+            ready = has_config and not self.leaving and not self._is_draining()
             return Response(
                 "ready\n" if ready else "not ready\n", 200 if ready else 503
             )
@@ -106,6 +107,14 @@
             response.headers["X-Cardamomquay-Replayed"] = "true"
         return response
 
+    def _is_draining(self) -> bool:
+        """Whether operators want callers to leave this host."""
+        snapshot = self._runtime.snapshot
+        identity = snapshot.core.identity
+        return snapshot.config is not None and snapshot.config.is_draining(
+            identity.host, identity.region
+        )
+
     def _lookup(self, request: Request) -> Response:
         snapshot = self._runtime.snapshot
         answer = rank_hosts(
@@ -117,6 +126,12 @@
             ),
             self._clock.now_s(),
         )
+        config = snapshot.config
+        hosts = [
+            host
+            for host in answer.hosts
+            if config is None or not config.is_draining(host.host, host.region)
+        ]
         document = {
             "hosts": [
                 {
@@ -125,7 +140,8 @@
                     "region": host.region,
                     "weight": host.weight,
                 }
-                for host in answer.hosts
+                # A fleet in which every host is drained still serves its callers.
+                for host in hosts or answer.hosts
             ],
             "ttl_s": answer.ttl_s,
             "complete": answer.complete,
--- a/packages/daemon/src/cardamomquay_daemon/_editor.py
+++ b/packages/daemon/src/cardamomquay_daemon/_editor.py
@@ -4,6 +4,7 @@
 
 import time
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from cardamomquay.config import HEAD
@@ -15,7 +16,6 @@
 from cardamomquay.config import parse_config
 from cardamomquay.config import plan_edit
 from cardamomquay.platform import Committed
-from cardamomquay.platform import Conflicted
 from cardamomquay.platform import Row
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
@@ -49,10 +49,20 @@
 
 @dataclass(frozen=True, slots=True)
 class EditAccepted:
-    """The edit is committed."""
+    """The edit is committed.
+
+    Parameters
+    ----------
+    config : Config
+        The newest configuration, which can be a later one than the edit's.
+    confirmed_at_s : float
+    version : int
+        Version that the edit made.
+    """
 
     config: Config
     confirmed_at_s: float
+    version: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +72,62 @@
     edit_id: str
 
 
+class EditState(StrEnum):
+    """What is known of an edit by its id."""
+
+    ACCEPTED = "accepted"
+    NOT_ACCEPTED = "not_accepted"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class EditFound:
+    """Whether an edit took effect.
+
+    Parameters
+    ----------
+    state : EditState
+    version : int
+        Version that the edit made, 0 if it was not accepted.
+    head_version : int
+        Newest version.
+    """
+
+    state: EditState
+    version: int
+    head_version: int
+
+
+def find_edit(
+    tables: TableService, edit_id: str, expected_version: int | None
+) -> EditFound | Unavailable:
+    """Find out from the store whether an edit was accepted.
+
+    Parameters
+    ----------
+    tables : TableService
+    edit_id : str
+    expected_version : int or None
+        Version that the edit was made from. An edit that is not stored can still be
+        accepted later as long as the head has this version.
+
+    Returns
+    -------
+    EditFound or Unavailable
+    """
+    found = tables.read((RowKey("edit_ids", edit_id), HEAD))
+    if isinstance(found, Unavailable):
+        return found
+    id_row, head = found.rows
+    newest, _, _ = head_version(head)
+    if id_row.value is not None:
+        version = int(str(id_row.value["version"]))
+        return EditFound(EditState.ACCEPTED, version, newest)
+    if expected_version is not None and newest != expected_version:
+        return EditFound(EditState.NOT_ACCEPTED, 0, newest)
+    return EditFound(EditState.UNKNOWN, 0, newest)
+
+
 def read_stored_config(
     tables: TableService, clock: Clock
 ) -> StoredConfig | Unavailable:
@@ -124,18 +190,17 @@
     stored = read_stored_config(tables, clock)
     if isinstance(stored, Unavailable):
         return Unavailable(stored.reason)
-    if stored.head.value is not None and stored.head.value["edit_id"] == edit.edit_id:
-        return _accepted(stored)
     planned = plan_edit(stored.head, stored.rows, edit)
-    if isinstance(planned, EditRejected | EditConflict):
+    if isinstance(planned, EditConflict):
+        # The edit may be a repetition of one that was accepted earlier.
+        return settle_edit(tables, clock, edit)
+    if isinstance(planned, EditRejected):
         return planned
     started_s = clock.now_s()
     outcome = tables.transact(planned.transaction)
     match outcome:
         case Committed():
-            return EditAccepted(planned.config, started_s)
-        case Conflicted(rows=rows):
-            return _conflict(rows)
+            return EditAccepted(planned.config, started_s, planned.config.version)
         case Unavailable(may_have_committed=False):
             return outcome
         case _:
@@ -171,18 +236,8 @@
     stored = read_stored_config(tables, clock)
     if isinstance(stored, Unavailable):
         return EditUnsettled(edit.edit_id)
-    return _accepted(stored)
-
-
-def _accepted(stored: StoredConfig) -> EditAccepted | Unavailable:
     config = parse_stored(stored)
     if isinstance(config, tuple):
         return Unavailable("the stored configuration is not valid")
-    return EditAccepted(config, stored.confirmed_at_s)
-
-
-def _conflict(rows: tuple[Row, ...]) -> EditConflict:
-    for row in rows:
-        if row.key == HEAD:
-            return EditConflict(*head_version(row))
-    return EditConflict(0, rows[0].key.key, "")
+    made = int(str(id_row.value["version"]))
+    return EditAccepted(config, stored.confirmed_at_s, made)
--- a/packages/daemon/src/cardamomquay_daemon/_operator_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_operator_port.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 import uuid
 from datetime import UTC
 from datetime import datetime
@@ -27,6 +28,7 @@
 from cardamomquay_daemon._editor import EditAccepted
 from cardamomquay_daemon._editor import EditUnsettled
 from cardamomquay_daemon._editor import commit_edit
+from cardamomquay_daemon._editor import find_edit
 from cardamomquay_daemon._editor import read_stored_config
 from cardamomquay_daemon._telemetry import EDIT_ACCEPTED
 from cardamomquay_daemon._telemetry import EDIT_REJECTED
@@ -44,8 +46,12 @@
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
 
+EDIT_ID = re.compile(r"[A-Za-z0-9._-]{1,64}")
+NUMBER = re.compile(r"[0-9]{1,15}")
 OPERATOR_HEADER = "X-Operator-Key"
+EDIT_PREFIX = "/v1/edits/"
 EDITS_SHOWN = 50
+EDITS_SHOWN_MAX = 1000
 
 
 class OperatorPort:
@@ -89,11 +95,15 @@
         operator = config.find_operator(request.headers.get(OPERATOR_HEADER, ""))
         if operator is None:
             return json_response({"error": "operator key missing or rejected"}, 401)
+        if request.method == "GET" and request.path.startswith(EDIT_PREFIX):
+            return self._find_edit(request)
         match (request.method, request.path):
             case ("GET", "/v1/config"):
                 return self._show()
             case ("GET", "/v1/edits"):
-                return self._edits()
+                return self._edits(request)
+            case ("GET", "/v1/moves"):
+                return self._moves()
             case ("GET", "/v1/status"):
                 return self._status()
             case ("GET", "/v1/counters"):
@@ -113,12 +123,47 @@
         head = dict(stored.head.value or {"version": 0})
         return json_response({"head": head, "tables": tables})
 
-    def _edits(self) -> Response:
+    def _edits(self, request: Request) -> Response:
+        limit = min(_number(request, "limit") or EDITS_SHOWN, EDITS_SHOWN_MAX)
+        before = _number(request, "before")
         scan = self._tables.scan("edits")
         if isinstance(scan, Unavailable):
             return json_response({"error": f"store: {scan.reason}"}, 503)
-        newest = [row.value for row in scan.rows[-EDITS_SHOWN:]]
-        return json_response({"edits": newest[::-1]})
+        rows = sorted(scan.rows, key=lambda row: row.key.key, reverse=True)
+        if before is not None:
+            rows = [row for row in rows if int(row.key.key) < before]
+        return json_response({"edits": [row.value for row in rows[:limit]]})
+
+    def _find_edit(self, request: Request) -> Response:
+        edit_id = request.path[len(EDIT_PREFIX) :]
+        found = find_edit(self._tables, edit_id, _number(request, "expected_version"))
+        if isinstance(found, Unavailable):
+            return json_response({"error": f"store: {found.reason}"}, 503)
+        document = {
+            "edit_id": edit_id,
+            "state": str(found.state),
+            "version": found.version,
+            "head_version": found.head_version,
+        }
+        return json_response(document)
+
+    def _moves(self) -> Response:
+        """Show the wanted moves with what the controller has stored about each."""
+        stored = read_stored_config(self._tables, self._clock)
+        if isinstance(stored, Unavailable):
+            return json_response({"error": f"store: {stored.reason}"}, 503)
+        scan = self._tables.scan("moves")
+        if isinstance(scan, Unavailable):
+            return json_response({"error": f"store: {scan.reason}"}, 503)
+        moves: dict[str, Any] = {row.key.key: row.value for row in scan.rows}
+        for row in stored.rows:
+            plan: Any = (row.value or {}).get("move")
+            if row.key.table != "routes" or plan is None:
+                continue
+            known = moves.get(row.key.key)
+            if known is None or known.get("move_id") != plan["move_id"]:
+                moves[row.key.key] = {**plan, "state": "planned", "share_percent": 0.0}
+        return json_response({"moves": moves})
 
     def _status(self) -> Response:
         snapshot = self._runtime.snapshot
@@ -126,6 +171,7 @@
         members = snapshot.core.part(MembershipState)
         own = snapshot.core.part(ConfigState)
         identity = snapshot.core.identity
+        config = snapshot.config
         hosts = [
             {
                 "host": name,
@@ -138,6 +184,8 @@
                     else member.record.config_version
                 ),
                 "heard": member.heard or name == identity.host,
+                "draining": config is not None
+                and config.is_draining(name, member.record.region),
             }
             for name, member in sorted(members.members.items())
         ]
@@ -152,10 +200,11 @@
 
     def _edit(self, request: Request, operator: StoredKey) -> Response:
         try:
-            document = json.loads(request.get_data())
+            document = json.loads(request.get_data(), object_pairs_hook=_unique_names)
             edit = _parse_edit(document, operator)
         except (KeyError, TypeError, ValueError) as exc:
-            return json_response({"error": f"malformed edit: {exc}"}, 400)
+            text = f"malformed edit: {type(exc).__name__}: {exc}"
+            return json_response({"error": text}, 400)
         result = commit_edit(self._tables, self._clock, edit)
         match result:
             case EditAccepted(config=config):
@@ -164,11 +213,12 @@
                 )
                 self._telemetry.log(
                     EDIT_ACCEPTED,
-                    version=config.version,
+                    version=result.version,
                     edit_id=edit.edit_id,
                     operator=edit.operator,
                 )
-                return json_response({"accepted": True, "version": config.version}, 200)
+                document = {"accepted": True, "version": result.version}
+                return json_response(document)
             case EditRejected(findings=findings):
                 self._telemetry.log(
                     EDIT_REJECTED, edit_id=edit.edit_id, findings=len(findings)
@@ -209,13 +259,35 @@
                 )
 
 
+def _number(request: Request, name: str) -> int | None:
+    text = request.args.get(name, "")
+    return int(text) if NUMBER.fullmatch(text) else None
+
+
+def _unique_names(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    document = dict(pairs)
+    if len(document) < len(pairs):
+        names = [name for name, _ in pairs]
+        repeated = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f"name {repeated!r} stands twice in one object")
+    return document
+
+
 def _parse_edit(document: Any, operator: StoredKey) -> ConfigEdit:
     changes = tuple(
         RowChange(RowKey(str(c["table"]), str(c["key"])), c["value"])
         for c in document["changes"]
     )
+    edit_id = str(document.get("edit_id") or uuid.uuid4().hex)
+    if not EDIT_ID.fullmatch(edit_id):
+        raise ValueError("edit_id has 1 to 64 letters, digits, dots or dashes")
+    if not changes:
+        raise ValueError("changes is empty")
+    for change in changes:
+        if not isinstance(change.value, dict | None):
+            raise ValueError(f"{change.key} is neither an object nor null")
     return ConfigEdit(
-        edit_id=str(document.get("edit_id") or uuid.uuid4().hex),
+        edit_id=edit_id,
         operator=operator.holder,
         owner=operator.owner,
         expected_version=int(document["expected_version"]),
