Report all settings findings with their lines and check certificates

Cause: the line of a settings finding was searched by text, so comments and equal names in other sections gave wrong lines; files were checked only after everything else was right; certificate files were checked for existence only. Change: a small reader of JSON5 tokens gives the line of each field; findings of fields, addresses and files are collected together; certificate files have to be readable PEM, belong together and be in time; a certificate with less than 14 days left is logged at the start. Before: 'expected' repeated pydantic's text, a name in a comment took the line. Conclusion: bad settings stop a daemon before it listens, with every fault named.

--- a/packages/daemon/src/cardamomquay_daemon/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/_settings.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
-from pathlib import Path
+from typing import TYPE_CHECKING
 from typing import Annotated
+from typing import Any
 
 import json5
 from pydantic import AfterValidator
@@ -14,7 +16,21 @@
 from pydantic import ValidationError
 
 from cardamomquay.config import check_address
+from cardamomquay.config import expected_text
+from cardamomquay.config import found_text
 from cardamomquay.outcomes import Finding
+from cardamomquay_daemon._certificates import check_certificate_files
+from cardamomquay_daemon._json5_lines import DocumentLines
+from cardamomquay_daemon._json5_lines import read_lines
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from pydantic_core import ErrorDetails
+
+LISTENERS = ("listen", "operator_listen", "peer_listen")
+TLS_SECTIONS = ("tls", "operator_tls", "peer_tls")
+SYNTAX_PLACE = re.compile(r"<string>:(?P<line>\d+) ")
 
 Address = Annotated[str, AfterValidator(check_address)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,63}$")]
@@ -22,7 +38,9 @@
 
 
 class _Border(BaseModel):
-    model_config = ConfigDict(extra="forbid", strict=True, frozen=True)
+    model_config = ConfigDict(
+        extra="forbid", strict=True, frozen=True, allow_inf_nan=False
+    )
 
 
 class LimitsModel(_Border):
@@ -122,74 +140,98 @@
         text = path.read_text(encoding="utf-8")
     except OSError as exc:
         return (Finding(str(path), "", exc.strerror or "no file", "a readable file"),)
+    except UnicodeDecodeError:
+        return (Finding(str(path), "", "bytes that are not UTF-8", "UTF-8 text"),)
     try:
         document = json5.loads(text)
     except ValueError as exc:
-        return (Finding(str(path), "", str(exc), "JSON with comments"),)
+        return (_syntax_finding(path, str(exc)),)
+    lines = read_lines(text)
+    findings = [
+        Finding(str(path), _dotted(place), "a second value", "one value", line)
+        for place, line in lines.repeated
+    ]
+    model = None
     try:
         model = SettingsModel.model_validate(document)
     except ValidationError as exc:
-        return tuple(_finding(path, text, error) for error in exc.errors())
-    findings = _check_files(path, text, model)
-    return findings or _to_settings(model)
+        findings += [_finding(path, lines, error) for error in exc.errors()]
+    if isinstance(document, dict):
+        findings += _check_files(path, lines, document)
+        findings += _check_addresses(path, lines, document)
+    if findings or model is None:
+        return tuple(sorted(findings, key=lambda finding: finding.line or 0))
+    return _to_settings(model)
 
 
-def _finding(path: Path, text: str, error: object) -> Finding:
-    assert isinstance(error, dict)
-    location = [str(part) for part in error["loc"]]
-    missing = error["type"] == "missing"
+def _syntax_finding(path: Path, message: str) -> Finding:
+    place = SYNTAX_PLACE.match(message)
+    line = int(place["line"]) if place else None
+    found = message[place.end() :] if place else message
+    return Finding(str(path), "", found, "JSON with comments", line)
+
+
+def _finding(path: Path, lines: DocumentLines, error: ErrorDetails) -> Finding:
     return Finding(
         source=str(path),
-        path=".".join(location),
-        found="nothing" if missing else repr(error["input"]),
-        expected=error["msg"],
-        line=None if missing else _line_of(text, location),
+        path=_dotted(error["loc"]),
+        found=found_text(error),
+        expected=expected_text(error),
+        line=lines.of(error["loc"]),
     )
 
 
-def _line_of(text: str, location: list[str]) -> int | None:
-    """Find the line of a nested key by searching its keys in order."""
-    line = None
-    lines = text.splitlines()
-    start = 0
-    for key in location:
-        for number in range(start, len(lines)):
-            stripped = lines[number].split("//")[0]
-            if f'"{key}"' in stripped or f"{key}:" in stripped.replace(" ", ""):
-                start, line = number, number + 1
-                break
-    return line
+def _dotted(place: tuple[str | int, ...]) -> str:
+    return ".".join(str(part) for part in place)
 
 
-def _check_files(path: Path, text: str, model: SettingsModel) -> tuple[Finding, ...]:
+def _check_files(
+    path: Path, lines: DocumentLines, document: dict[str, Any]
+) -> list[Finding]:
     findings = []
-    for field in ("tls", "operator_tls", "peer_tls"):
-        files: TlsModel | None = getattr(model, field)
-        if files is None:
+    for section in TLS_SECTIONS:
+        values = document.get(section)
+        if not isinstance(values, dict):
             continue
-        for name, value in files.model_dump().items():
-            if value is not None and not Path(value).is_file():
-                findings.append(
-                    Finding(
-                        str(path),
-                        f"{field}.{name}",
-                        repr(value),
-                        "a readable file",
-                        _line_of(text, [field, name]),
-                    )
-                )
-    ports = [model.listen, model.operator_listen, model.peer_listen]
-    if len(set(ports)) < len(ports):
-        findings.append(
+        files = {
+            name: value
+            for name, value in values.items()
+            if name in TlsModel.model_fields and isinstance(value, str)
+        }
+        findings += [
             Finding(
                 str(path),
-                "listen",
-                ", ".join(ports),
-                "three different addresses",
-                _line_of(text, ["listen"]),
+                f"{section}.{fault.field}",
+                fault.found,
+                fault.expected,
+                lines.of((section, fault.field)),
+            )
+            for fault in check_certificate_files(files)
+        ]
+    return findings
+
+
+def _check_addresses(
+    path: Path, lines: DocumentLines, document: dict[str, Any]
+) -> list[Finding]:
+    findings = []
+    first: dict[Any, str] = {}
+    for name in LISTENERS:
+        address = document.get(name)
+        if not isinstance(address, str):
+            continue
+        if address in first:
+            findings.append(
+                Finding(
+                    str(path),
+                    name,
+                    repr(address),
+                    f"another address than {first[address]}",
+                    lines.of((name,)),
+                )
             )
-        )
-    return tuple(findings)
+        first.setdefault(address, name)
+    return findings
 
 
 def _to_settings(model: SettingsModel) -> Settings:
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -33,6 +33,9 @@
 STARTED = LogEvent(1001, "daemon_started", "The daemon listens.")
 STOPPING = LogEvent(1002, "daemon_stopping", "A planned stop began.")
 STOPPED = LogEvent(1003, "daemon_stopped", "The daemon has stopped.")
+CERTIFICATE_EXPIRES = LogEvent(
+    1004, "certificate_expires", "A listener's certificate expires within 14 days."
+)
 CONFIG_IN_FORCE = LogEvent(2001, "config_in_force", "A new version is in force.")
 CONFIG_OLDER_IGNORED = LogEvent(
     2002, "config_older_ignored", "A source offered an older configuration."
