Refuse ambiguous and slow requests at the border of the ports

Cause: cheroot accepted repeated and malformed lengths, line folding, spaces before the colon and trailers that were read as the next request; a chunked body that was refused unread became the next request; a silent connection held a request thread; a sender of single bytes held one without end; refusals by cheroot had another form; a body that broke or stalled got a 500. Change: a strict request reader and chunked body, deadlines for reading and writing that grow with the bytes moved, connections that wait for their first bytes outside the threads, draining before a close with unread data, and one form for all refusals, which are counted. Conclusion: each shape gets a status and a reason, and no second request is read out of a body.

--- a/packages/cli/src/cardamomquay_cli/_results.py
+++ b/packages/cli/src/cardamomquay_cli/_results.py
@@ -104,6 +104,7 @@
     if isinstance(reply, NoReply):
         document = {"error": reply.detail}
         return Result(ExitCode.UNREACHABLE, document, f"no answer: {reply.detail}")
-    text = str(reply.document.get("error", f"status {reply.status}"))
+    document = reply.document
+    text = document.get("error") or document.get("detail") or f"status {reply.status}"
     code = ExitCode.REJECTED if reply.status == UNAUTHORIZED else ExitCode.FAILED
-    return Result(code, reply.document, text)
+    return Result(code, document, str(text))
--- a/packages/core/src/cardamomquay/outcomes/_refusals.py
+++ b/packages/core/src/cardamomquay/outcomes/_refusals.py
@@ -15,6 +15,12 @@
     METHOD_NOT_ALLOWED = "method_not_allowed"
     BAD_REQUEST = "bad_request"
     BODY_TOO_LARGE = "body_too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    TARGET_TOO_LONG = "target_too_long"
+    REQUEST_TIMEOUT = "request_timeout"
+    NOT_IMPLEMENTED = "not_implemented"
+    VERSION_NOT_SUPPORTED = "version_not_supported"
+    INTERNAL_ERROR = "internal_error"
     KEY_MISSING = "key_missing"
     KEY_REJECTED = "key_rejected"
     ORGANISATION_NOT_ALLOWED = "organisation_not_allowed"
@@ -73,6 +79,13 @@
     RefusalReason.METHOD_NOT_ALLOWED: RefusalFacts(405, True),
     RefusalReason.BAD_REQUEST: RefusalFacts(400, True),
     RefusalReason.BODY_TOO_LARGE: RefusalFacts(413, True),
+    RefusalReason.HEADERS_TOO_LARGE: RefusalFacts(431, True),
+    RefusalReason.TARGET_TOO_LONG: RefusalFacts(414, True),
+    RefusalReason.REQUEST_TIMEOUT: RefusalFacts(408, True),
+    RefusalReason.NOT_IMPLEMENTED: RefusalFacts(501, True),
+    RefusalReason.VERSION_NOT_SUPPORTED: RefusalFacts(505, True),
+    # The fault may have come after the request was sent.
+    RefusalReason.INTERNAL_ERROR: RefusalFacts(500, False),
     RefusalReason.KEY_MISSING: RefusalFacts(401, True),
     RefusalReason.KEY_REJECTED: RefusalFacts(401, True),
     RefusalReason.ORGANISATION_NOT_ALLOWED: RefusalFacts(403, True),
--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import TYPE_CHECKING
 
 from werkzeug import Request
@@ -14,6 +13,8 @@
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.routing import LookupRequest
 from cardamomquay.routing import rank_hosts
+from cardamomquay_daemon._refusal_form import refusal_body
+from cardamomquay_daemon._refusal_form import refusal_headers
 from cardamomquay_daemon._requests import KEY_HEADER
 from cardamomquay_daemon._requests import read_request
 from cardamomquay_daemon._telemetry import REQUEST_FAILED
@@ -70,9 +71,9 @@
         try:
             response = self._respond(request)
         except Exception as exc:
-            self._telemetry.count("requests.failed")
+            self._telemetry.refused(RefusalReason.INTERNAL_ERROR)
             self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
-            response = Response("internal error\n", 500)
+            response = refusal_response(Refusal(RefusalReason.INTERNAL_ERROR))
         if self.leaving or self._is_draining():
             response.headers["Connection"] = "close"
         return response(environ, start_response)
@@ -157,17 +158,8 @@
 
 def refusal_response(refusal: Refusal) -> Response:
     """Return the response that tells a caller about a refusal."""
-    response = json_response(
-        {
-            "reason": str(refusal.reason),
-            "not_run": refusal.not_run,
-            "retry_after_s": refusal.retry_hint_s,
-            "detail": refusal.detail,
-        },
-        refusal.status,
+    response = Response(
+        refusal_body(refusal), refusal.status, mimetype="application/json"
     )
-    response.headers["X-Cardamomquay-Reason"] = str(refusal.reason)
-    response.headers["X-Cardamomquay-Not-Run"] = "true" if refusal.not_run else "false"
-    if refusal.retry_hint_s is not None:
-        response.headers["Retry-After"] = str(math.ceil(refusal.retry_hint_s))
+    response.headers.update(refusal_headers(refusal))
     return response
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -111,7 +111,11 @@
         """Listen and serve for the time of a ``with`` block."""
         settings = self._settings
         callers = make_server(
-            settings.listen, self._caller_port, settings.limits, settings.tls
+            settings.listen,
+            self._caller_port,
+            settings.limits,
+            settings.tls,
+            self._telemetry.refused,
         )
         operators = make_server(
             settings.operator_listen,
--- a/packages/daemon/src/cardamomquay_daemon/_operator_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_operator_port.py
@@ -83,6 +83,8 @@
         request = Request(environ, populate_request=False)
         try:
             response = self._respond(request)
+        except TimeoutError:
+            response = json_response({"error": "the body stalled"}, 408)
         except Exception as exc:
             self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
             response = json_response({"error": "internal error"}, 500)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_refusal_form.py
@@ -0,0 +1,32 @@
+"""The form in which a caller is told about a refusal."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cardamomquay.outcomes import Refusal
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Return the JSON body of a refusal."""
+    document = {
+        "reason": str(refusal.reason),
+        "not_run": refusal.not_run,
+        "retry_after_s": refusal.retry_hint_s,
+        "detail": refusal.detail,
+    }
+    return json.dumps(document).encode()
+
+
+def refusal_headers(refusal: Refusal) -> dict[str, str]:
+    """Return the headers that repeat the fields for callers that skip the body."""
+    headers = {
+        "X-Cardamomquay-Reason": str(refusal.reason),
+        "X-Cardamomquay-Not-Run": "true" if refusal.not_run else "false",
+    }
+    if refusal.retry_hint_s is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_hint_s))
+    return headers
--- a/packages/daemon/src/cardamomquay_daemon/_requests.py
+++ b/packages/daemon/src/cardamomquay_daemon/_requests.py
@@ -6,8 +6,11 @@
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
+from cheroot.errors import MaxSizeExceeded
+
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay_daemon._http_parser import MalformedRequestError
 from cardamomquay_daemon._relay import CallerRequest
 from cardamomquay_daemon._upstream_client import HOP_BY_HOP
 
@@ -18,10 +21,15 @@
 # Headers that carry a caller's credentials never go to an upstream.
 CREDENTIAL_HEADERS = frozenset({"x-api-key", "authorization", "cookie"})
 # The daemon sets these itself, so a caller's own are dropped.
-OWN_HEADERS = frozenset({"host", "request-timeout-ms", "x-organisation", "expect"})
+OWN_HEADERS = frozenset(
+    {"host", "request-timeout-ms", "x-organisation", "expect", "proxy-connection"}
+)
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 BAD_PATH = re.compile(r"[\x00-\x1f\x7f\\]")
 ENCODED_SEPARATOR = re.compile(r"%(2f|5c|00)", re.IGNORECASE)
+BAD_ESCAPE = re.compile(r"%(?![0-9A-Fa-f]{2})")
+IDEMPOTENCY_KEY = re.compile(r"[\x21-\x7e]{1,255}")
+MILLISECONDS = re.compile(r"[0-9]{1,7}")
 TIMEOUT_MAX_MS = 3_600_000
 
 
@@ -44,24 +52,18 @@
     fault = _path_fault(raw_target.partition("?")[0], request.path)
     if fault:
         return Refusal(RefusalReason.BAD_REQUEST, fault)
-    if "Transfer-Encoding" in request.headers and "Content-Length" in request.headers:
-        return Refusal(
-            RefusalReason.BAD_REQUEST, "both Transfer-Encoding and Content-Length"
-        )
-    if (request.content_length or 0) > body_limit:
-        return Refusal(RefusalReason.BODY_TOO_LARGE)
-    body = (
-        request.environ["wsgi.input"].read(body_limit + 1)
-        if _has_body(request)
-        else b""
-    )
-    if len(body) > body_limit:
-        return Refusal(RefusalReason.BODY_TOO_LARGE)
-    if request.content_length is not None and len(body) < request.content_length:
-        return Refusal(RefusalReason.BAD_REQUEST, "body shorter than Content-Length")
     timeout_s = _timeout_s(request)
     if isinstance(timeout_s, Refusal):
         return timeout_s
+    idempotency_key = request.headers.get("Idempotency-Key", "")
+    if idempotency_key and not IDEMPOTENCY_KEY.fullmatch(idempotency_key):
+        return Refusal(
+            RefusalReason.BAD_REQUEST,
+            "Idempotency-Key is not 1 to 255 visible ASCII characters",
+        )
+    body = _read_body(request, body_limit)
+    if isinstance(body, Refusal):
+        return body
     query = request.query_string.decode("latin-1")
     target = quote(request.path, safe="/:@!$&'()*+,;=~-._")
     return CallerRequest(
@@ -71,13 +73,32 @@
         headers=_forwarded_headers(request),
         body=body,
         key=request.headers.get(KEY_HEADER, ""),
-        idempotency_key=request.headers.get("Idempotency-Key", ""),
+        idempotency_key=idempotency_key,
         timeout_s=timeout_s,
     )
 
 
-def _has_body(request: Request) -> bool:
-    return bool(request.content_length) or "Transfer-Encoding" in request.headers
+def _read_body(request: Request, limit: int) -> bytes | Refusal:
+    length = request.content_length
+    if (length or 0) > limit:
+        return Refusal(RefusalReason.BODY_TOO_LARGE)
+    if not length and "Transfer-Encoding" not in request.headers:
+        return b""
+    try:
+        body: bytes = request.environ["wsgi.input"].read(limit + 1)
+    except TimeoutError:
+        return Refusal(RefusalReason.REQUEST_TIMEOUT, "the body stalled")
+    except MaxSizeExceeded:
+        return Refusal(RefusalReason.BODY_TOO_LARGE)
+    except MalformedRequestError as exc:
+        return Refusal(RefusalReason.BAD_REQUEST, str(exc))
+    except OSError:
+        return Refusal(RefusalReason.BAD_REQUEST, "the connection broke in the body")
+    if len(body) > limit:
+        return Refusal(RefusalReason.BODY_TOO_LARGE)
+    if length is not None and len(body) < length:
+        return Refusal(RefusalReason.BAD_REQUEST, "body shorter than Content-Length")
+    return body
 
 
 def _path_fault(raw_path: str, path: str) -> str:
@@ -85,6 +106,8 @@
         return "path must start with /"
     if BAD_PATH.search(path) or ENCODED_SEPARATOR.search(raw_path):
         return "path has a control character or an encoded separator"
+    if BAD_ESCAPE.search(raw_path) or "\ufffd" in path:
+        return "path has a malformed percent escape"
     segments = path.split("/")[1:]
     if any(segment in {".", ".."} for segment in segments):
         return "path has a dot segment"
@@ -97,7 +120,7 @@
     text = request.headers.get("Request-Timeout-Ms")
     if text is None:
         return None
-    if not text.isdecimal() or not 0 < int(text) <= TIMEOUT_MAX_MS:
+    if not MILLISECONDS.fullmatch(text) or not 0 < int(text) <= TIMEOUT_MAX_MS:
         return Refusal(RefusalReason.BAD_REQUEST, "Request-Timeout-Ms is not a number")
     return int(text) / 1000
 
--- a/packages/daemon/src/cardamomquay_daemon/_server.py
+++ b/packages/daemon/src/cardamomquay_daemon/_server.py
@@ -8,19 +8,50 @@
 from typing import Any
 
 from cheroot import wsgi
-from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from cardamomquay_daemon._connections import DeadlineConnection
+from cardamomquay_daemon._connections import TlsAdapter
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
+    from cardamomquay.outcomes import RefusalReason
     from cardamomquay_daemon._settings import Limits
     from cardamomquay_daemon._settings import TlsFiles
 
 SHUTDOWN_TIMEOUT_S = 30
+KEPT_CONNECTIONS = 1024
+
+
+class _Server(wsgi.Server):
+    ConnectionClass = DeadlineConnection
+    idle_timeout_s: float = 10.0
+    on_refusal: Callable[[RefusalReason], None] | None = None
+    _connections: Any
+
+    def process_conn(self, conn: DeadlineConnection) -> None:
+        # A connection waits for its first bytes in the selector, as it does between
+        # requests. cheroot gives it a thread at once, so that a few silent
+        # connections would take all threads.
+        if conn.dispatched:
+            super().process_conn(conn)
+            return
+        conn.dispatched = True
+        self._connections.put(conn)
+
+    def error_log(
+        self, msg: str = "", level: int = 20, traceback: bool = False
+    ) -> None:
+        """Drop cheroot's messages, which can repeat what a caller sent."""
 
 
 def make_server(
-    address: str, application: Any, limits: Limits, tls: TlsFiles | None
+    address: str,
+    application: Any,
+    limits: Limits,
+    tls: TlsFiles | None,
+    on_refusal: Callable[[RefusalReason], None] | None = None,
 ) -> wsgi.Server:
     """Return a server that is bound and does not accept yet.
 
@@ -31,6 +62,8 @@
     application : WSGI application
     limits : Limits
     tls : TlsFiles or None
+    on_refusal : callable, optional
+        Called for each request that is refused before it reaches the application.
 
     Returns
     -------
@@ -42,7 +75,7 @@
         If the address cannot be bound.
     """
     host, _, port = address.rpartition(":")
-    server = wsgi.Server(
+    server = _Server(
         (host.strip("[]"), int(port)),
         application,
         numthreads=limits.request_threads,
@@ -51,13 +84,13 @@
         shutdown_timeout=SHUTDOWN_TIMEOUT_S,
         server_name="cardamomquay",
     )
+    server.idle_timeout_s = limits.idle_timeout_s
+    server.on_refusal = on_refusal
     server.max_request_header_size = limits.header_bytes
     server.max_request_body_size = limits.body_bytes
-    server.keep_alive_conn_limit = 1024
+    server.keep_alive_conn_limit = KEPT_CONNECTIONS
     if tls is not None:
-        server.ssl_adapter = BuiltinSSLAdapter(
-            tls.certificate, tls.private_key, tls.client_authority
-        )
+        server.ssl_adapter = TlsAdapter(tls)
     server.prepare()
     return server
 
