--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import json
-import math
 from typing import TYPE_CHECKING
 
 from werkzeug import Request
@@ -14,6 +13,8 @@
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.routing import LookupRequest
 from cardamomquay.routing import rank_hosts
+from cardamomquay_daemon._refusal_form import refusal_body
+from cardamomquay_daemon._refusal_form import refusal_headers
 from cardamomquay_daemon._requests import KEY_HEADER
 from cardamomquay_daemon._requests import read_request
 from cardamomquay_daemon._telemetry import REQUEST_FAILED
@@ -70,10 +71,10 @@
         try:
             response = self._respond(request)
         except Exception as exc:
-            self._telemetry.count("requests.failed")
+            self._telemetry.refused(RefusalReason.INTERNAL_ERROR)
             self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
-            response = Response("internal error\n", 500)
-        if self.leaving:
+            response = refusal_response(Refusal(RefusalReason.INTERNAL_ERROR))
+        if self.leaving or self._is_draining():
             response.headers["Connection"] = "close"
         return response(environ, start_response)
 
@@ -82,7 +83,8 @@
         if path == HOSTS_PATH:
             return self._lookup(request)
         if path == READY_PATH:
-            ready = self._runtime.snapshot.config is not None and not self.leaving
+            has_config = self._runtime.snapshot.config is not None
+            ready = has_config and not self.leaving and not self._is_draining()
             return Response(
                 "ready\n" if ready else "not ready\n", 200 if ready else 503
             )
@@ -106,6 +108,14 @@
             response.headers["X-Cardamomquay-Replayed"] = "true"
         return response
 
+    def _is_draining(self) -> bool:
+        """Whether operators want callers to leave this host."""
+        snapshot = self._runtime.snapshot
+        identity = snapshot.core.identity
+        return snapshot.config is not None and snapshot.config.is_draining(
+            identity.host, identity.region
+        )
+
     def _lookup(self, request: Request) -> Response:
         snapshot = self._runtime.snapshot
         answer = rank_hosts(
@@ -117,6 +127,12 @@
             ),
             self._clock.now_s(),
         )
+        config = snapshot.config
+        hosts = [
+            host
+            for host in answer.hosts
+            if config is None or not config.is_draining(host.host, host.region)
+        ]
         document = {
             "hosts": [
                 {
@@ -125,7 +141,8 @@
                     "region": host.region,
                     "weight": host.weight,
                 }
-                for host in answer.hosts
+                # A fleet in which every host is drained still serves its callers.
+                for host in hosts or answer.hosts
             ],
             "ttl_s": answer.ttl_s,
             "complete": answer.complete,
@@ -141,17 +158,8 @@
 
 def refusal_response(refusal: Refusal) -> Response:
     """Return the response that tells a caller about a refusal."""
-    response = json_response(
-        {
-            "reason": str(refusal.reason),
-            "not_run": refusal.not_run,
-            "retry_after_s": refusal.retry_hint_s,
-            "detail": refusal.detail,
-        },
-        refusal.status,
+    response = Response(
+        refusal_body(refusal), refusal.status, mimetype="application/json"
     )
-    response.headers["X-Cardamomquay-Reason"] = str(refusal.reason)
-    response.headers["X-Cardamomquay-Not-Run"] = "true" if refusal.not_run else "false"
-    if refusal.retry_hint_s is not None:
-        response.headers["Retry-After"] = str(math.ceil(refusal.retry_hint_s))
+    response.headers.update(refusal_headers(refusal))
     return response
