Lend whole slots of upstreams to hosts

Cause: choosers that count only their own host's requests let several hosts exceed an upstream's slots together. Change: `SlotLender` records which slots are out to whom, divides them by max-min fairness (needs first, then peaks) and bounds idle connections; `SlotTable` uses borrowed slots for many requests, with a bounded fair queue; `SlotChooser` serves request threads over a `SlotTransport`. Requests state the whole position, so lost, late and repeated messages do no harm. One lost lender stops its pool in its region until a successor lends.

--- a/packages/core/src/cardamomquay/balancing/__init__.py
+++ b/packages/core/src/cardamomquay/balancing/__init__.py
@@ -10,14 +10,34 @@
 from cardamomquay.balancing._chooser import UpstreamChooser
 from cardamomquay.balancing._health import PassiveHealth
 from cardamomquay.balancing._health import UpstreamReport
+from cardamomquay.balancing._lender import GRANT_S
+from cardamomquay.balancing._lender import RECLAIM_MARGIN_S
+from cardamomquay.balancing._lender import SlotLender
+from cardamomquay.balancing._messages import SlotCount
+from cardamomquay.balancing._messages import SlotGrant
+from cardamomquay.balancing._messages import SlotRequest
+from cardamomquay.balancing._messages import SlotTransport
+from cardamomquay.balancing._slots import SlotChooser
+from cardamomquay.balancing._table import SlotTable
+from cardamomquay.balancing._table import Ticket
 
 __all__ = [
+    "GRANT_S",
+    "RECLAIM_MARGIN_S",
     "Observation",
     "ObservedResult",
     "PassiveHealth",
     "RandomChooser",
     "Reservation",
     "RoundRobinChooser",
+    "SlotChooser",
+    "SlotCount",
+    "SlotGrant",
+    "SlotLender",
+    "SlotRequest",
+    "SlotTable",
+    "SlotTransport",
+    "Ticket",
     "UpstreamChooser",
     "UpstreamReport",
 ]
--- /dev/null
+++ b/packages/core/src/cardamomquay/balancing/_slots.py
@@ -0,0 +1,170 @@
+"""Choice of upstreams by borrowed slots, for request threads."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+
+from cardamomquay.balancing._chooser import UpstreamChooser
+from cardamomquay.balancing._table import SlotTable
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from cardamomquay.balancing._chooser import Observation
+    from cardamomquay.balancing._chooser import Reservation
+    from cardamomquay.balancing._messages import SlotTransport
+    from cardamomquay.balancing._table import Ticket
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import Pool
+
+
+class SlotChooser(UpstreamChooser):
+    """Uses slots lent by one lender for each pool and region; safe for threads.
+
+    Parameters
+    ----------
+    clock : Clock
+    transport : SlotTransport
+    host, incarnation, region : str
+        This host, its run, and its region.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        transport: SlotTransport,
+        host: str,
+        incarnation: str,
+        region: str,
+    ) -> None:
+        self._clock = clock
+        self._transport = transport
+        self._host = host
+        self._incarnation = incarnation
+        self._home = region
+        self._changed = threading.Condition()
+        self._tables: dict[tuple[str, str], SlotTable] = {}
+        self._regions: dict[str, tuple[str, ...]] = {}
+        self._weights: Mapping[str, float] = {}
+
+    def apply(self, pools: Mapping[str, Pool], weights: Mapping[str, float]) -> None:
+        """Apply a configuration.
+
+        Parameters
+        ----------
+        pools : mapping of str to Pool
+        weights : mapping of str to float
+            Entitled rate of each organisation.
+        """
+        now_s = self._clock.now_s()
+        with self._changed:
+            self._weights = weights
+            for (name, _), table in tuple(self._tables.items()):
+                if name in pools:
+                    table.apply_pool(pools[name], now_s)
+                    table.set_weights(weights)
+            self._changed.notify_all()
+
+    def set_regions(self, pool: str, regions: Sequence[str]) -> None:
+        """Set the regions whose upstreams a pool's requests may use, in order.
+
+        Parameters
+        ----------
+        pool : str
+        regions : sequence of str
+            The host's own region by default.
+        """
+        with self._changed:
+            self._regions[pool] = tuple(regions)
+
+    def reserve(
+        self,
+        pool: Pool,
+        organisation: str,
+        excluded: Collection[str],
+        deadline_s: float,
+    ) -> Reservation | Refusal:
+        refusal = Refusal(RefusalReason.POOL_EMPTY)
+        with self._changed:
+            for region in self._regions.get(pool.name, (self._home,)):
+                table = self._table(pool, region)
+                now_s = self._clock.now_s()
+                ticket = table.submit(organisation, excluded, deadline_s, now_s)
+                if ticket.result is None:
+                    self._changed.notify_all()
+                    self._wait(table, ticket)
+                assert ticket.result is not None
+                if not isinstance(ticket.result, Refusal):
+                    return ticket.result
+                if refusal.reason is not RefusalReason.POOL_BUSY:
+                    refusal = ticket.result
+        return refusal
+
+    def release(self, reservation: Reservation, observation: Observation) -> None:
+        with self._changed:
+            key = (reservation.pool, reservation.upstream.region)
+            table = self._tables.get(key)
+            if table is not None:
+                table.release(reservation, observation, self._clock.now_s())
+            self._changed.notify_all()
+
+    def connections_allowed(self, pool: str, upstream: str, region: str) -> int:
+        """Return how many connections this host may keep open to an upstream."""
+        with self._changed:
+            table = self._tables.get((pool, region))
+            if table is None:
+                return 0
+            return table.connections_allowed(upstream, self._clock.now_s())
+
+    def poll(self) -> int:
+        """Make the calls that are due; runs outside the request threads.
+
+        Returns
+        -------
+        int
+            Number of calls made.
+        """
+        with self._changed:
+            now_s = self._clock.now_s()
+            due = []
+            for table in self._tables.values():
+                table.settle(now_s)
+                request = table.next_call(now_s)
+                if request is not None:
+                    due.append((table, request))
+            self._changed.notify_all()
+        for table, request in due:
+            grant = self._transport.borrow(request)
+            with self._changed:
+                table.apply_reply(request, grant, self._clock.now_s())
+                self._changed.notify_all()
+        return len(due)
+
+    def wait_for_demand(self, timeout_s: float) -> None:
+        """Wait until a request waits for a slot, for the thread that calls `poll`."""
+        with self._changed:
+            if not any(table.waiting for table in self._tables.values()):
+                self._clock.wait(self._changed, timeout_s)
+
+    def _table(self, pool: Pool, region: str) -> SlotTable:
+        table = self._tables.get((pool.name, region))
+        if table is None:
+            now_s = self._clock.now_s()
+            table = SlotTable(pool, region, self._host, self._incarnation, now_s)
+            table.set_weights(self._weights)
+            self._tables[pool.name, region] = table
+        return table
+
+    def _wait(self, table: SlotTable, ticket: Ticket) -> None:
+        while ticket.result is None:
+            now_s = self._clock.now_s()
+            if now_s >= ticket.deadline_s:
+                table.settle(now_s)
+                continue
+            self._clock.wait(self._changed, ticket.deadline_s - now_s)
+            table.settle(self._clock.now_s())
--- /dev/null
+++ b/packages/core/tests/balancing/test_slots.py
@@ -0,0 +1,259 @@
+from __future__ import annotations
+
+import threading
+import unittest
+from dataclasses import replace
+
+from cardamomquay.balancing import GRANT_S
+from cardamomquay.balancing import Observation
+from cardamomquay.balancing import ObservedResult
+from cardamomquay.balancing import Reservation
+from cardamomquay.balancing import SlotChooser
+from cardamomquay.balancing import SlotCount
+from cardamomquay.balancing import SlotGrant
+from cardamomquay.balancing import SlotLender
+from cardamomquay.balancing import SlotRequest
+from cardamomquay.balancing import SlotTable
+from cardamomquay.balancing import SlotTransport
+from cardamomquay.clock import ManualClock
+from cardamomquay.config import Pool
+from cardamomquay.config import Upstream
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+
+GOOD = Observation(ObservedResult.ANSWERED, 0.02)
+FAILED = Observation(ObservedResult.UNREACHABLE, 0.0)
+LATE_S = 1e6
+
+
+def make_pool(count: int, slots: int = 3) -> Pool:
+    names = [f"u{i}" for i in range(count)]
+    return Pool(
+        "browse",
+        "owner",
+        tuple(
+            Upstream(n, f"10.0.0.{i + 1}:80", "mtl", "mtl-a", slots, 330)
+            for i, n in enumerate(names)
+        ),
+    )
+
+
+class MemoryTransport(SlotTransport):
+    """Calls a lender in this process."""
+
+    def __init__(self, clock: ManualClock, pool: Pool) -> None:
+        self.clock = clock
+        self.lender = SlotLender(pool.upstreams, 5.0, clock.now_s(), first=True)
+        self.requests: list[SlotRequest] = []
+
+    def borrow(self, request: SlotRequest) -> SlotGrant | None:
+        self.requests.append(request)
+        return self.lender.lend(request, self.clock.now_s())
+
+
+class SlotTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.pool = make_pool(2)
+        self.table = SlotTable(self.pool, "mtl", "h", "1", 0.0)
+
+    def grant(self, now_s: float, keep: int = 6, share: float = 1.0) -> SlotRequest:
+        """Run one call in which the lender grants two of each upstream."""
+        request = self.table.next_call(now_s)
+        assert request is not None
+        slots = (SlotCount("u0", 2, share), SlotCount("u1", 2, share))
+        self.table.apply_reply(request, SlotGrant(slots, GRANT_S, keep), now_s)
+        return request
+
+    def take(self, now_s: float, organisation: str = "a") -> Reservation | Refusal:
+        ticket = self.table.submit(organisation, (), now_s, now_s)
+        assert ticket.result is not None
+        return ticket.result
+
+    def test_never_above_the_grant(self) -> None:
+        """Guards against more requests than slots, and against use of old grants."""
+        cases = {
+            "valid": (0.0, 6, 4),
+            "just valid": (GRANT_S - 0.01, 6, 4),
+            "expired": (GRANT_S, 6, 0),
+            "to be returned": (0.1, 1, 1),
+        }
+        for name, (now_s, keep, expected) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.grant(0.0, keep)
+                got = [self.take(now_s) for _ in range(6)]
+                taken = [g for g in got if isinstance(g, Reservation)]
+                self.assertEqual(len(taken), expected)
+                self.assertTrue(all(r.valid_until_s == GRANT_S for r in taken))
+
+    def test_late_reply(self) -> None:
+        """Guards against slots that the lender has taken back meanwhile."""
+        old = self.table.next_call(0.0)
+        assert old is not None
+        self.table.submit("a", (), LATE_S, 0.0)
+        self.assertIsNone(self.table.next_call(0.2))
+        self.assertIsNotNone(self.table.next_call(0.3))
+        late = SlotGrant((SlotCount("u0", 3),), GRANT_S, 3)
+        self.table.apply_reply(old, late, 0.3)
+        self.assertEqual(self.table.held("u0"), 0)
+
+    def test_slow_reply(self) -> None:
+        """Guards against a grant that ends here after it ended at the lender."""
+        request = self.table.next_call(0.0)
+        assert request is not None
+        slots = (SlotCount("u0", 2), SlotCount("u1", 2))
+        grant = SlotGrant(slots, GRANT_S, 4, stopped=("u1",))
+        self.table.apply_reply(request, grant, 0.2)
+        got = [self.take(GRANT_S - 0.01) for _ in range(3)]
+        self.assertEqual(
+            [g.upstream.name for g in got if isinstance(g, Reservation)],
+            ["u0", "u0"],
+            "an upstream that the lender stopped gets no new work",
+        )
+        self.table.release(got[0], GOOD, GRANT_S)  # type: ignore[arg-type]
+        self.assertIsInstance(self.take(GRANT_S), Refusal)
+
+    def test_idle_slots_are_returned(self) -> None:
+        """Guards against a host that keeps slots that it does not use."""
+        self.grant(0.0)
+        first = self.take(0.0)
+        assert isinstance(first, Reservation)
+        self.table.release(first, GOOD, 0.1)
+        request = self.table.next_call(2.0)
+        assert request is not None
+        self.assertLessEqual(sum(item.slots for item in request.holding), 2)
+        self.assertEqual(self.grant(4.0).holding, ())
+
+    def test_excluded_and_draining(self) -> None:
+        """Guards against a retry at the same upstream, and work for a leaving one."""
+        self.grant(0.0)
+        ticket = self.table.submit("a", ["u0"], 0.0, 0.0)
+        assert isinstance(ticket.result, Reservation)
+        self.assertEqual(ticket.result.upstream.name, "u1")
+        self.table.apply_pool(
+            Pool(
+                "browse",
+                "owner",
+                tuple(replace(u, draining=u.name == "u1") for u in self.pool.upstreams),
+            ),
+            0.1,
+        )
+        names = [self.take(0.1) for _ in range(4)]
+        self.assertEqual(
+            {n.upstream.name for n in names if isinstance(n, Reservation)}, {"u0"}
+        )
+
+    def test_failing_upstream_is_avoided(self) -> None:
+        """Guards against requests to an upstream that refuses connections."""
+        self.grant(0.0)
+        for _ in range(3):
+            ticket = self.table.submit("a", ["u1"], 0.0, 0.0)
+            assert isinstance(ticket.result, Reservation)
+            self.table.release(ticket.result, FAILED, 0.0)
+        got = self.take(0.0)
+        assert isinstance(got, Reservation)
+        self.assertEqual(got.upstream.name, "u1")
+        request = self.table.next_call(0.5)
+        assert request is not None
+        self.assertEqual(request.avoid, ("u0",))
+        self.assertEqual({item.upstream for item in request.holding}, {"u1"})
+        self.assertEqual(request.reports[0].failed, 3)
+
+    def test_ramp_rests_a_slot(self) -> None:
+        """Guards against a ramp of 10% that one busy slot turns into a third."""
+        self.grant(0.0, share=0.1)
+        for excluded in (["u1"], ["u0"]):
+            ticket = self.table.submit("a", excluded, 0.0, 0.0)
+            assert isinstance(ticket.result, Reservation)
+            self.table.release(ticket.result, GOOD, 0.02)
+        # 0.02 s of work at 0.3 slots leaves 0.047 s of rest.
+        self.assertIsInstance(self.take(0.06), Refusal)
+        self.assertIsInstance(self.take(0.07), Reservation)
+
+    def test_waiting_is_bounded(self) -> None:
+        """Guards against queues that outgrow their deadlines."""
+        self.grant(0.0)
+        held = [self.take(0.0) for _ in range(4)]
+        tickets = [self.table.submit("a", (), 1.0, 0.0) for _ in range(200)]
+        shed = [t for t in tickets if isinstance(t.result, Refusal)]
+        self.assertLessEqual(self.table.waiting, 64)
+        self.assertGreaterEqual(len(shed), 136)
+        assert isinstance(held[0], Reservation)
+        self.table.settle(1.0)
+        self.assertEqual(self.table.waiting, 0)
+        for ticket in tickets:
+            assert isinstance(ticket.result, Refusal)
+            self.assertIs(ticket.result.reason, RefusalReason.POOL_BUSY)
+            self.assertTrue(ticket.result.not_run)
+
+    def test_fair_queue(self) -> None:
+        """Guards against one organisation that takes the slots of the others."""
+        self.table.set_weights({"big": 1.0, "small": 1.0, "double": 2.0})
+        self.grant(0.0, keep=1)
+        running = self.take(0.0)
+        big = [self.table.submit("big", (), LATE_S, 0.0) for _ in range(80)]
+        self.assertTrue(all(t.result is None for t in big[:64]))
+        late = {
+            name: [self.table.submit(name, (), LATE_S, 0.0) for _ in range(count)]
+            for name, count in (("small", 3), ("double", 6))
+        }
+        for _ in range(13):
+            assert isinstance(running, Reservation)
+            self.table.release(running, GOOD, 0.0)
+            running = Reservation("browse", running.upstream)
+            served = {
+                name: sum(t.result is not None for t in tickets)
+                for name, tickets in late.items()
+            }
+        self.assertEqual(served, {"small": 3, "double": 6})
+
+
+class SlotChooserTest(unittest.TestCase):
+    def chooser(self) -> tuple[ManualClock, MemoryTransport, SlotChooser, Pool]:
+        clock, pool = ManualClock(100.0), make_pool(2)
+        transport = MemoryTransport(clock, pool)
+        return clock, transport, SlotChooser(clock, transport, "h", "1", "mtl"), pool
+
+    def test_waits_for_the_lender(self) -> None:
+        """Guards against a refusal of the first request, before any slot is held."""
+        _, transport, chooser, pool = self.chooser()
+        results: list[Reservation | Refusal] = []
+        thread = threading.Thread(
+            target=lambda: results.append(chooser.reserve(pool, "a", (), 101.0))
+        )
+        thread.start()
+        while not transport.requests:
+            chooser.poll()
+        thread.join(10.0)
+        self.assertIsInstance(results[0], Reservation)
+        assert isinstance(results[0], Reservation)
+        chooser.release(results[0], GOOD)
+        self.assertIsInstance(chooser.reserve(pool, "a", (), 100.0), Reservation)
+
+    def test_lender_lost(self) -> None:
+        """Guards against new work on slots whose grant ran out."""
+        clock, _, chooser, pool = self.chooser()
+        chooser.reserve(pool, "a", (), 100.0)
+        chooser.poll()
+        for after_s, expected in ((1.9, Reservation), (2.0, Refusal)):
+            clock.advance(100.0 + after_s - clock.now_s())
+            got = chooser.reserve(pool, "a", (), clock.now_s())
+            self.assertIsInstance(got, expected)
+        self.assertEqual(chooser.connections_allowed("browse", "u1", "mtl"), 0)
+
+    def test_regions(self) -> None:
+        """Guards against requests that leave the region unasked, or never can."""
+        clock, pool = ManualClock(100.0), make_pool(1)
+        transport = MemoryTransport(clock, pool)
+        chooser = SlotChooser(clock, transport, "h", "1", "qc")
+        got = chooser.reserve(pool, "a", (), 100.0)
+        assert isinstance(got, Refusal)
+        self.assertIs(got.reason, RefusalReason.POOL_EMPTY)
+        chooser.set_regions("browse", ["qc", "mtl"])
+        chooser.reserve(pool, "a", (), 100.0)
+        chooser.poll()
+        self.assertIsInstance(chooser.reserve(pool, "a", (), 100.0), Reservation)
+
+
+if __name__ == "__main__":
+    unittest.main()
