Measure slot lending against three other ways to choose

Change: `measure_balancing(seed)` simulates 12 upstreams (one slow, one joins cold) and 8 to 12 hosts, one of them lost, in paused time; rotating subsets by rendezvous hash use the same queue and health as slot lending. Random and round robin do not wait, so their p99 leaves out the requests that they lost. The test of fairness in a full queue counted refusals as served; it now counts reservations. Conclusion: slot lending is kept.

--- a/packages/core/tests/balancing/test_slots.py
+++ b/packages/core/tests/balancing/test_slots.py
@@ -202,7 +202,7 @@
             self.table.release(running, GOOD, 0.0)
             running = Reservation("browse", running.upstream)
             served = {
-                name: sum(t.result is not None for t in tickets)
+                name: sum(isinstance(t.result, Reservation) for t in tickets)
                 for name, tickets in late.items()
             }
         self.assertEqual(served, {"small": 3, "double": 6})
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/measure_balancing.py
@@ -0,0 +1,348 @@
+"""Measures ways to choose upstreams, in a deterministic simulation.
+
+The simulation has twelve upstreams with three to four slots, one of them slow and
+one that joins cold, and eight hosts that become twelve, of which one is then lost.
+Callers use some hosts more than others, and the skew changes in the middle.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import sys
+from collections import Counter
+from dataclasses import dataclass
+from dataclasses import field
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+import numpy as np
+
+from cardamomquay.balancing import Observation
+from cardamomquay.balancing import ObservedResult
+from cardamomquay.balancing import RandomChooser
+from cardamomquay.balancing import Reservation
+from cardamomquay.balancing import RoundRobinChooser
+from cardamomquay.balancing import SlotLender
+from cardamomquay.balancing import SlotTable
+from cardamomquay.config import Pool
+from cardamomquay.config import Upstream
+from cardamomquay.outcomes import Refusal
+from cardamomquay_dev.rotating_subsets import rotating_grant
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomquay.balancing import SlotGrant
+    from cardamomquay.balancing import UpstreamChooser
+
+POLICIES = ("slot_lending", "rotating_subsets", "random", "round_robin")
+DURATION_S = 16.0
+COLD_JOINS_AT_S = 3.0
+HOSTS_JOIN_AT_S = 5.0
+SKEW_CHANGES_AT_S = 8.0
+HOST_LOST_AT_S = 10.0
+SERVICE_S = 0.05
+SLOW_FACTOR = 4.0
+COLD_FACTOR = 4.0
+COLD_REQUESTS = 60
+NEW_CONNECTION_S = 0.001
+CALL_S = 0.001
+SHED_ANSWER_S = 0.001
+DEADLINE_S = 1.0
+POLL_S = 0.005
+VIEW_LAG_MAX_S = 1.5
+POOL = "browse"
+REGION = "mtl"
+
+
+def _upstreams(count: int) -> tuple[Upstream, ...]:
+    return tuple(
+        Upstream(f"u{i:02d}", f"10.0.0.{i + 1}:80", REGION, "mtl-a", 3 + i % 2, 330)
+        for i in range(count)
+    )
+
+
+@dataclass
+class _Server:
+    upstream: Upstream
+    active: int = 0
+    peak: int = 0
+    excess: int = 0
+    served: int = 0
+    connections: int = 0
+    connections_peak: int = 0
+
+
+@dataclass
+class _Host:
+    name: str
+    lag_s: float
+    table: SlotTable | None = None
+    lost: bool = False
+    idle: Counter[str] = field(default_factory=Counter)
+    pending: list[tuple[Any, float]] = field(default_factory=list)
+
+
+class _Simulation:
+    def __init__(self, policy: str, seed: int, load: float, duration_s: float) -> None:
+        self.policy = policy
+        self.duration_s = duration_s
+        self.random = Random(seed)
+        self.now_s = 0.0
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self.pool = Pool(POOL, "owner", _upstreams(11))
+        self.servers = {u.name: _Server(u) for u in _upstreams(12)}
+        self.lender = SlotLender(self.pool.upstreams, DEADLINE_S, 0.0, first=True)
+        self.hosts: list[_Host] = []
+        self.joined_at: dict[str, float] = {}
+        self.lost_at: dict[str, float] = {}
+        self.latencies: list[float] = []
+        self.sheds: Counter[str] = Counter()
+        self.requests = self.new_connections = self.calls = self.probes = 0
+        self.chooser: dict[str, UpstreamChooser] = {}
+        slots = sum(server.upstream.slots for server in self.servers.values())
+        self.rate_per_s = load * slots / SERVICE_S
+
+    def run(self) -> dict[str, float]:
+        for _ in range(8):
+            self._join()
+        self.at(COLD_JOINS_AT_S, self._cold_joins)
+        for _ in range(4):
+            self.at(HOSTS_JOIN_AT_S, self._join)
+        self.at(HOST_LOST_AT_S, self._lose)
+        self.at(0.05, self._arrive)
+        self.at(0.0, self._poll)
+        while self._events:
+            self.now_s, _, action = heapq.heappop(self._events)
+            if self.now_s > self.duration_s:
+                break
+            action()
+        p50, p99 = np.percentile(self.latencies, [50, 99])
+        servers = self.servers.values()
+        return {
+            "p50_ms": round(float(p50) * 1e3, 2),
+            "p99_ms": round(float(p99) * 1e3, 2),
+            "requests": self.requests,
+            "shed_by_host": self.sheds["host"],
+            "shed_by_upstream": self.sheds["upstream"],
+            "requests_above_slots": sum(server.excess for server in servers),
+            "peak_above_slots": max(s.peak - s.upstream.slots for s in servers),
+            "peak_connections": max(s.connections_peak for s in servers),
+            "new_connections_per_s": round(self.new_connections / self.duration_s, 1),
+            "lender_calls_per_s": round(self.calls / self.duration_s, 1),
+            "probes_per_s": round(self.probes / self.duration_s, 2),
+        }
+
+    def at(self, when_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (when_s, next(self._order), action))
+
+    def _join(self) -> None:
+        name = f"h{len(self.hosts):02d}"
+        host = _Host(name, self.random.uniform(0.1, VIEW_LAG_MAX_S))
+        if self.policy in {"slot_lending", "rotating_subsets"}:
+            host.table = SlotTable(self.pool, REGION, name, "1", self.now_s)
+        elif self.policy == "random":
+            self.chooser[name] = RandomChooser(Random(self.random.random()))
+        else:
+            self.chooser[name] = RoundRobinChooser()
+        self.hosts.append(host)
+        # The hosts of the start know each other already.
+        self.joined_at[name] = self.now_s if self.now_s else -VIEW_LAG_MAX_S
+
+    def _cold_joins(self) -> None:
+        self.pool = Pool(POOL, "owner", _upstreams(12))
+        self.lender.apply_upstreams(self.pool.upstreams, DEADLINE_S, self.now_s)
+        for host in self.hosts:
+            if host.table is not None:
+                host.table.apply_pool(self.pool, self.now_s)
+
+    def _lose(self) -> None:
+        host = self.hosts[1]
+        host.lost = True
+        host.pending.clear()
+        for name, count in host.idle.items():
+            self.servers[name].connections -= count
+        self.lost_at[host.name] = self.now_s
+
+    def _arrive(self) -> None:
+        self.at(self.now_s + self.random.expovariate(self.rate_per_s), self._arrive)
+        live = [host for host in self.hosts if not host.lost]
+        if self.now_s >= SKEW_CHANGES_AT_S:
+            live.reverse()
+        weights = [1.0 / (1 + i) ** 0.5 for i in range(len(live))]
+        host = self.random.choices(live, weights)[0]
+        self.requests += 1
+        if host.table is None:
+            chooser = self.chooser[host.name]
+            got = chooser.reserve(self.pool, "org", (), self.now_s)
+            self._decided(host, got, self.now_s)
+            return
+        ticket = host.table.submit("org", (), self.now_s + DEADLINE_S, self.now_s)
+        host.pending.append((ticket, self.now_s))
+        self._settle(host)
+
+    def _settle(self, host: _Host) -> None:
+        waiting = []
+        for ticket, arrived_s in host.pending:
+            if ticket.result is None:
+                waiting.append((ticket, arrived_s))
+            else:
+                self._decided(host, ticket.result, arrived_s)
+        host.pending = waiting
+        self._call(host)
+
+    def _decided(
+        self, host: _Host, got: Reservation | Refusal, arrived_s: float
+    ) -> None:
+        if isinstance(got, Refusal):
+            self.sheds["host"] += 1
+            return
+        server = self.servers[got.upstream.name]
+        delay_s = 0.0
+        if host.idle[got.upstream.name] > 0:
+            host.idle[got.upstream.name] -= 1
+        else:
+            self.new_connections += 1
+            delay_s = NEW_CONNECTION_S
+            server.connections += 1
+            server.connections_peak = max(server.connections_peak, server.connections)
+        server.active += 1
+        server.peak = max(server.peak, server.active)
+        shed = server.active > server.upstream.slots
+        server.excess += int(shed)
+        sent_s = self.now_s
+        if shed:
+            took_s = SHED_ANSWER_S
+        else:
+            took_s = self._service_s(server)
+            server.served += 1
+
+        def done() -> None:
+            server.active -= 1
+            if host.lost:
+                server.connections -= 1
+                return
+            host.idle[got.upstream.name] += 1
+            result = ObservedResult.SHED if shed else ObservedResult.ANSWERED
+            observation = Observation(result, self.now_s - sent_s)
+            if shed:
+                self.sheds["upstream"] += 1
+            else:
+                self.latencies.append(self.now_s - arrived_s)
+            if host.table is None:
+                self.chooser[host.name].release(got, observation)
+                return
+            host.table.release(got, observation, self.now_s)
+            self._settle(host)
+
+        self.at(self.now_s + delay_s + took_s, done)
+
+    def _service_s(self, server: _Server) -> float:
+        factor = 1.0
+        if server.upstream.name == "u05":
+            factor = SLOW_FACTOR
+        if server.upstream.name == "u11":
+            cold = max(0.0, 1.0 - server.served / COLD_REQUESTS)
+            factor = 1.0 + (COLD_FACTOR - 1.0) * cold
+        drawn = 0.5 + 0.5 * self.random.expovariate(1.0)
+        return min(0.9 * DEADLINE_S, SERVICE_S * factor * drawn)
+
+    def _poll(self) -> None:
+        self.at(self.now_s + POLL_S, self._poll)
+        for name in self.lender.health.probes_due(self.now_s):
+            if self.policy == "slot_lending":
+                self.probes += 1
+            self.lender.health.probe_done(name, True, self.now_s)
+        for host in self.hosts:
+            if host.table is not None and not host.lost:
+                host.table.settle(self.now_s)
+                self._settle(host)
+
+    def _call(self, host: _Host) -> None:
+        if host.table is None or host.lost:
+            return
+        request = host.table.next_call(self.now_s)
+        if request is None:
+            return
+        self._close_idle(host, host.table)
+        if self.policy == "rotating_subsets":
+            grant = rotating_grant(
+                host.name, self._view(host), self.pool.upstreams, self.now_s
+            )
+            host.table.apply_reply(request, grant, self.now_s)
+            return
+        self.calls += 1
+
+        def reach_lender() -> None:
+            grant = self.lender.lend(request, self.now_s)
+            self.at(self.now_s + CALL_S / 2, lambda: replied(grant))
+
+        def replied(grant: SlotGrant | None) -> None:
+            if host.lost or host.table is None:
+                return
+            host.table.apply_reply(request, grant, self.now_s)
+            self._settle(host)
+
+        self.at(self.now_s + CALL_S / 2, reach_lender)
+
+    def _close_idle(self, host: _Host, table: SlotTable) -> None:
+        for name in host.idle:
+            allowed = table.connections_allowed(name, self.now_s) - table.in_use(name)
+            while host.idle[name] > max(0, allowed):
+                host.idle[name] -= 1
+                self.servers[name].connections -= 1
+
+    def _view(self, host: _Host) -> tuple[str, ...]:
+        """Hosts that `host` counts as live, which it learns with a delay."""
+        return tuple(
+            other.name
+            for other in self.hosts
+            if (other is host or self.now_s >= self.joined_at[other.name] + host.lag_s)
+            and self.now_s < self.lost_at.get(other.name, 1e9) + 1.5 + host.lag_s
+        )
+
+
+def run_policy(
+    policy: str, seed: int, load: float, duration_s: float = DURATION_S
+) -> dict[str, float]:
+    """Run the simulation for one way to choose.
+
+    Parameters
+    ----------
+    policy : str
+        One of `POLICIES`.
+    seed : int
+    load : float
+    duration_s : float, default=16
+
+    Returns
+    -------
+    dict
+    """
+    return _Simulation(policy, seed, load, duration_s).run()
+
+
+def measure_balancing(seed: int, load: float = 0.6) -> dict[str, dict[str, float]]:
+    """Run the simulation for every way to choose.
+
+    Parameters
+    ----------
+    seed : int
+    load : float, default=0.6
+        Offered requests as a share of the pool's nominal capacity.
+
+    Returns
+    -------
+    dict
+        By policy: latencies in milliseconds, counts, and rates per second.
+    """
+    return {policy: run_policy(policy, seed, load) for policy in POLICIES}
+
+
+if __name__ == "__main__":
+    wanted_load = float(sys.argv[2]) if len(sys.argv) > 2 else 0.6
+    print(json.dumps(measure_balancing(int(sys.argv[1]), wanted_load), indent=2))
