Detect a pool that sheds as a whole, and hedge reads

Change: `ShedDetector` (at least half of the upstreams shed, and 10% of all answers), `RetryPolicy` with retries and hedges inside one budget; hedges only for repeatable reads, after the 95th percentile of recent latencies, and they leave three tokens to retries.

--- a/packages/core/src/cardamomquay/retries/__init__.py
+++ b/packages/core/src/cardamomquay/retries/__init__.py
@@ -1,9 +1,17 @@
-"""Retries under a budget."""
+"""Retries and hedges under a budget."""
 
 from __future__ import annotations
 
+from cardamomquay.retries._policy import RetryPolicy
 from cardamomquay.retries._retries import FailedAttempt
 from cardamomquay.retries._retries import RetryBudget
 from cardamomquay.retries._retries import may_retry
+from cardamomquay.retries._shedding import ShedDetector
 
-__all__ = ["FailedAttempt", "RetryBudget", "may_retry"]
+__all__ = [
+    "FailedAttempt",
+    "RetryBudget",
+    "RetryPolicy",
+    "ShedDetector",
+    "may_retry",
+]
--- a/packages/core/src/cardamomquay/retries/_retries.py
+++ b/packages/core/src/cardamomquay/retries/_retries.py
@@ -65,10 +65,21 @@
         with self._lock:
             self._level = min(self._maximum, self._level + self._share)
 
-    def spend(self) -> bool:
-        """Take one retry if the budget has it."""
+    def spend(self, reserve: float = 0.0) -> bool:
+        """Take one retry if the budget has it.
+
+        Parameters
+        ----------
+        reserve : float, default=0
+            What has to be left in the budget.
+
+        Returns
+        -------
+        bool
+        """
         with self._lock:
-            if self._level < 1.0:
+            # Ten times 0.1 is a little less than 1 in floating point.
+            if self._level - reserve < 1.0 - 1e-9:
                 return False
             self._level -= 1.0
             return True
