Rank hosts by delay, headroom, load and portions of quota

Cause: a look-up knew only zone and region, so busy hosts and full regions got as many callers as free ones. Change: `rank_hosts` takes region order by delay, region headroom and holders of portions as an argument; load and headroom set the weights; wrong load values are limited; suspect hosts are used when none is live; an answer has at most 24 hosts. `HostRanker` remembers answers for 0.2 s.

--- a/packages/core/src/cardamomquay/routing/_hosts.py
+++ b/packages/core/src/cardamomquay/routing/_hosts.py
@@ -2,15 +2,33 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
 
 from cardamomquay.membership import MembershipState
 from cardamomquay.membership import MemberState
 
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from cardamomquay.membership import MemberRecord
+
 LOOKUP_TTL_S = 2.0
-SAME_ZONE_WEIGHT = 4
-SAME_REGION_WEIGHT = 2
-OTHER_REGION_WEIGHT = 1
+HOSTS_MAX = 24
+WEIGHT_SCALE = 100
+SAME_ZONE_WEIGHT = 4.0
+SAME_REGION_WEIGHT = 2.0
+OTHER_REGION_WEIGHT = 1.0
+HOLDER_FACTOR = 2.0
+# A host with a wrong load report still gets some callers, and the real load shows.
+FREE_MIN = 0.05
+UNKNOWN_LOAD = 0.5
+# Callers keep answers for 2 s, so this adds little. Members change too often, with
+# every exchange of every peer, to start again with each change.
+CACHE_S = 0.2
+CACHE_MAX = 1024
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +47,25 @@
     organisation: str = ""
 
 
+@dataclass(frozen=True)
+class RankingView:
+    """What a host knows besides the members.
+
+    Parameters
+    ----------
+    region_order : mapping of str to tuple of str
+        For each region, the other regions by delay, the nearest first.
+    headroom : mapping of str to float
+        Share of each region's capacity that is free, 0 to 1; 1 if not known.
+    holders : mapping of str to frozenset of str
+        For each organisation, the hosts that hold a portion of its quota.
+    """
+
+    region_order: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    headroom: Mapping[str, float] = field(default_factory=dict)
+    holders: Mapping[str, frozenset[str]] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class RankedHost:
     """A host to use, the better ones first."""
@@ -57,34 +94,124 @@
     complete: bool
 
 
+NO_VIEW = RankingView()
+
+
 def rank_hosts(
-    members: MembershipState, request: LookupRequest, now_s: float
+    members: MembershipState,
+    request: LookupRequest,
+    now_s: float,
+    view: RankingView = NO_VIEW,
+    hosts_max: int = HOSTS_MAX,
 ) -> LookupAnswer:
     """Rank the hosts that take new callers.
 
+    The caller's region comes first, then the others by delay; a region without
+    headroom comes after those that have some. Inside a region, hosts that hold a
+    portion of the organisation's quota come first, then those of the same zone, then
+    those with more free capacity.
+
     Parameters
     ----------
     members : MembershipState
     request : LookupRequest
     now_s : float
+    view : RankingView, optional
+    hosts_max : int, default=24
+        Largest number of hosts in the answer.
 
     Returns
     -------
     LookupAnswer
+        If no host is live, the suspect ones, as an incomplete answer.
     """
-    ranked = []
-    complete = True
+    live: list[MemberRecord] = []
+    suspect: list[MemberRecord] = []
     for name, member in members.members.items():
         state = members.state_of(name, now_s)
-        if state is MemberState.SUSPECT:
-            complete = False
-        if state is not MemberState.LIVE:
-            continue
-        record = member.record
-        weight = OTHER_REGION_WEIGHT
-        if record.region == request.region:
-            same_zone = record.availability_zone == request.availability_zone
-            weight = SAME_ZONE_WEIGHT if same_zone else SAME_REGION_WEIGHT
-        ranked.append(RankedHost(name, record.address, record.region, weight))
-    ranked.sort(key=lambda host: (-host.weight, host.host))
-    return LookupAnswer(tuple(ranked), LOOKUP_TTL_S, complete and bool(ranked))
+        if state is MemberState.LIVE:
+            live.append(member.record)
+        elif state is MemberState.SUSPECT:
+            suspect.append(member.record)
+    order = {request.region: 0} if request.region else {}
+    for region in view.region_order.get(request.region, ()):
+        order.setdefault(region, len(order))
+    holders = view.holders.get(request.organisation, frozenset())
+    keyed = [_keyed(r, request, order, holders, view) for r in live or suspect]
+    keyed.sort(key=lambda item: item[0])
+    hosts = tuple(host for _, host in keyed[:hosts_max])
+    return LookupAnswer(hosts, LOOKUP_TTL_S, bool(live) and not suspect)
+
+
+def _keyed(
+    record: MemberRecord,
+    request: LookupRequest,
+    order: Mapping[str, int],
+    holders: frozenset[str],
+    view: RankingView,
+) -> tuple[tuple[bool, int, bool, bool, int, str], RankedHost]:
+    headroom = _share(view.headroom.get(record.region, 1.0), 1.0)
+    free = max(FREE_MIN, 1.0 - _share(record.load, UNKNOWN_LOAD))
+    near = bool(request.region) and record.region == request.region
+    same_zone = near and record.availability_zone == request.availability_zone
+    base = OTHER_REGION_WEIGHT
+    if near:
+        base = SAME_ZONE_WEIGHT if same_zone else SAME_REGION_WEIGHT
+    holds = record.host in holders
+    weight = base * free * max(FREE_MIN, headroom) * (HOLDER_FACTOR if holds else 1.0)
+    scaled = max(1, round(weight * WEIGHT_SCALE))
+    key = (
+        headroom <= 0.0,
+        order.get(record.region, len(order)),
+        not holds,
+        not same_zone,
+        -scaled,
+        record.host,
+    )
+    return key, RankedHost(record.host, record.address, record.region, scaled)
+
+
+def _share(value: float, unknown: float) -> float:
+    """Limit a reported share to 0 to 1."""
+    return min(1.0, max(0.0, value)) if math.isfinite(value) else unknown
+
+
+class HostRanker:
+    """Remembers answers for a short time, since many callers ask the same.
+
+    Safe for threads: a race computes an answer twice.
+    """
+
+    def __init__(self) -> None:
+        self._answers: dict[LookupRequest, tuple[float, LookupAnswer]] = {}
+
+    def rank(
+        self,
+        members: MembershipState,
+        request: LookupRequest,
+        now_s: float,
+        view: RankingView = NO_VIEW,
+    ) -> LookupAnswer:
+        """Rank hosts as `rank_hosts` does.
+
+        Parameters
+        ----------
+        members : MembershipState
+        request : LookupRequest
+        now_s : float
+        view : RankingView, optional
+
+        Returns
+        -------
+        LookupAnswer
+            At most `CACHE_S` old, even if members or view have changed since.
+        """
+        answers = self._answers
+        known = answers.get(request)
+        if known is not None and 0.0 <= now_s - known[0] < CACHE_S:
+            return known[1]
+        answer = rank_hosts(members, request, now_s, view)
+        if len(answers) >= CACHE_MAX:
+            answers.clear()
+        answers[request] = (now_s, answer)
+        return answer
--- /dev/null
+++ b/packages/core/tests/routing/test_hosts.py
@@ -0,0 +1,118 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+
+import immutables
+
+from cardamomquay.membership import Member
+from cardamomquay.membership import MemberRecord
+from cardamomquay.membership import MembershipState
+from cardamomquay.routing import HostRanker
+from cardamomquay.routing import LookupRequest
+from cardamomquay.routing import RankingView
+from cardamomquay.routing import rank_hosts
+
+NOW_S = 100.0
+VIEW = RankingView(region_order={"mtl": ("qc", "sag")})
+CALLER = LookupRequest("mtl", "mtl-a", "org")
+
+
+def record(host: str, load: float = 0.0, leaving: bool = False) -> MemberRecord:
+    """Describe a host named by region, zone letter and number."""
+    region, zone = host.split("-")
+    return MemberRecord(
+        host, "1", 1, region, f"{region}-{zone[0]}", "10.0.0.1:80", "", leaving,
+        load=load,
+    )  # fmt: skip
+
+
+def members(*records: MemberRecord, age_s: float = 0.0) -> MembershipState:
+    return MembershipState(
+        immutables.Map({r.host: Member(r, NOW_S - age_s) for r in records})
+    )
+
+
+ALL = [record(f"{r}-{z}1") for r in ("sag", "qc", "mtl") for z in "ba"]
+
+
+class RankHostsTest(unittest.TestCase):
+    def names(self, state: MembershipState, view: RankingView = VIEW) -> list[str]:
+        answer = rank_hosts(state, CALLER, NOW_S, view)
+        return [host.host for host in answer.hosts]
+
+    def test_order(self) -> None:
+        """Guards against callers sent far away, to full regions or busy hosts."""
+        plain = ["mtl-a1", "mtl-b1", "qc-a1", "qc-b1", "sag-a1", "sag-b1"]
+        full = replace(VIEW, headroom={"mtl": 0.0})
+        holder = replace(VIEW, holders={"org": frozenset({"mtl-b1", "sag-b1"})})
+        cases = {
+            "by place and delay": (VIEW, plain),
+            "own region full": (full, plain[2:] + plain[:2]),
+            "holders first in their region": (
+                holder,
+                ["mtl-b1", "mtl-a1", "qc-a1", "qc-b1", "sag-b1", "sag-a1"],
+            ),
+            "another organisation's holders": (
+                replace(VIEW, holders={"other": frozenset({"mtl-b1"})}),
+                plain,
+            ),
+        }
+        for name, (view, expected) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(self.names(members(*ALL), view), expected)
+
+    def test_load(self) -> None:
+        """Guards against wrong load reports that hide a host or flood it."""
+        cases = {0.0: 400, 0.5: 200, 1.0: 20, 7.0: 20, -3.0: 400, float("nan"): 200}
+        for load, weight in cases.items():
+            with self.subTest(load=load):
+                state = members(record("mtl-a1", load))
+                answer = rank_hosts(state, CALLER, NOW_S, VIEW)
+                self.assertEqual(answer.hosts[0].weight, weight)
+        order = self.names(members(record("mtl-a1", 0.9), record("mtl-a2", 0.1)))
+        self.assertEqual(order, ["mtl-a2", "mtl-a1"])
+        low = replace(VIEW, headroom={"mtl": 0.5})
+        answer = rank_hosts(members(*ALL), CALLER, NOW_S, low)
+        self.assertEqual(answer.hosts[0].weight, 200)
+
+    def test_states(self) -> None:
+        """Guards against callers sent to leaving or dead hosts, or to none."""
+        leaving = members(record("mtl-a1", leaving=True), record("qc-a1"))
+        self.assertEqual(self.names(leaving), ["qc-a1"])
+        for age_s, count, complete in (
+            (0.0, 6, True),
+            (2.0, 6, False),
+            (6.0, 0, False),
+        ):
+            with self.subTest(age_s=age_s):
+                state = members(*ALL, age_s=age_s)
+                answer = rank_hosts(state, CALLER, NOW_S, VIEW)
+                self.assertEqual(
+                    (len(answer.hosts), answer.complete), (count, complete)
+                )
+
+    def test_size(self) -> None:
+        """Guards against answers that grow with the fleet."""
+        many = [record(f"mtl-a{i}") for i in range(520)]
+        self.assertEqual(len(self.names(members(*many))), 24)
+
+    def test_unknown_caller(self) -> None:
+        """Guards against preference for hosts without a region."""
+        answer = rank_hosts(members(*ALL), LookupRequest(), NOW_S, VIEW)
+        self.assertEqual({host.weight for host in answer.hosts}, {100})
+
+    def test_remembered_answers(self) -> None:
+        """Guards against answers that outlive their age."""
+        ranker, state = HostRanker(), members(*ALL, age_s=1.4)
+        first = ranker.rank(state, CALLER, NOW_S, VIEW)
+        self.assertIs(ranker.rank(state, CALLER, NOW_S + 0.1, VIEW), first)
+        self.assertFalse(ranker.rank(state, CALLER, NOW_S + 0.3, VIEW).complete)
+        other = LookupRequest("qc", "qc-a", "org")
+        self.assertEqual(ranker.rank(state, other, NOW_S, VIEW).hosts[0].region, "qc")
+        fewer = members(*ALL[:1])
+        self.assertEqual(len(ranker.rank(fewer, CALLER, NOW_S + 0.6, VIEW).hosts), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
