Decide on retries by the pool's policy and add the lending calls

Cause: the relay kept a bare budget, and the peer protocol could not carry the requests of token and slot borrowers.

--- a/packages/daemon/src/cardamomquay_daemon/_peer.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -108,6 +108,9 @@
     lend : callable or None
         Answers `Borrow`: takes borrower, its incarnation and the items, and returns
         the grants. Runs in the asyncio thread and must not block.
+    lend_tokens, lend_slots : callable or None
+        Answer a request for tokens or slots by a grant; both are messages. They run
+        in the asyncio thread and must not block.
     load : callable
         Share of this host's request threads that are busy, 0 to 1.
     """
@@ -132,6 +135,8 @@
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self.lend: Lend | None = None
+        self.lend_tokens: Callable[[Any], Any] | None = None
+        self.lend_slots: Callable[[Any], Any] | None = None
         self.load: Callable[[], float] = lambda: 0.0
 
     def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
@@ -220,6 +225,50 @@
         age_s = self._clock.now_s() - own.confirmed_at_s
         await stream.send_message(_peer_codec.config_to_wire(own.config, age_s))
 
+    def call_host(
+        self, host: str, method: str, request: Any, deadline_s: float
+    ) -> concurrent.futures.Future[Any]:
+        """Call a method of a host's peer service without blocking.
+
+        Parameters
+        ----------
+        host, method : str
+        request : protobuf message
+        deadline_s : float
+
+        Returns
+        -------
+        Future
+            The reply, or a `PeerFailure`.
+        """
+        member = self._runtime.snapshot.core.part(MembershipState).members.get(host)
+        if member is None:
+            fut: concurrent.futures.Future[Any] = concurrent.futures.Future()
+            fut.set_result(PeerFailure("unknown host"))
+            return fut
+        call = self._call(member.record.peer_address, method, request, deadline_s)
+        try:
+            return asyncio.run_coroutine_threadsafe(call, self._loop)
+        except RuntimeError:
+            call.close()
+            fut = concurrent.futures.Future()
+            fut.set_result(PeerFailure("this daemon stops"))
+            return fut
+
+    async def BorrowTokens(self, stream: Any) -> None:  # noqa: N802
+        await self._lend(stream, self.lend_tokens)
+
+    async def BorrowSlots(self, stream: Any) -> None:  # noqa: N802
+        await self._lend(stream, self.lend_slots)
+
+    @staticmethod
+    async def _lend(stream: Any, lend: Callable[[Any], Any] | None) -> None:
+        request = await stream.recv_message()
+        assert request is not None
+        if lend is None:
+            raise GRPCError(Status.UNIMPLEMENTED, "this host lends nothing")
+        await stream.send_message(lend(request))
+
     async def Borrow(self, stream: Any) -> None:  # noqa: N802
         request = await stream.recv_message()
         assert request is not None
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -21,8 +21,7 @@
 from cardamomquay.outcomes import RetryReason
 from cardamomquay.retries import NOT_RUN_REASONS
 from cardamomquay.retries import FailedAttempt
-from cardamomquay.retries import RetryBudget
-from cardamomquay.retries import may_retry
+from cardamomquay.retries import RetryPolicy
 from cardamomquay_daemon._upstream_client import UpstreamAnswer
 from cardamomquay_daemon._upstream_client import UpstreamClient
 from cardamomquay_daemon._upstream_client import UpstreamFailure
@@ -125,7 +124,7 @@
         self._registry = registry
         self._client = client
         self._telemetry = telemetry
-        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._retries: defaultdict[str, RetryPolicy] = defaultdict(RetryPolicy)
 
     def relay(self, req: CallerRequest) -> RelayedAnswer | Refusal:
         """Answer a request.
@@ -239,8 +238,8 @@
     ) -> RelayedAnswer | Refusal:
         route = authorised.route
         pool = authorised.config.pools[route.pool]
-        budget = self._budgets[pool.name]
-        budget.earn()
+        policy = self._retries[pool.name]
+        policy.fresh()
         excluded: set[str] = set()
         attempts = 0
         # A failure after which the request may have run: from then on no refusal
@@ -267,7 +266,7 @@
                 remaining_s=deadline_s - self._clock.now_s(),
                 pool_sheds=False,
             )
-            if not (may_retry(failed) and budget.spend()):
+            if not policy.retry(failed, self._clock.now_s()):
                 if may_have_run is None:
                     self._return_token(authorised, admitted)
                 return _refusal_of(may_have_run or result)
@@ -308,6 +307,12 @@
             observed = _observe(result)
         finally:
             self._chooser.release(reservation, observed)
+        self._retries[pool.name].answered(
+            reservation.upstream.name,
+            observed.result is ObservedResult.SHED,
+            observed.latency_s,
+            self._clock.now_s(),
+        )
         if isinstance(result, UpstreamFailure):
             return result
         return RelayedAnswer(result.status, result.headers, result.body)
--- a/packages/daemon/src/cardamomquay_daemon/wire/peer_grpc.py
+++ b/packages/daemon/src/cardamomquay_daemon/wire/peer_grpc.py
@@ -26,6 +26,14 @@
     async def Borrow(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.BorrowRequest, cardamomquay_daemon.wire.peer_pb2.BorrowReply]') -> None:
         pass
 
+    @abc.abstractmethod
+    async def BorrowTokens(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.TokenRequest, cardamomquay_daemon.wire.peer_pb2.TokenGrant]') -> None:
+        pass
+
+    @abc.abstractmethod
+    async def BorrowSlots(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.SlotRequest, cardamomquay_daemon.wire.peer_pb2.SlotGrant]') -> None:
+        pass
+
     def __mapping__(self) -> typing.Dict[str, grpclib.const.Handler]:
         return {
             '/cardamomquay.peer.v1.Peer/Exchange': grpclib.const.Handler(
@@ -46,6 +54,18 @@
                 cardamomquay_daemon.wire.peer_pb2.BorrowRequest,
                 cardamomquay_daemon.wire.peer_pb2.BorrowReply,
             ),
+            '/cardamomquay.peer.v1.Peer/BorrowTokens': grpclib.const.Handler(
+                self.BorrowTokens,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomquay_daemon.wire.peer_pb2.TokenRequest,
+                cardamomquay_daemon.wire.peer_pb2.TokenGrant,
+            ),
+            '/cardamomquay.peer.v1.Peer/BorrowSlots': grpclib.const.Handler(
+                self.BorrowSlots,
+                grpclib.const.Cardinality.UNARY_UNARY,
+                cardamomquay_daemon.wire.peer_pb2.SlotRequest,
+                cardamomquay_daemon.wire.peer_pb2.SlotGrant,
+            ),
         }
 
 
@@ -70,3 +90,15 @@
             cardamomquay_daemon.wire.peer_pb2.BorrowRequest,
             cardamomquay_daemon.wire.peer_pb2.BorrowReply,
         )
+        self.BorrowTokens = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomquay.peer.v1.Peer/BorrowTokens',
+            cardamomquay_daemon.wire.peer_pb2.TokenRequest,
+            cardamomquay_daemon.wire.peer_pb2.TokenGrant,
+        )
+        self.BorrowSlots = grpclib.client.UnaryUnaryMethod(
+            channel,
+            '/cardamomquay.peer.v1.Peer/BorrowSlots',
+            cardamomquay_daemon.wire.peer_pb2.SlotRequest,
+            cardamomquay_daemon.wire.peer_pb2.SlotGrant,
+        )
