Add the history checker

Cause: at most once, true "not run", whole answers and the rate bound are proved by what callers and upstreams recorded, not by the system's own counters. Change: `SendRecord` and `RunRecord`, and checks that report `RanTwice`, `RanAfterAll`, `AnswerWithoutRun`, `AnswerCut`, `AnswerCrossed` and `RateExceeded`.

--- /dev/null
+++ b/packages/core/src/cardamomquay/history/__init__.py
@@ -0,0 +1,33 @@
+"""Checks of what callers and upstreams recorded of concurrent requests."""
+
+from __future__ import annotations
+
+from cardamomquay.history._checks import check_at_most_once
+from cardamomquay.history._checks import check_not_run_is_true
+from cardamomquay.history._checks import check_rate_bound
+from cardamomquay.history._checks import check_whole_answers
+from cardamomquay.history._records import AnswerCrossed
+from cardamomquay.history._records import AnswerCut
+from cardamomquay.history._records import AnswerWithoutRun
+from cardamomquay.history._records import RanAfterAll
+from cardamomquay.history._records import RanTwice
+from cardamomquay.history._records import RateExceeded
+from cardamomquay.history._records import RunRecord
+from cardamomquay.history._records import SendRecord
+from cardamomquay.history._records import Violation
+
+__all__ = [
+    "AnswerCrossed",
+    "AnswerCut",
+    "AnswerWithoutRun",
+    "RanAfterAll",
+    "RanTwice",
+    "RateExceeded",
+    "RunRecord",
+    "SendRecord",
+    "Violation",
+    "check_at_most_once",
+    "check_not_run_is_true",
+    "check_rate_bound",
+    "check_whole_answers",
+]
