Commit claims and answers in groups

Cause: a transaction for each claim and each answer exceeds what the store bears; an `abandon` whose answer was lost left the claim as "outcome unknown"; a lost claim write that could not be read back was never released. Change: `commit_group` settles changes of different rows: a conflict is settled by the row found while the others go on, and after a lost answer the rows are read back. What could not be released is kept, bounded, for `release_pending`. An answered claim is not released. A claim carries the wall time by which its record will expire.

--- a/packages/core/src/cardamomquay/idempotency/__init__.py
+++ b/packages/core/src/cardamomquay/idempotency/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from cardamomquay.idempotency._batcher import ClaimBatcher
+from cardamomquay.idempotency._changes import AbandonChange
+from cardamomquay.idempotency._changes import AnswerChange
+from cardamomquay.idempotency._changes import Change
+from cardamomquay.idempotency._changes import ClaimChange
+from cardamomquay.idempotency._changes import commit_group
 from cardamomquay.idempotency._claims import Claim
 from cardamomquay.idempotency._claims import OnceRegistry
 from cardamomquay.idempotency._claims import Proceed
@@ -10,16 +16,24 @@
 from cardamomquay.idempotency._claims import claim_row_key
 from cardamomquay.idempotency._claims import decide_claim
 from cardamomquay.idempotency._claims import digest_request
+from cardamomquay.idempotency._grouped import GroupedOnceRegistry
 from cardamomquay.idempotency._registry import TableOnceRegistry
 
 __all__ = [
+    "AbandonChange",
+    "AnswerChange",
+    "Change",
     "Claim",
+    "ClaimBatcher",
+    "ClaimChange",
+    "GroupedOnceRegistry",
     "OnceRegistry",
     "Proceed",
     "RecordedAnswer",
     "Replay",
     "TableOnceRegistry",
     "claim_row_key",
+    "commit_group",
     "decide_claim",
     "digest_request",
 ]
--- a/packages/core/src/cardamomquay/idempotency/_claims.py
+++ b/packages/core/src/cardamomquay/idempotency/_claims.py
@@ -36,6 +36,9 @@
         Digest of method, path and body.
     host, incarnation : str
         Who claims.
+    claimed_at_s : float or None
+        Wall time of the claim, in seconds since the epoch. Records expire by it,
+        so one without it is kept for ever.
     """
 
     claim_id: str
@@ -44,6 +47,7 @@
     request_digest: str
     host: str
     incarnation: str
+    claimed_at_s: float | None = None
 
     @property
     def row_key(self) -> RowKey:
@@ -93,6 +97,8 @@
         Returns
         -------
         Proceed, Replay or Refusal
+            A refusal for want of the store is true: the claim's request must then
+            not be sent, and the claim is released later if it was written.
         """
 
     @abstractmethod
@@ -108,7 +114,20 @@
 
     @abstractmethod
     def abandon(self, claim: Claim) -> None:
-        """Release the claim of a request that has certainly not run."""
+        """Release the claim of a request that has certainly not run.
+
+        A claim that cannot be released now is released by `release_pending`.
+        """
+
+    def release_pending(self) -> int:
+        """Try again to release claims whose release, or whose writing, is open.
+
+        Returns
+        -------
+        int
+            Claims that are still open.
+        """
+        return 0
 
     @abstractmethod
     def outcome(self, organisation: str, key: str) -> RecordedAnswer | Refusal:
@@ -135,6 +154,7 @@
         "request_digest": claim.request_digest,
         "host": claim.host,
         "incarnation": claim.incarnation,
+        "claimed_at_s": claim.claimed_at_s,
         "answer": None,
     }
 
--- /dev/null
+++ b/packages/core/tests/idempotency/test_once_machine.py
@@ -0,0 +1,186 @@
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from idempotency.support import ManualExecutor
+from idempotency.support import SteppingClock
+from idempotency.support import answer
+from idempotency.support import claim
+from table_service.faulty import FaultyTables
+
+from cardamomquay.history import RunRecord
+from cardamomquay.history import SendRecord
+from cardamomquay.history import check_at_most_once
+from cardamomquay.history import check_not_run_is_true
+from cardamomquay.history import check_whole_answers
+from cardamomquay.idempotency import GroupedOnceRegistry
+from cardamomquay.idempotency import Proceed
+from cardamomquay.idempotency import Replay
+from cardamomquay.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from concurrent.futures import Future
+
+    from cardamomquay.idempotency import Claim
+
+HOSTS = st.integers(0, 2)
+FATES = [[], ["lost"], ["late"], ["dropped"], ["dropped", "late"], ["dropped"] * 9]
+
+
+@dataclass
+class Request:
+    claim: Claim
+    begun: Future
+    sent: bool = False
+    shed: bool = False
+
+
+class OnceMachine(RuleBasedStateMachine):
+    """Guards against a request that runs twice, or after "not run".
+
+    Three hosts get requests with the same idempotency keys. They are killed between
+    claim and send and between send and record; commits lose their answers, come
+    late or never; reads fail; the store goes down.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.tables = FaultyTables()
+        self.clock = SteppingClock()
+        self.executors = [ManualExecutor() for _ in range(3)]
+        self.registries = [self.new_registry(n) for n in range(3)]
+        self.requests: list[list[Request]] = [[], [], []]
+        self.count = 0
+        self.sends: list[SendRecord] = []
+        self.runs: list[RunRecord] = []
+
+    def new_registry(self, host: int) -> GroupedOnceRegistry:
+        self.executors[host] = ManualExecutor()
+        executor = self.executors[host]
+        return GroupedOnceRegistry(self.tables, self.clock, executor, lambda: 3)
+
+    @rule(
+        host=HOSTS,
+        key=st.sampled_from("kkl"),
+        body=st.sampled_from("bbbc"),
+        fates=st.sampled_from(FATES),
+        unreadable=st.integers(0, 1),
+        stage=st.integers(0, 3),
+        shed=st.booleans(),
+    )
+    def request(
+        self,
+        *,
+        host: int,
+        key: str,
+        body: str,
+        fates: list[str],
+        unreadable: int,
+        stage: int,
+        shed: bool,
+    ) -> None:
+        """Start a request and pause its host after some stage."""
+        self.count += 1
+        wanted = claim(str(self.count), key, body)
+        begun = self.registries[host].begin_soon(wanted)
+        self.requests[host].append(Request(wanted, begun))
+        self.tables.fates, self.tables.unreadable = list(fates), unreadable
+        self.go_on(host, stage, shed)
+
+    @rule(host=HOSTS, stage=st.integers(1, 3), shed=st.booleans())
+    def go_on(self, host: int, stage: int, shed: bool) -> None:
+        if stage >= 1:
+            self.commit(host)
+        if stage >= 2:
+            self.send(host, shed)
+        if stage >= 3:
+            self.finish(host)
+
+    def commit(self, host: int) -> None:
+        self.executors[host].run()
+        for request in list(self.requests[host]):
+            if not request.begun.done():
+                continue
+            match request.begun.result():
+                case Proceed():
+                    continue
+                case Replay(answer=replayed):
+                    self.answered(request, replayed.body.decode(), replayed=True)
+                case refusal if refusal.reason is RefusalReason.IDEMPOTENCY_KEY_REUSED:
+                    self.refused(request, not_run=True)
+                case refusal:
+                    self.refused(request, refusal.not_run)
+            self.requests[host].remove(request)
+
+    def send(self, host: int, shed: bool) -> None:
+        for request in self.requests[host]:
+            begun = request.begun
+            if begun.done() and not request.sent and begun.result() == Proceed():
+                request.sent, request.shed = True, shed
+                name, key = request.claim.claim_id, request.claim.idempotency_key
+                if not shed:
+                    self.runs.append(RunRecord(name, "org", "u", 0.0, key, name))
+
+    def finish(self, host: int) -> None:
+        for request in list(self.requests[host]):
+            if not request.sent:
+                continue
+            self.requests[host].remove(request)
+            if request.shed:
+                self.registries[host].abandon_soon(request.claim)
+                self.refused(request, not_run=True)
+            else:
+                text = request.claim.claim_id
+                self.registries[host].record_soon(request.claim, answer(text))
+                self.answered(request, text, replayed=False)
+
+    @rule(host=HOSTS)
+    def kill(self, host: int) -> None:
+        self.requests[host].clear()
+        self.registries[host] = self.new_registry(host)
+
+    @rule(host=HOSTS)
+    def release(self, host: int) -> None:
+        self.registries[host].release_pending()
+
+    @rule()
+    def late_commit(self) -> None:
+        self.tables.deliver_late()
+
+    @rule(down=st.booleans())
+    def outage(self, down: bool) -> None:
+        self.tables.inner.faults.down = down
+
+    def refused(self, request: Request, not_run: bool) -> None:
+        name, key = request.claim.claim_id, request.claim.idempotency_key
+        self.sends.append(SendRecord(name, "org", key, 503, not_run=not_run))
+
+    def answered(self, request: Request, digest: str, replayed: bool) -> None:
+        name, key = request.claim.claim_id, request.claim.idempotency_key
+        send = SendRecord(name, "org", key, 200, False, True, replayed, digest)
+        self.sends.append(send)
+
+    @invariant()
+    def history_is_right(self) -> None:
+        for found in (
+            check_at_most_once(self.runs),
+            check_not_run_is_true(self.sends, self.runs),
+            check_whole_answers(self.sends, self.runs),
+        ):
+            assert not found, found
+
+
+OnceMachine.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=300,
+    stateful_step_count=15,
+)
+OnceMachineTest = OnceMachine.TestCase
