--- a/packages/core/src/cardamomquay/idempotency/__init__.py
+++ b/packages/core/src/cardamomquay/idempotency/__init__.py
@@ -18,6 +18,10 @@
 from cardamomquay.idempotency._claims import digest_request
 from cardamomquay.idempotency._grouped import GroupedOnceRegistry
 from cardamomquay.idempotency._registry import TableOnceRegistry
+from cardamomquay.idempotency._sweep import SweepDone
+from cardamomquay.idempotency._sweep import SweepFenced
+from cardamomquay.idempotency._sweep import SweepInterrupted
+from cardamomquay.idempotency._sweep import sweep_claims
 
 __all__ = [
     "AbandonChange",
@@ -31,9 +35,13 @@
     "Proceed",
     "RecordedAnswer",
     "Replay",
+    "SweepDone",
+    "SweepFenced",
+    "SweepInterrupted",
     "TableOnceRegistry",
     "claim_row_key",
     "commit_group",
     "decide_claim",
     "digest_request",
+    "sweep_claims",
 ]
