Measure claims with and without groups

Change: `measure_claims(seed)`, a discrete-event model with the shipped batcher and group commit, 12 hosts in three regions, round trips of 1, 70 and 70 ms, and a store without a limit or with 500 transactions a second.

--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/measure_claims.py
@@ -0,0 +1,199 @@
+"""Load at the table service, and latency, of claims with and without groups.
+
+A discrete-event model in paused time: the batcher and the commit of groups are the
+shipped ones, hosts, network and store are small fakes.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import json
+import sys
+from typing import TYPE_CHECKING
+from typing import Any
+
+import numpy as np
+
+from cardamomquay.idempotency import AnswerChange
+from cardamomquay.idempotency import Claim
+from cardamomquay.idempotency import ClaimBatcher
+from cardamomquay.idempotency import ClaimChange
+from cardamomquay.idempotency import RecordedAnswer
+from cardamomquay.idempotency import commit_group
+from cardamomquay.platform import MemoryTableService
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomquay.idempotency import Change
+
+HOSTS = 12
+RATES_PER_S = (100, 300, 1000)
+DURATION_S = 10.0
+# Round trips to the table service from its own region and from the two others, as
+# in the deployment with 35 ms between regions.
+ROUND_TRIPS_S = (0.001, 0.070, 0.070)
+UPSTREAM_S = 0.020
+# A store that commits one transaction after the other, several hundred a second;
+# None for one that is never the bottleneck.
+STORE_CAPACITIES_PER_S = (None, 500)
+COMMIT_S = 0.002
+
+
+class _Model:
+    """Twelve hosts that claim, run and record non-repeatable requests.
+
+    Parameters
+    ----------
+    rate_per_s : int
+        Requests over all hosts.
+    capacity_per_s : int or None
+    grouped : bool
+    seed : int
+    """
+
+    def __init__(
+        self, rate_per_s: int, capacity_per_s: int | None, grouped: bool, seed: int
+    ) -> None:
+        self._tables = MemoryTableService()
+        self._store_s = 0.0 if capacity_per_s is None else 1.0 / capacity_per_s
+        self._store_free_s = 0.0
+        self._grouped = grouped
+        self._now_s = 0.0
+        self._order = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._batchers = [ClaimBatcher() for _ in range(HOSTS)]
+        self._committing = [False] * HOSTS
+        self.transactions = 0
+        self.refused = 0
+        self.latencies_s: dict[int, float] = {}
+        generator = np.random.default_rng(seed)
+        times = generator.uniform(0.0, DURATION_S, int(rate_per_s * DURATION_S))
+        hosts = generator.integers(0, HOSTS, len(times))
+        for number, (at_s, host) in enumerate(zip(np.sort(times), hosts, strict=True)):
+            self._at(float(at_s), self._starter(number, int(host)))
+
+    def run(self) -> None:
+        while self._events:
+            self._now_s, _, action = heapq.heappop(self._events)
+            action()
+
+    def _at(self, at_s: float, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (at_s, next(self._order), action))
+
+    def _starter(self, number: int, host: int) -> Callable[[], None]:
+        def start() -> None:
+            started_s = self._now_s
+            claim = Claim(str(number), "org", str(number), "", str(host), "1", 0.0)
+            change = ClaimChange(claim)
+
+            def claimed() -> None:
+                self.latencies_s[number] = self._now_s - started_s
+                answer = RecordedAnswer(200, (), b"done")
+                record = AnswerChange(claim, answer, change.version)
+                self._at(self._now_s + UPSTREAM_S, lambda: self._offer(host, record))
+
+            change.future.add_done_callback(lambda _: claimed())
+            self._offer(host, change)
+
+        return start
+
+    def _offer(self, host: int, change: Change[Any]) -> None:
+        if not self._grouped:
+            self._commit(host, [change])
+        elif self._batchers[host].offer(change, self._now_s):
+            self._poll(host)
+        else:
+            self.refused += 1
+
+    def _poll(self, host: int) -> None:
+        """Commit the host's group if it is due; a host has one commit in flight."""
+        due_s = self._batchers[host].due_s(HOSTS)
+        if self._committing[host] or due_s is None:
+            return
+        if due_s > self._now_s:
+            self._at(due_s, lambda: self._poll(host))
+            return
+        self._committing[host] = True
+        self._commit(host, self._batchers[host].take(self._now_s))
+
+    def _commit(self, host: int, group: list[Change[Any]]) -> None:
+        started_s = self._now_s
+        half_trip_s = ROUND_TRIPS_S[host % len(ROUND_TRIPS_S)] / 2
+
+        def arrive() -> None:
+            self.transactions += 1
+            begin_s = max(self._now_s, self._store_free_s)
+            self._store_free_s = begin_s + self._store_s
+            commit_group(self._tables, group)
+            answered_s = begin_s + max(COMMIT_S, self._store_s) + half_trip_s
+            self._at(answered_s, answer)
+
+        def answer() -> None:
+            self._committing[host] = False
+            self._batchers[host].observe_latency(self._now_s - started_s)
+            for change in group:
+                change.future.set_result(change.outcome)
+            self._poll(host)
+
+        self._at(started_s + half_trip_s, arrive)
+
+
+def _percentiles_ms(values_s: np.ndarray[Any, Any]) -> dict[str, float]:
+    p50, p99 = np.percentile(values_s, (50, 99))
+    return {"p50_ms": round(float(p50) * 1e3, 1), "p99_ms": round(float(p99) * 1e3, 1)}
+
+
+def _measure_case(
+    rate_per_s: int, capacity_per_s: int | None, seed: int
+) -> dict[str, Any]:
+    case: dict[str, Any] = {
+        "requests_per_s": rate_per_s,
+        "store_capacity_per_s": capacity_per_s,
+    }
+    latencies = []
+    for name, grouped in (("ungrouped", False), ("grouped", True)):
+        model = _Model(rate_per_s, capacity_per_s, grouped, seed)
+        model.run()
+        numbers = sorted(model.latencies_s)
+        latencies.append(np.array([model.latencies_s[n] for n in numbers]))
+        case[name] = {
+            "transactions_per_s": round(model.transactions / DURATION_S, 1),
+            "refused": model.refused,
+            "claim": _percentiles_ms(latencies[-1]),
+        }
+    if len(latencies[0]) == len(latencies[1]):
+        case["added_per_request"] = _percentiles_ms(latencies[1] - latencies[0])
+    return case
+
+
+def measure_claims(seed: int) -> dict[str, Any]:
+    """Measure what grouping saves at the table service, and what it costs.
+
+    Parameters
+    ----------
+    seed : int
+        Of the arrivals; both variants get the same.
+
+    Returns
+    -------
+    dict
+        For each rate and store: transactions for each second of arrivals (also where
+        the store falls behind), latency of the claim, and the latency added to the
+        same request, in ms.
+    """
+    return {
+        "seed": seed,
+        "hosts": HOSTS,
+        "duration_s": DURATION_S,
+        "cases": [
+            _measure_case(rate_per_s, capacity_per_s, seed)
+            for capacity_per_s in STORE_CAPACITIES_PER_S
+            for rate_per_s in RATES_PER_S
+        ],
+    }
+
+
+if __name__ == "__main__":
+    json.dump(measure_claims(1), sys.stdout, indent=2)
