Correct the times of a lender test

Change: the host runs again at 12.5 s, after the time-out of its scan. Measured: passes with the condition on the old lease, fails without it ('tokens:...' lent twice by check_one_lender).

--- a/packages/core/tests/lenders/test_lenders.py
+++ b/packages/core/tests/lenders/test_lenders.py
@@ -195,11 +195,11 @@
         (scan,) = new.step(Tick(10.0))
         (write,) = new.step(new.scan(scan.call, 10.0))
         old.acquire_lease(10.1, fence=2)
-        old.run(10.2)
+        old.run(12.5)
         self.assertTrue(old.lending)
         result = new.tables.transact(write.transaction)
-        new.step(LenderRowsWritten(10.3, write.call, result))
-        new.run(10.4)
+        new.step(LenderRowsWritten(12.6, write.call, result))
+        new.run(12.7)
         self.check_one_lender()
 
     def test_planned_stop_gives_the_rows_back(self) -> None:
