Refuse the keys of an unsettled edit, and take an outage as evidence

Cause: (1) a withdrawal whose answer was lost right before a store outage left the key in use on every host until the outage ended, since a confirmed outage counts as evidence. (2) At the end of an outage a host that was told "the store answers" had no evidence until its own next read, up to 0.5 s; the paused-time test showed it. (3) A killed host of the store's region counted as needed for 5 s. (4) A host that knew of a newer version could still count an outage as confirmed.

Change: `UnsettledPart` keeps such an edit, each host that hears of it keeps it too (record entry `unsettled_edits`), and all refuse its keys until a version above the edit's base is in force. The host that lost the answer settles the edit every 0.5 s, hosts of the store's region after 10 s: they look for the edit's id, and if it is absent they commit a version without changes, after which the edit cannot be accepted any more. A confirmed outage dates `confirmed_at_s` by its oldest fresh report. Suspect hosts may contradict an outage and are not needed to confirm it.

Withdrawn operator keys are not covered, and a version that is known only to a host that dies before its next exchange, right before an outage, stays unknown until the store is back.

--- a/packages/core/src/cardamomquay/currency/__init__.py
+++ b/packages/core/src/cardamomquay/currency/__init__.py
@@ -23,6 +23,15 @@
 from cardamomquay.currency._part import OlderConfigIgnored
 from cardamomquay.currency._part import ReadHead
 from cardamomquay.currency._part import currency_view
+from cardamomquay.currency._unsettled import EditAnswerLost
+from cardamomquay.currency._unsettled import SettleEdits
+from cardamomquay.currency._unsettled import SettleTried
+from cardamomquay.currency._unsettled import UnsettledEdit
+from cardamomquay.currency._unsettled import UnsettledPart
+from cardamomquay.currency._unsettled import UnsettledState
+from cardamomquay.currency._unsettled import plan_settlement
+from cardamomquay.currency._unsettled import refused_keys
+from cardamomquay.currency._unsettled import withdrawn_keys
 
 __all__ = [
     "CURRENCY_BOUND_S",
@@ -32,6 +41,15 @@
     "ConfigPart",
     "ConfigState",
     "ConfigWithoutEvidence",
+    "EditAnswerLost",
+    "SettleEdits",
+    "SettleTried",
+    "UnsettledEdit",
+    "UnsettledPart",
+    "UnsettledState",
+    "plan_settlement",
+    "refused_keys",
+    "withdrawn_keys",
     "CurrencyView",
     "FetchConfigFromPeer",
     "HeadRead",
--- a/packages/core/src/cardamomquay/currency/_currency.py
+++ b/packages/core/src/cardamomquay/currency/_currency.py
@@ -51,11 +51,14 @@
     reports : sequence of RegionReport
         Newest report of each host of the store's region that is not dead, own one
         included.
+    known_version : int
+        Highest version that this host has heard of.
     """
 
     config_version: int
     confirmed_at_s: float
     reports: Sequence[RegionReport] = ()
+    known_version: int = 0
 
 
 def is_current(view: CurrencyView, now_s: float) -> bool:
@@ -93,10 +96,29 @@
     -------
     bool
     """
+    return outage_confirmed_at_s(view, now_s) is not None
+
+
+def outage_confirmed_at_s(view: CurrencyView, now_s: float) -> float | None:
+    """Return a time at which the store was down and had accepted nothing newer.
+
+    Parameters
+    ----------
+    view : CurrencyView
+    now_s : float
+
+    Returns
+    -------
+    float or None
+        None if no outage is confirmed at `now_s`.
+    """
     fresh = [r for r in view.reports if now_s - r.at_s <= CURRENCY_BOUND_S]
     live = sum(r.live for r in view.reports)
     if not fresh or len(fresh) < min(OUTAGE_REPORTS_NEEDED, live):
-        return False
+        return None
     if any(r.report is not StoreReport.REFUSED for r in fresh):
-        return False
-    return view.config_version >= max(r.config_version for r in view.reports)
+        return None
+    newest = max(view.known_version, *(r.config_version for r in view.reports))
+    if view.config_version < newest:
+        return None
+    return min(r.at_s for r in fresh)
--- a/packages/core/src/cardamomquay/currency/_exchange.py
+++ b/packages/core/src/cardamomquay/currency/_exchange.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.currency._part import ConfigState
+from cardamomquay.currency._unsettled import unsettled_extra
 from cardamomquay.membership import DEAD_AFTER_S
 from cardamomquay.membership import SEQUENCES_PER_S
 from cardamomquay.membership import MembershipState
@@ -51,8 +52,10 @@
     """
     own = core.part(ConfigState)
     members = core.part(MembershipState)
+    record = members.members[members.own_host].record
     return replace(
-        members.members[members.own_host].record,
+        record,
+        extra=record.extra.update(unsettled_extra(core)),
         sequence=int(now_s * SEQUENCES_PER_S),
         config_version=own.version,
         store_report=own.report,
@@ -83,7 +86,7 @@
         for name, member in members.members.items()
         if name != members.own_host
         and member.heard
-        and (now_s - member.heard_at_s <= DEAD_AFTER_S or member.record.extra)
+        and now_s - member.heard_at_s <= DEAD_AFTER_S
     )
     age_s = None if own.config is None else now_s - own.confirmed_at_s
     return Statement(tuple(records), own.version, age_s)
--- a/packages/core/src/cardamomquay/currency/_part.py
+++ b/packages/core/src/cardamomquay/currency/_part.py
@@ -9,6 +9,7 @@
 from cardamomquay.currency._currency import CurrencyView
 from cardamomquay.currency._currency import RegionReport
 from cardamomquay.currency._currency import is_current
+from cardamomquay.currency._currency import outage_confirmed_at_s
 from cardamomquay.membership import ExchangeAnswered
 from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import MembershipState
@@ -154,7 +155,10 @@
         self, own: ConfigState, event: Event, core: CoreState
     ) -> tuple[ConfigState, tuple[Effect, ...]]:
         match event:
-            case Tick() if event.now_s >= own.head_due_s:
+            case Tick():
+                own = _confirm_by_outage(own, core, event.now_s)
+                if event.now_s < own.head_due_s:
+                    return own, ()
                 # The next read waits for the answer, or for its time-out.
                 due_s = event.now_s + HEAD_TIMEOUT_S
                 return replace(own, head_due_s=due_s), (ReadHead(),)
@@ -177,6 +181,20 @@
                 return own, ()
 
 
+def _confirm_by_outage(own: ConfigState, core: CoreState, now_s: float) -> ConfigState:
+    """Take a confirmed outage as evidence.
+
+    Otherwise a host would have no evidence from the first report that the store is
+    back until its own next read.
+    """
+    if own.config is None or now_s - own.confirmed_at_s <= HEAD_INTERVAL_S:
+        return own
+    at_s = outage_confirmed_at_s(_view(own, core, now_s), now_s)
+    if at_s is None or at_s <= own.confirmed_at_s:
+        return own
+    return replace(own, confirmed_at_s=at_s)
+
+
 def _with_report(own: ConfigState, report: StoreReport, at_s: float) -> ConfigState:
     if at_s < own.report_at_s:
         return own
@@ -293,4 +311,6 @@
         reports.append(
             RegionReport(identity.host, own.report, own.report_at_s, own.version)
         )
-    return CurrencyView(own.version, own.confirmed_at_s, tuple(reports))
+    return CurrencyView(
+        own.version, own.confirmed_at_s, tuple(reports), own.known_version
+    )
--- a/packages/core/src/cardamomquay/membership/_part.py
+++ b/packages/core/src/cardamomquay/membership/_part.py
@@ -251,8 +251,6 @@
         for name, member in own.members.items()
         if name not in own.listed
         and name != own.own_host
-        # What a dead host has left open is kept until it is settled.
-        and not member.record.extra
         and now_s - member.heard_at_s > FORGET_AFTER_S
     ]
     for name in gone:
--- a/packages/core/tests/currency/test_currency.py
+++ b/packages/core/tests/currency/test_currency.py
@@ -48,6 +48,29 @@
                 ),
                 False,
             ),
+            "a newer version is known": (CurrencyView(3, 0.0, two_refused, 4), False),
+            "the other host is not live": (
+                CurrencyView(
+                    3,
+                    0.0,
+                    (
+                        report("a", refused),
+                        RegionReport("b", refused, NOW_S - 2.1, 3, live=False),
+                    ),
+                ),
+                True,
+            ),
+            "a host that is not live contradicts": (
+                CurrencyView(
+                    3,
+                    0.0,
+                    (
+                        report("a", refused),
+                        RegionReport("b", StoreReport.READ, NOW_S - 1.9, 3, live=False),
+                    ),
+                ),
+                False,
+            ),
             "the region has one host": (
                 CurrencyView(3, 0.0, (report("a", refused),)),
                 True,
--- a/packages/core/tests/exchange_fake.py
+++ b/packages/core/tests/exchange_fake.py
@@ -5,16 +5,31 @@
 from dataclasses import dataclass
 from dataclasses import field
 
-from cardamomquay.config import Config
+from cardamomquay.config import HEAD
+from cardamomquay.config import TABLES
+from cardamomquay.config import ConfigEdit
+from cardamomquay.config import PlannedEdit
+from cardamomquay.config import RowChange
+from cardamomquay.config import head_version
+from cardamomquay.config import parse_config
+from cardamomquay.config import plan_edit
 from cardamomquay.currency import ConfigLoaded
+from cardamomquay.currency import ConfigLoadFailed
 from cardamomquay.currency import ConfigPart
 from cardamomquay.currency import ConfigState
 from cardamomquay.currency import FetchConfigFromPeer
 from cardamomquay.currency import HeadRead
 from cardamomquay.currency import HeadReadFailed
+from cardamomquay.currency import LoadConfig
+from cardamomquay.currency import ReadHead
+from cardamomquay.currency import SettleEdits
+from cardamomquay.currency import SettleTried
+from cardamomquay.currency import UnsettledEdit
+from cardamomquay.currency import UnsettledPart
 from cardamomquay.currency import currency_view
 from cardamomquay.currency import exchange_statement
 from cardamomquay.currency import is_current
+from cardamomquay.currency import plan_settlement
 from cardamomquay.membership import ExchangeAnswered
 from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import ExchangeWithPeers
@@ -23,7 +38,14 @@
 from cardamomquay.membership import MembershipState
 from cardamomquay.membership import MemberState
 from cardamomquay.membership import PeerTarget
+from cardamomquay.membership import ReadHostList
 from cardamomquay.platform import ListedHost
+from cardamomquay.platform import MemoryTableService
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Unavailable
+from cardamomquay.platform import Write
 from cardamomquay.reducer import CoreState
 from cardamomquay.reducer import Event
 from cardamomquay.reducer import Identity
@@ -32,6 +54,8 @@
 
 STEP_S = 0.1
 STORE_REGION = "mtl"
+KEY = RowKey("keys", "k")
+KEY_VALUE = {"holder": "org", "owner": "us", "salt": "00", "digest": "a" * 64}
 
 
 @dataclass
@@ -48,7 +72,7 @@
 
     def __post_init__(self) -> None:
         self.peer_address = self.peer_address or f"peer-{self.name}"
-        self.reducer = Reducer((MembershipPart(), ConfigPart()))
+        self.reducer = Reducer((MembershipPart(), ConfigPart(), UnsettledPart()))
         identity = Identity(
             self.name,
             self.incarnation,
@@ -88,7 +112,7 @@
 
 
 class Hosts:
-    """Hosts, the links between them, and the head of the store.
+    """Hosts, the links between them, and the store.
 
     Every call is answered at once: a fault is a link or a host that gives none.
     """
@@ -98,10 +122,31 @@
         self.listed = tuple(host.listed() for host in hosts)
         self.cut: set[tuple[str, str]] = set()
         self.no_store: set[str] = set()
-        self.store_down = False
-        self.head_version = 1
-        self.newest = Config(1)
+        self.tables = MemoryTableService()
         self.time_s = 0.0
+        head = {"version": 1, "edit_id": "first", "operator": "test"}
+        rows = {
+            HEAD: head,
+            RowKey("organisations", "org"): {
+                "owner": "us",
+                "rate_per_s": 1,
+                "burst": 1,
+            },
+            KEY: KEY_VALUE,
+        }
+        writes = tuple(Write(key, value) for key, value in rows.items())
+        self.tables.transact(Transaction((), writes))
+
+    def plan(self, edit_id: str, version: int, change: RowChange) -> PlannedEdit:
+        edit = ConfigEdit(edit_id, "operator", "us", version, (change,))
+        head, rows = self._stored()
+        planned = plan_edit(head, rows, edit)
+        assert isinstance(planned, PlannedEdit), planned
+        return planned
+
+    def _stored(self) -> tuple[Row, tuple[Row, ...]]:
+        rows = tuple(r for table in TABLES for r in self.tables.scan(table).rows)
+        return self.tables.read((HEAD,)).rows[0], rows
 
     def run(self, seconds: float) -> None:
         """Advance the time in steps of a tick."""
@@ -122,7 +167,7 @@
             effect = effects.pop(0)
             match effect:
                 case ExchangeWithPeers(targets=targets):
-                    for target in targets:
+                    for target in sorted(targets, key=lambda t: t.host):
                         effects.extend(self._exchange(host, target, now_s))
                 case FetchConfigFromPeer(peer_address=address):
                     effects.extend(self._fetch(host, address, now_s))
@@ -130,20 +175,39 @@
                     effects.extend(self._platform(host, effect, now_s))
 
     def _platform(self, host: Host, effect: object, now_s: float) -> tuple:
-        match type(effect).__name__:
-            case "ReadHostList":
+        match effect:
+            case ReadHostList():
                 return host.apply(HostsListed(now_s, self.listed))
-            case "ReadHead":
+            case ReadHead():
+                found = self.tables.read((HEAD,))
                 if host.name in self.no_store:
                     return host.apply(HeadReadFailed(now_s, now_s, refused=False))
-                if self.store_down:
-                    return host.apply(HeadReadFailed(now_s, now_s, refused=True))
-                return host.apply(HeadRead(now_s, now_s, self.head_version))
-            case "LoadConfig":
-                return host.apply(ConfigLoaded(now_s, self.newest, now_s))
+                if isinstance(found, Unavailable):
+                    return host.apply(HeadReadFailed(now_s, now_s, found.refused))
+                return host.apply(
+                    HeadRead(now_s, now_s, head_version(found.rows[0])[0])
+                )
+            case LoadConfig() if not self.tables.faults.down:
+                head, rows = self._stored()
+                version, edit_id, _ = head_version(head)
+                config = parse_config(version, edit_id, rows)
+                return host.apply(ConfigLoaded(now_s, config, now_s))
+            case LoadConfig():
+                return host.apply(ConfigLoadFailed(now_s))
+            case SettleEdits(edits=edits):
+                for edit in () if host.name in self.no_store else edits:
+                    self._settle(edit)
+                return host.apply(SettleTried(now_s))
             case _:
                 return ()
 
+    def _settle(self, edit: UnsettledEdit) -> None:
+        found = self.tables.read((RowKey("edit_ids", edit.edit_id), HEAD))
+        if not isinstance(found, Unavailable) and found.rows[0].value is None:
+            transaction = plan_settlement(found.rows[1], edit)
+            if transaction is not None:
+                self.tables.transact(transaction)
+
     def _peer(self, host: Host, address: str) -> Host | None:
         for peer in self.hosts.values():
             reached = (host.name, peer.name) not in self.cut
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -14,6 +14,7 @@
 from cardamomquay.balancing import RandomChooser
 from cardamomquay.clock import SystemClock
 from cardamomquay.currency import ConfigPart
+from cardamomquay.currency import UnsettledPart
 from cardamomquay.idempotency import TableOnceRegistry
 from cardamomquay.membership import LeaveRequested
 from cardamomquay.membership import MembershipPart
@@ -68,7 +69,7 @@
         )
         connection = PlatformConnection(settings.platform)
         tables = HttpTableService(connection)
-        reducer = Reducer((MembershipPart(), ConfigPart()))
+        reducer = Reducer((MembershipPart(), ConfigPart(), UnsettledPart()))
         self._runtime = Runtime(
             reducer,
             self.identity,
--- a/packages/daemon/src/cardamomquay_daemon/_editor.py
+++ b/packages/daemon/src/cardamomquay_daemon/_editor.py
@@ -14,6 +14,8 @@
 from cardamomquay.config import head_version
 from cardamomquay.config import parse_config
 from cardamomquay.config import plan_edit
+from cardamomquay.currency import UnsettledEdit
+from cardamomquay.currency import withdrawn_keys
 from cardamomquay.platform import Committed
 from cardamomquay.platform import Conflicted
 from cardamomquay.platform import Row
@@ -21,6 +23,8 @@
 from cardamomquay.platform import Unavailable
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomquay.clock import Clock
     from cardamomquay.config import ConfigEdit
     from cardamomquay.outcomes import Finding
@@ -106,7 +110,10 @@
 
 
 def commit_edit(
-    tables: TableService, clock: Clock, edit: ConfigEdit
+    tables: TableService,
+    clock: Clock,
+    edit: ConfigEdit,
+    on_lost: Callable[[UnsettledEdit], None] | None = None,
 ) -> EditAccepted | EditRejected | EditConflict | EditUnsettled | Unavailable:
     """Check and commit an edit.
 
@@ -115,6 +122,8 @@
     tables : TableService
     clock : Clock
     edit : ConfigEdit
+    on_lost : callable, optional
+        Is told at once when the answer to the edit's transaction is lost.
 
     Returns
     -------
@@ -139,6 +148,10 @@
         case Unavailable(may_have_committed=False):
             return outcome
         case _:
+            if on_lost is not None:
+                keys = withdrawn_keys(stored.rows, edit)
+                base = edit.expected_version
+                on_lost(UnsettledEdit(edit.edit_id, base, keys, edit.owner))
             return settle_edit(tables, clock, edit)
 
 
--- a/packages/daemon/src/cardamomquay_daemon/_effects.py
+++ b/packages/daemon/src/cardamomquay_daemon/_effects.py
@@ -16,9 +16,14 @@
 from cardamomquay.currency import LoadConfig
 from cardamomquay.currency import OlderConfigIgnored
 from cardamomquay.currency import ReadHead
+from cardamomquay.currency import SettleEdits
+from cardamomquay.currency import SettleTried
+from cardamomquay.currency import plan_settlement
 from cardamomquay.membership import HostsListed
 from cardamomquay.membership import ReadHostList
 from cardamomquay.outcomes import format_findings
+from cardamomquay.platform import Committed
+from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
 from cardamomquay_daemon._editor import parse_stored
 from cardamomquay_daemon._editor import read_stored_config
@@ -26,6 +31,7 @@
 from cardamomquay_daemon._telemetry import CONFIG_INVALID
 from cardamomquay_daemon._telemetry import CONFIG_OLDER_IGNORED
 from cardamomquay_daemon._telemetry import CONFIG_WITHOUT_EVIDENCE
+from cardamomquay_daemon._telemetry import EDIT_SETTLED
 from cardamomquay_daemon._telemetry import STORE_UNAVAILABLE
 
 if TYPE_CHECKING:
@@ -63,6 +69,7 @@
             ConfigInForce: self._in_force,
             OlderConfigIgnored: self._older,
             ConfigWithoutEvidence: self._without_evidence,
+            SettleEdits: self._settle,
         }
 
     def _read_head(self, effect: ReadHead) -> None:
@@ -99,6 +106,27 @@
             CONFIG_OLDER_IGNORED, offered=effect.offered_version, version=effect.version
         )
 
+    def _settle(self, effect: SettleEdits) -> None:
+        """End the time in which an edit whose answer was lost may be accepted.
+
+        The head that follows tells every host, so the outcome needs no event.
+        """
+        try:
+            for edit in effect.edits:
+                id_key = RowKey("edit_ids", edit.edit_id)
+                found = self._tables.read((id_key, HEAD))
+                if isinstance(found, Unavailable) or found.rows[0].value is not None:
+                    continue
+                transaction = plan_settlement(found.rows[1], edit)
+                if transaction is not None:
+                    outcome = self._tables.transact(transaction)
+                    settled = isinstance(outcome, Committed)
+                    self._telemetry.log(
+                        EDIT_SETTLED, edit_id=edit.edit_id, settled=settled
+                    )
+        finally:
+            self._runtime.post(SettleTried(self._clock.now_s()))
+
     def _without_evidence(self, effect: ConfigWithoutEvidence) -> None:
         self._telemetry.log(CONFIG_WITHOUT_EVIDENCE, version=effect.version)
 
--- a/packages/daemon/src/cardamomquay_daemon/_operator_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_operator_port.py
@@ -20,6 +20,7 @@
 from cardamomquay.config import StoredKey
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigState
+from cardamomquay.currency import EditAnswerLost
 from cardamomquay.membership import MembershipState
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
@@ -40,6 +41,7 @@
     from _typeshed.wsgi import WSGIEnvironment
 
     from cardamomquay.clock import Clock
+    from cardamomquay.currency import UnsettledEdit
     from cardamomquay.platform import TableService
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
@@ -156,7 +158,7 @@
             edit = _parse_edit(document, operator)
         except (KeyError, TypeError, ValueError) as exc:
             return json_response({"error": f"malformed edit: {exc}"}, 400)
-        result = commit_edit(self._tables, self._clock, edit)
+        result = commit_edit(self._tables, self._clock, edit, self._answer_lost)
         match result:
             case EditAccepted(config=config):
                 self._runtime.post(
@@ -208,6 +210,9 @@
                     {"accepted": False, "error": f"store: {reason}"}, 503
                 )
 
+    def _answer_lost(self, unsettled: UnsettledEdit) -> None:
+        self._runtime.post(EditAnswerLost(self._clock.now_s(), unsettled))
+
 
 def _parse_edit(document: Any, operator: StoredKey) -> ConfigEdit:
     changes = tuple(
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -185,6 +185,11 @@
         stored = config.find_key(req.key)
         if stored is None:
             return Refusal(RefusalReason.KEY_REJECTED)
+        if stored.key_id in snapshot.refused_keys:
+            return Refusal(
+                RefusalReason.CONFIGURATION_STALE,
+                "an edit that withdraws the key is not settled",
+            )
         if not _may_use(route, stored.holder, stored.owner):
             return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED)
         return _Authorised(config, route, stored.holder)
--- a/packages/daemon/src/cardamomquay_daemon/_runtime.py
+++ b/packages/daemon/src/cardamomquay_daemon/_runtime.py
@@ -13,6 +13,7 @@
 from cardamomquay.currency import CurrencyView
 from cardamomquay.currency import currency_view
 from cardamomquay.currency import is_current
+from cardamomquay.currency import refused_keys
 from cardamomquay.reducer import CoreState
 from cardamomquay.reducer import Effect
 from cardamomquay.reducer import Event
@@ -44,11 +45,15 @@
     core : CoreState
     config : Config or None
     currency : CurrencyView
+    refused_keys : frozenset of str
+        Ids of keys that an edit withdraws of which it is not known whether it was
+        accepted.
     """
 
     core: CoreState
     config: Config | None
     currency: CurrencyView
+    refused_keys: frozenset[str] = frozenset()
 
     def is_current(self, now_s: float) -> bool:
         """Whether closed routes may be served at `now_s`."""
@@ -57,7 +62,12 @@
 
 def build_snapshot(core: CoreState, now_s: float) -> Snapshot:
     """Derive the request path's snapshot from the core state."""
-    return Snapshot(core, core.part(ConfigState).config, currency_view(core, now_s))
+    return Snapshot(
+        core,
+        core.part(ConfigState).config,
+        currency_view(core, now_s),
+        refused_keys(core),
+    )
 
 
 class Runtime:
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -48,6 +48,9 @@
 STORE_UNAVAILABLE = LogEvent(
     3001, "store_unavailable", "A call of the platform failed."
 )
+EDIT_SETTLED = LogEvent(
+    2008, "edit_settled", "An edit whose answer was lost cannot be accepted any more."
+)
 PEER_FAILED = LogEvent(4001, "peer_failed", "A call of another daemon failed.")
 CONFIG_WITHOUT_EVIDENCE = LogEvent(
     2007, "config_without_evidence", "A peer's configuration was not shown current."
--- /dev/null
+++ b/packages/daemon/tests/edits/test_lost_answer.py
@@ -0,0 +1,110 @@
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from cardamomquay.clock import ManualClock
+from cardamomquay.config import HEAD
+from cardamomquay.config import Config
+from cardamomquay.config import ConfigEdit
+from cardamomquay.config import Route
+from cardamomquay.config import RowChange
+from cardamomquay.config import StoredKey
+from cardamomquay.config import digest_secret
+from cardamomquay.config import head_version
+from cardamomquay.currency import CurrencyView
+from cardamomquay.currency import SettleEdits
+from cardamomquay.currency import SettleTried
+from cardamomquay.currency import UnsettledEdit
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+from cardamomquay.platform import MemoryTableService
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Write
+from cardamomquay_daemon._editor import EditUnsettled
+from cardamomquay_daemon._editor import commit_edit
+from cardamomquay_daemon._effects import ConfigEffects
+from cardamomquay_daemon._relay import CallerRequest
+from cardamomquay_daemon._relay import Relay
+from cardamomquay_daemon._runtime import Snapshot
+
+KEY = RowKey("keys", "k")
+UNSETTLED = UnsettledEdit("lost", 1, ("k",), "us")
+
+
+class LosingTableService(MemoryTableService):
+    """Commits a transaction, loses its answer, and is down from then on."""
+
+    def transact(self, transaction: Transaction) -> object:
+        self.faults.lose_answers = 1
+        outcome = super().transact(transaction)
+        self.faults.down = True
+        return outcome
+
+
+def store_rows(tables: MemoryTableService) -> None:
+    head = {"version": 1, "edit_id": "first", "operator": "test"}
+    organisation = {"owner": "us", "rate_per_s": 1, "burst": 1}
+    key = {"holder": "org", "owner": "us", "salt": "00", "digest": "a" * 64}
+    writes = (
+        Write(HEAD, head),
+        Write(RowKey("organisations", "org"), organisation),
+        Write(KEY, key),
+    )
+    MemoryTableService.transact(tables, Transaction((), writes))
+
+
+class LostAnswerTest(unittest.TestCase):
+    """Guards against a withdrawn key that an outage keeps alive."""
+
+    def test_loss_is_told_at_once(self) -> None:
+        tables = LosingTableService()
+        store_rows(tables)
+        edit = ConfigEdit("lost", "operator", "us", 1, (RowChange(KEY, None),))
+        told: list[UnsettledEdit] = []
+        result = commit_edit(tables, ManualClock(), edit, told.append)
+        self.assertEqual(result, EditUnsettled("lost"))
+        self.assertEqual(told, [UNSETTLED])
+
+    def test_settlement(self) -> None:
+        cases = {
+            "not accepted": ((), 2),
+            "accepted": ((Write(RowKey("edit_ids", "lost"), {"version": 2}),), 1),
+            "another edit was accepted": (
+                (Write(HEAD, {"version": 5, "edit_id": "x", "operator": "y"}),),
+                5,
+            ),
+        }
+        for name, (writes, expected) in cases.items():
+            with self.subTest(name):
+                tables = MemoryTableService()
+                store_rows(tables)
+                tables.transact(Transaction((), writes))
+                runtime = mock.Mock()
+                effects = ConfigEffects(tables, ManualClock(), runtime, mock.Mock())
+                effects.handlers()[SettleEdits](SettleEdits((UNSETTLED,)))
+                head = tables.read((HEAD,)).rows[0]
+                self.assertEqual(head_version(head)[0], expected)
+                runtime.post.assert_called_once_with(SettleTried(0.0))
+
+    def test_relay_refuses_the_keys(self) -> None:
+        key = StoredKey("k", "org", "us", "00", digest_secret("00", "secret"))
+        route = Route("r", "us", "/r", "p")
+        config = Config(1, routes={"r": route}, keys={"k": key})
+        request = CallerRequest("GET", "/r", "/r", (), b"", key="k.secret")
+        for refused, expected in ((frozenset("k"), True), (frozenset("x"), False)):
+            snapshot = Snapshot(mock.Mock(), config, CurrencyView(1, 0.0), refused)
+            runtime = SimpleNamespace(snapshot=snapshot)
+            relay = Relay(runtime, ManualClock(), *[mock.Mock()] * 6)
+            result = relay._authorise(request)
+            with self.subTest(refused=refused):
+                self.assertIs(isinstance(result, Refusal), expected)
+                if expected:
+                    self.assertIs(result.reason, RefusalReason.CONFIGURATION_STALE)
+                    self.assertTrue(result.not_run)
+
+
+if __name__ == "__main__":
+    unittest.main()
