--- a/packages/core/src/cardamomquay/config/_model.py
+++ b/packages/core/src/cardamomquay/config/_model.py
@@ -253,6 +253,23 @@
         wish = self.hosts.get(host)
         return wish is not None and wish.draining and wish.region == region
 
+    def regions_in_reach(self, region: str) -> tuple[str, ...]:
+        """Return the regions whose upstreams a host of `region` may use.
+
+        Parameters
+        ----------
+        region : str
+
+        Returns
+        -------
+        tuple of str
+            The region itself, then those with a link that carries their answers to
+            it, the larger links first.
+        """
+        links = [link for link in self.links.values() if link.to_region == region]
+        links.sort(key=lambda link: (-link.cap_bytes_per_s, link.from_region))
+        return (region, *(link.from_region for link in links))
+
     def find_key(self, presented: str) -> StoredKey | None:
         """Return the stored key of a presented ``<id>.<secret>``, or None."""
         return _find(self.keys, presented)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_lease_effects.py
@@ -0,0 +1,105 @@
+"""Carries out the effects of leases and lender rows."""
+
+from __future__ import annotations
+
+import threading
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.leases import LEASES_TABLE
+from cardamomquay.leases import LeaseAcquired
+from cardamomquay.leases import LeaseLost
+from cardamomquay.leases import LeaseReleased
+from cardamomquay.leases import LeaseRowsRead
+from cardamomquay.leases import LeaseRowsWritten
+from cardamomquay.leases import LeasesReclaimed
+from cardamomquay.leases import LeasesScanned
+from cardamomquay.leases import ReadLeaseRows
+from cardamomquay.leases import ScanLeases
+from cardamomquay.leases import WriteLeaseRows
+from cardamomquay.lenders import LENDERS_TABLE
+from cardamomquay.lenders import LenderRowsWritten
+from cardamomquay.lenders import LendersScanned
+from cardamomquay.lenders import ScanLenders
+from cardamomquay.lenders import WriteLenderRows
+from cardamomquay_daemon._telemetry import LEASE_ACQUIRED
+from cardamomquay_daemon._telemetry import LEASE_LOST
+from cardamomquay_daemon._telemetry import LEASES_RECLAIMED
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.platform import TableService
+    from cardamomquay.reducer import Effect
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+
+class LeaseEffects:
+    """Calls the table service for leases and lender rows.
+
+    Attributes
+    ----------
+    released : threading.Event
+        Set when this host's lease row is gone after a planned stop.
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        clock: Clock,
+        runtime: Runtime,
+        telemetry: Telemetry,
+    ) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._runtime = runtime
+        self._telemetry = telemetry
+        self.released = threading.Event()
+
+    def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
+        """Return the handler of each effect type."""
+        return {
+            ReadLeaseRows: self._read,
+            WriteLeaseRows: self._write,
+            ScanLeases: self._scan,
+            ScanLenders: self._scan_lenders,
+            WriteLenderRows: self._write_lenders,
+            LeaseAcquired: self._acquired,
+            LeaseLost: self._lost,
+            LeaseReleased: lambda _: self.released.set(),
+            LeasesReclaimed: self._reclaimed,
+        }
+
+    def _read(self, effect: ReadLeaseRows) -> None:
+        result = self._tables.read(effect.keys)
+        self._runtime.post(LeaseRowsRead(self._clock.now_s(), effect.call, result))
+
+    def _write(self, effect: WriteLeaseRows) -> None:
+        result = self._tables.transact(effect.transaction)
+        self._runtime.post(LeaseRowsWritten(self._clock.now_s(), effect.call, result))
+
+    def _scan(self, effect: ScanLeases) -> None:
+        result = self._tables.scan(LEASES_TABLE)
+        self._runtime.post(LeasesScanned(self._clock.now_s(), result))
+
+    def _scan_lenders(self, effect: ScanLenders) -> None:
+        lenders = self._tables.scan(LENDERS_TABLE)
+        leases = self._tables.scan(LEASES_TABLE)
+        now_s = self._clock.now_s()
+        self._runtime.post(LendersScanned(now_s, effect.call, lenders, leases))
+
+    def _write_lenders(self, effect: WriteLenderRows) -> None:
+        result = self._tables.transact(effect.transaction)
+        self._runtime.post(LenderRowsWritten(self._clock.now_s(), effect.call, result))
+
+    def _acquired(self, effect: LeaseAcquired) -> None:
+        self._telemetry.log(LEASE_ACQUIRED, fence=effect.fence)
+
+    def _lost(self, effect: LeaseLost) -> None:
+        self._telemetry.log(LEASE_LOST, fence=effect.fence)
+
+    def _reclaimed(self, effect: LeasesReclaimed) -> None:
+        self._telemetry.log(LEASES_RECLAIMED, hosts=list(effect.hosts))
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_slot_lending.py
@@ -0,0 +1,181 @@
+"""Lends the slots of pools to other daemons, and borrows them."""
+
+from __future__ import annotations
+
+import threading
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.balancing import SlotLender
+from cardamomquay.balancing import SlotTransport
+from cardamomquay.leases import LeaseState
+from cardamomquay.leases import is_lease_valid
+from cardamomquay.lenders import LendersState
+from cardamomquay_daemon import _slot_codec
+from cardamomquay_daemon._peer import PeerFailure
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from cardamomquay.balancing import SlotChooser
+    from cardamomquay.balancing import SlotGrant
+    from cardamomquay.balancing import SlotRequest
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import Config
+    from cardamomquay.config import Upstream
+    from cardamomquay.lenders import LendingStarted
+    from cardamomquay.lenders import LendingStopped
+    from cardamomquay_daemon._peer import PeerNode
+    from cardamomquay_daemon._runtime import Runtime
+
+SLOTS_PREFIX = "slots:"
+CALL_DEADLINE_S = 0.25
+POLL_INTERVAL_S = 0.02
+
+
+def slot_resource(pool: str, region: str) -> str:
+    """Return the name of the slots of a pool in a region."""
+    return f"{SLOTS_PREFIX}{pool}:{region}"
+
+
+def slot_resources(config: Config) -> Mapping[str, str]:
+    """Return the region of each slot resource of a configuration."""
+    return {
+        slot_resource(pool.name, upstream.region): upstream.region
+        for pool in config.pools.values()
+        for upstream in pool.upstreams
+    }
+
+
+@dataclass(slots=True)
+class _Lent:
+    lender: SlotLender
+    lease_fence: int
+
+
+class SlotLending(SlotTransport):
+    """The slot lenders of this host, and the way to those of others.
+
+    Parameters
+    ----------
+    runtime : Runtime
+    clock : Clock
+    peers : PeerNode
+    host : str
+    """
+
+    def __init__(
+        self, runtime: Runtime, clock: Clock, peers: PeerNode, host: str
+    ) -> None:
+        self._runtime = runtime
+        self._clock = clock
+        self._peers = peers
+        self._host = host
+        self._lock = threading.Lock()
+        self._lenders: dict[str, _Lent] = {}
+
+    def start(self, effect: LendingStarted) -> None:
+        """Begin to lend a resource, with nothing but what borrowers still hold."""
+        _, pool, region = effect.resource.split(":")
+        config = self._runtime.snapshot.config
+        assert config is not None
+        lender = SlotLender(
+            _upstreams(config, pool, region),
+            _longest_deadline_s(config, pool),
+            self._clock.now_s(),
+            first=effect.fence == 1,
+        )
+        with self._lock:
+            self._lenders[effect.resource] = _Lent(lender, effect.lease_fence)
+
+    def stop(self, effect: LendingStopped) -> None:
+        """End the lending of a resource."""
+        with self._lock:
+            self._lenders.pop(effect.resource, None)
+
+    def apply(self, config: Config) -> None:
+        """Apply a configuration to the lenders of this host."""
+        now_s = self._clock.now_s()
+        with self._lock:
+            for resource, lent in self._lenders.items():
+                _, pool, region = resource.split(":")
+                lent.lender.apply_upstreams(
+                    _upstreams(config, pool, region),
+                    _longest_deadline_s(config, pool),
+                    now_s,
+                )
+
+    def lend(self, request: SlotRequest) -> SlotGrant | None:
+        """Answer a borrower; None if this host may not lend the slots."""
+        now_s = self._clock.now_s()
+        lease = self._runtime.snapshot.core.part(LeaseState)
+        with self._lock:
+            lent = self._lenders.get(slot_resource(request.pool, request.region))
+            if lent is None or lease.fence != lent.lease_fence:
+                return None
+            if not is_lease_valid(lease, now_s):
+                return None
+            return lent.lender.lend(request, now_s)
+
+    def serve(self, message: Any) -> Any:
+        """Answer the message of a borrower."""
+        return _slot_codec.grant_to_wire(
+            self.lend(_slot_codec.request_from_wire(message))
+        )
+
+    def borrow(self, request: SlotRequest) -> SlotGrant | None:
+        lenders = self._runtime.snapshot.core.part(LendersState)
+        row = lenders.lender_of(slot_resource(request.pool, request.region))
+        if row is None:
+            return None
+        if row.host == self._host:
+            return self.lend(request)
+        message = _slot_codec.request_to_wire(request)
+        fut = self._peers.call_host(row.host, "BorrowSlots", message, CALL_DEADLINE_S)
+        try:
+            reply = fut.result(2 * CALL_DEADLINE_S)
+        except TimeoutError:
+            return None
+        if isinstance(reply, PeerFailure):
+            return None
+        return _slot_codec.grant_from_wire(reply)
+
+
+@contextmanager
+def polling(chooser: SlotChooser) -> Iterator[None]:
+    """Make the chooser's calls in a thread for the time of a ``with`` block."""
+    stopping = threading.Event()
+
+    def poll() -> None:
+        while not stopping.is_set():
+            chooser.poll()
+            chooser.wait_for_demand(POLL_INTERVAL_S)
+
+    thread = threading.Thread(target=poll, name="slots", daemon=True)
+    thread.start()
+    try:
+        yield
+    finally:
+        stopping.set()
+        thread.join(timeout=2.0)
+
+
+def _upstreams(config: Config, pool: str, region: str) -> list[Upstream]:
+    found = config.pools.get(pool)
+    upstreams = () if found is None else found.upstreams
+    return [upstream for upstream in upstreams if upstream.region == region]
+
+
+def _longest_deadline_s(config: Config, pool: str) -> float:
+    return max(
+        (
+            route.timeout_s
+            for route in config.routes.values()
+            if route.pool == pool
+            or (route.move is not None and route.move.to_pool == pool)
+        ),
+        default=0.0,
+    )
