--- a/packages/daemon/tests/test_request_limits.py
+++ b/packages/daemon/tests/test_request_limits.py
@@ -305,7 +305,9 @@
         conn = self.connect()
         stream = conn.makefile("rb")
         for _ in range(3):
-            time.sleep(IDLE_TIMEOUT_S * 0.6)
+            # Longer than the time for one answer, shorter than the 1 s after which
+            # the listener closes idle connections.
+            time.sleep(IDLE_TIMEOUT_S * 1.3)
             conn.sendall(POST + b"Content-Length: 1\r\nExpect: 100-continue\r\n\r\n")
             self.assertEqual(stream.readline(), b"HTTP/1.1 100 Continue\r\n")
             stream.readline()
@@ -373,6 +375,15 @@
         self.assertIn(b"408", answer)
         self.assertLess(time.monotonic() - started, IDLE_TIMEOUT_S + 0.7)
 
+    def test_late_byte_does_not_extend_the_time(self) -> None:
+        conn = self.connect()
+        conn.sendall(b"G")
+        started = time.monotonic()
+        time.sleep(IDLE_TIMEOUT_S * 0.8)
+        conn.sendall(b"E")
+        self.assertIn(b"408", conn.recv(100))
+        self.assertLess(time.monotonic() - started, IDLE_TIMEOUT_S * 1.5)
+
     def test_silent_connections_take_no_thread(self) -> None:
         silent = [self.connect() for _ in range(3 * LIMITS.request_threads)]
         started = time.monotonic()
