Write the pages of events and counters from the daemon's catalogues

Cause: events and counters had no page, and no list of counters existed. Change: meanings of all reasons, a list of the other counters, counters of edits, look-ups, answers and rejected operators, a command that writes docs/events.md and docs/counters.md, and a test that the pages, the catalogues and the names counted in the sources agree. Before: no page. Conclusion: a counter or event that is added without a page fails a test.

--- a/packages/core/src/cardamomquay/outcomes/__init__.py
+++ b/packages/core/src/cardamomquay/outcomes/__init__.py
@@ -4,6 +4,8 @@
 
 from cardamomquay.outcomes._findings import Finding
 from cardamomquay.outcomes._findings import format_findings
+from cardamomquay.outcomes._meanings import REFUSAL_MEANINGS
+from cardamomquay.outcomes._meanings import RETRY_MEANINGS
 from cardamomquay.outcomes._refusals import REFUSAL_FACTS
 from cardamomquay.outcomes._refusals import Refusal
 from cardamomquay.outcomes._refusals import RefusalFacts
@@ -12,6 +14,8 @@
 
 __all__ = [
     "REFUSAL_FACTS",
+    "REFUSAL_MEANINGS",
+    "RETRY_MEANINGS",
     "Finding",
     "Refusal",
     "RefusalFacts",
--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -99,6 +99,9 @@
         if isinstance(result, Refusal):
             self._telemetry.refused(result.reason)
             return refusal_response(result)
+        self._telemetry.count("requests.answered")
+        if result.replayed:
+            self._telemetry.count("requests.replayed")
         response = Response(result.body, result.status)
         response.headers.clear()
         for name, value in result.headers:
@@ -117,6 +120,7 @@
         )
 
     def _lookup(self, request: Request) -> Response:
+        self._telemetry.count("lookups.answered")
         snapshot = self._runtime.snapshot
         answer = rank_hosts(
             snapshot.core.part(MembershipState),
--- a/packages/daemon/src/cardamomquay_daemon/_operator_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_operator_port.py
@@ -96,6 +96,7 @@
             return json_response({"error": "not ready"}, 503)
         operator = config.find_operator(request.headers.get(OPERATOR_HEADER, ""))
         if operator is None:
+            self._telemetry.count("operators.rejected")
             return json_response({"error": "operator key missing or rejected"}, 401)
         if request.method == "GET" and request.path.startswith(EDIT_PREFIX):
             return self._find_edit(request)
@@ -213,6 +214,7 @@
                 self._runtime.post(
                     ConfigLoaded(self._clock.now_s(), config, result.confirmed_at_s)
                 )
+                self._telemetry.count("edits.accepted")
                 self._telemetry.log(
                     EDIT_ACCEPTED,
                     version=result.version,
@@ -222,6 +224,7 @@
                 document = {"accepted": True, "version": result.version}
                 return json_response(document)
             case EditRejected(findings=findings):
+                self._telemetry.count("edits.rejected")
                 self._telemetry.log(
                     EDIT_REJECTED, edit_id=edit.edit_id, findings=len(findings)
                 )
@@ -241,6 +244,7 @@
                     422,
                 )
             case EditConflict():
+                self._telemetry.count("edits.conflicted")
                 return json_response(
                     {
                         "accepted": False,
@@ -253,6 +257,7 @@
                     409,
                 )
             case EditUnsettled():
+                self._telemetry.count("edits.unsettled")
                 self._telemetry.log(EDIT_UNSETTLED, edit_id=edit.edit_id)
                 return json_response({"accepted": None, "edit_id": edit.edit_id}, 504)
             case Unavailable(reason=reason):
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -59,6 +59,23 @@
 CATALOGUE = tuple(
     value for value in tuple(globals().values()) if isinstance(value, LogEvent)
 )
+# Counters other than refusals and retries, as `docs/counters.md` lists them.
+COUNTERS = {
+    "claims.not_recorded": "Outcomes of non-repeatable requests that were not stored.",
+    "config.older_ignored": "Configurations that were not newer than the one in force.",
+    "edits.accepted": "Operators' edits that this daemon committed.",
+    "edits.conflicted": "Operators' edits that another edit came before.",
+    "edits.rejected": "Operators' edits that were not permitted or not valid.",
+    "edits.unsettled": "Operators' edits whose outcome was not known in time.",
+    "effects.failed": "Effects that raised an exception.",
+    "effects.unhandled": "Effects without a handler.",
+    "events.dropped": "Events dropped because the queue was full.",
+    "lookups.answered": "Look-ups of hosts that were answered.",
+    "operators.rejected": "Calls of the operator port without a valid operator key.",
+    "requests.answered": "Requests that got an upstream's or a recorded answer.",
+    "requests.replayed": "Requests that got a recorded answer.",
+    "store.unavailable": "Reads of the head row that failed.",
+}
 
 
 class Telemetry:
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/catalogue.py
@@ -0,0 +1,88 @@
+"""Writes ``docs/events.md`` and ``docs/counters.md`` from the daemon's catalogues."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+from cardamomquay.outcomes import REFUSAL_FACTS
+from cardamomquay.outcomes import REFUSAL_MEANINGS
+from cardamomquay.outcomes import RETRY_MEANINGS
+from cardamomquay_daemon._telemetry import CATALOGUE
+from cardamomquay_daemon._telemetry import COUNTERS
+from cardamomquay_daemon._telemetry import METRIC_PREFIX
+
+DOCS = Path("docs")
+COMMAND = "python -m cardamomquay_dev.catalogue"
+
+
+def events_page() -> str:
+    """Return the page of the numbered log events."""
+    lines = [
+        "# Log events",
+        "",
+        f"This page is written by `{COMMAND}`.",
+        "",
+        "A daemon writes one JSON object a line to `log_file`, or to standard error.",
+        "`message_type` is the event's name, `number` its number and `host` the host;",
+        "further fields depend on the event. `timestamp` is in seconds since 1970.",
+        "Numbers are not reused. No event holds a key or a header of a request.",
+        "",
+        "| number | name | meaning |",
+        "| --- | --- | --- |",
+    ]
+    lines += [
+        f"| {event.number} | `{event.name}` | {event.meaning} |"
+        for event in sorted(CATALOGUE, key=lambda event: event.number)
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def counters_page() -> str:
+    """Return the page of the counters."""
+    lines = [
+        "# Counters",
+        "",
+        f"This page is written by `{COMMAND}`.",
+        "",
+        "A daemon counts in memory (`GET /v1/counters` on the operator port). With",
+        f"`statsd` in its settings it also sends `{METRIC_PREFIX}.<name>` over UDP.",
+        "Counters start at 0 with the daemon and have no unit.",
+        "",
+        "## Refusals",
+        "",
+        "One counter for each reason that a caller can see in `X-Cardamomquay-Reason`.",
+        "",
+        "| counter | status | not run | retry after | meaning |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for reason, facts in REFUSAL_FACTS.items():
+        retry = "" if facts.retry_after_s is None else f"{facts.retry_after_s:g} s"
+        lines.append(
+            f"| `refused.{reason}` | {facts.status} | {str(facts.not_run).lower()} "
+            f"| {retry} | {REFUSAL_MEANINGS[reason]} |"
+        )
+    lines += [
+        "",
+        "## Retries",
+        "",
+        "One counter for each reason why a request was sent to a second upstream.",
+        "",
+        "| counter | meaning |",
+        "| --- | --- |",
+    ]
+    lines += [f"| `retried.{r}` | {meaning} |" for r, meaning in RETRY_MEANINGS.items()]
+    lines += ["", "## Others", "", "| counter | meaning |", "| --- | --- |"]
+    lines += [f"| `{name}` | {COUNTERS[name]} |" for name in sorted(COUNTERS)]
+    return "\n".join(lines) + "\n"
+
+
+def main() -> int:
+    """Write both pages."""
+    (DOCS / "events.md").write_text(events_page(), encoding="utf-8")
+    (DOCS / "counters.md").write_text(counters_page(), encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
