--- a/packages/core/src/cardamomquay/config/_edits.py
+++ b/packages/core/src/cardamomquay/config/_edits.py
@@ -146,12 +146,14 @@
             )
             continue
         old = present.get(change.key)
+        # A missing or malformed owner of a new row is found by its model.
         owners = [row.get("owner") for row in (change.value,) if row is not None]
+        owners = [owner for owner in owners if isinstance(owner, str)]
         if old is not None and old.value is not None:
             owners.append(old.value.get("owner"))
         findings.extend(
             Finding(str(change.key), "owner", repr(owner), f"{edit.owner!r}")
-            for owner in owners
+            for owner in dict.fromkeys(owners)
             if owner != edit.owner
         )
     return findings
--- a/packages/core/src/cardamomquay/config/_expected.py
+++ b/packages/core/src/cardamomquay/config/_expected.py
@@ -45,7 +45,11 @@
     text = TEXTS.get(error["type"])
     if text is None:
         return error["msg"]
-    return text.format_map(error.get("ctx", {}))
+    context = {
+        name: int(value) if isinstance(value, float) and value.is_integer() else value
+        for name, value in error.get("ctx", {}).items()
+    }
+    return text.format_map(context)
 
 
 def found_text(error: ErrorDetails, hide: bool = False) -> str:
--- a/packages/core/tests/config/test_edit_findings.py
+++ b/packages/core/tests/config/test_edit_findings.py
@@ -91,7 +91,7 @@
             ),
             "cap of 0": (
                 {"routes/browse": moving(BROWSE, cap_percent=0)},
-                ("routes/browse", "move.cap_percent", "0", "a number above 0.0"),
+                ("routes/browse", "move.cap_percent", "0", "a number above 0"),
             ),
             "cap of 101": (
                 {"routes/browse": moving(BROWSE, cap_percent=101)},
@@ -99,7 +99,7 @@
                     "routes/browse",
                     "move.cap_percent",
                     "101",
-                    "a number of at most 100.0",
+                    "a number of at most 100",
                 ),
             ),
             "cap that is no number": (
@@ -318,6 +318,11 @@
             with self.subTest(name):
                 self.assertIsInstance(plan(changes), PlannedEdit)
 
+    def test_foreign_row_is_found_once(self) -> None:
+        result = plan({"routes/lookup": {**ROWS["routes/lookup"], "timeout_s": 1}})
+        assert isinstance(result, EditRejected)
+        self.assertEqual(len(result.findings), 1)
+
     def test_conflict_names_the_first_edit(self) -> None:
         result = plan({"routes/browse": BROWSE}, expected_version=0)
         self.assertEqual(result, EditConflict(1, "e1", "ops"))
--- a/packages/dev/tests/test_canary_key.py
+++ b/packages/dev/tests/test_canary_key.py
@@ -8,6 +8,8 @@
 from pathlib import Path
 from typing import Any
 
+from fleet_ports import free_base_port
+
 from cardamomquay_dev._fleet import KURVEHAENG
 from cardamomquay_dev._fleet import PARTENAIRES
 from cardamomquay_dev._fleet import Fleet
@@ -19,25 +21,11 @@
 from cardamomquay_dev._processes import running_fleet
 
 CANARY = "canary-"
-FIRST_PORT = 26000
-LAST_PORT = 32000
 # A daemon that has just started has an empty bucket for each organisation.
 QUOTA_WAIT_S = 10.0
 NO_QUOTA_YET = {429, 503}
 
 
-def free_base_port() -> int:
-    """Return the first of 200 ports that nothing listens on now."""
-    for base in range(FIRST_PORT, LAST_PORT, 200):
-        try:
-            for offset in (0, 1, 10, 11, 60, 130):
-                socket.create_server(("127.0.0.1", base + offset)).close()
-        except OSError:
-            continue
-        return base
-    raise RuntimeError("no free ports")
-
-
 class CanaryKeyTest(unittest.TestCase):
     """Guards against a key that leaves the daemon by any way out."""
 
--- /dev/null
+++ b/packages/dev/tests/test_readme_tour.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+import os
+import re
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from fleet_ports import free_base_port
+
+from cardamomquay_dev._fleet import plan_fleet
+from cardamomquay_dev.playground import running_playground
+
+ROOT = Path(__file__).resolve().parents[3]
+CONSOLE = re.compile(r"```console\n(.*?)```", re.DOTALL)
+# Parts of an output that differ from run to run.
+CHANGING = (
+    (re.compile(r"\d{4}-\d\d-\d\dT[\d:.+]+"), "TIME"),
+    (re.compile(r"\.[0-9a-f]{40}\b"), ".SECRET"),
+    (re.compile(r"\b([a-z]+)-[0-9a-f]{8}\b"), r"\1-ID"),
+)
+
+
+def masked(text: str) -> str:
+    for pattern, replacement in CHANGING:
+        text = pattern.sub(replacement, text)
+    return text.rstrip("\n")
+
+
+def steps(page: str) -> list[tuple[str, str]]:
+    """Return commands and their outputs from the console blocks of a page."""
+    text = (ROOT / page).read_text(encoding="utf-8")
+    found = []
+    for block in CONSOLE.findall(text):
+        for part in block.split("$ ")[1:]:
+            command, _, output = part.partition("\n")
+            if "playground" not in command:
+                found.append((command, output))
+    return found
+
+
+class TourTest(unittest.TestCase):
+    """Guards against pages whose commands or outputs are not true any more."""
+
+    def test_commands_print_what_the_pages_show(self) -> None:
+        for page in ("README.md", "docs/operators.md"):
+            with self.subTest(page), tempfile.TemporaryDirectory() as directory:
+                fleet = plan_fleet(Path(directory), free_base_port(), hosts=4)
+                with running_playground(fleet) as environment:
+                    self._check(page, environment)
+
+    def _check(self, page: str, environment: Path) -> None:
+        path = f"{Path(sys.executable).parent}:{os.environ['PATH']}"
+        found = steps(page)
+        self.assertGreater(len(found), 5)
+        for command, expected in found:
+            result = subprocess.run(
+                ["/bin/sh", "-c", f". {environment}\n{command}"],
+                env={**os.environ, "PATH": path},
+                cwd=environment.parent,
+                stdout=subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+                text=True,
+                timeout=60,
+                check=False,
+            )
+            self.assertEqual(masked(result.stdout), masked(expected), command)
+
+
+if __name__ == "__main__":
+    unittest.main()
