Use host leases, slot lending and grouped claims in the daemon

Cause: upstreams were chosen at random over all regions, slots were counted by each host alone, and each claim was a transaction of its own. Change: LeasePart, LendersPart, SlotChooser with lenders over BorrowSlots, and GroupedOnceRegistry; upstreams only in regions with a link; a planned stop completes claims and releases the lease last.

--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
-import random
 import threading
 import time
 import uuid
+from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 from cardamomquay.admission import StaticSplitAdmission
-from cardamomquay.balancing import RandomChooser
+from cardamomquay.balancing import SlotChooser
 from cardamomquay.clock import SystemClock
 from cardamomquay.currency import ConfigPart
 from cardamomquay.currency import UnsettledPart
-from cardamomquay.idempotency import TableOnceRegistry
+from cardamomquay.idempotency import GroupedOnceRegistry
+from cardamomquay.leases import LeasePart
+from cardamomquay.leases import ReleaseLeaseRequested
+from cardamomquay.lenders import LendersPart
+from cardamomquay.lenders import LendingStarted
+from cardamomquay.lenders import LendingStopped
 from cardamomquay.membership import LeaveRequested
 from cardamomquay.membership import MembershipPart
 from cardamomquay.membership import MembershipState
@@ -24,6 +29,7 @@
 from cardamomquay_daemon._caller_port import CallerPort
 from cardamomquay_daemon._effects import ConfigEffects
 from cardamomquay_daemon._effects import HostListEffects
+from cardamomquay_daemon._lease_effects import LeaseEffects
 from cardamomquay_daemon._operator_port import OperatorPort
 from cardamomquay_daemon._peer import PeerNode
 from cardamomquay_daemon._platform_client import HttpHostList
@@ -34,6 +40,9 @@
 from cardamomquay_daemon._runtime import Snapshot
 from cardamomquay_daemon._server import make_server
 from cardamomquay_daemon._server import serving
+from cardamomquay_daemon._slot_lending import SlotLending
+from cardamomquay_daemon._slot_lending import polling
+from cardamomquay_daemon._slot_lending import slot_resources
 from cardamomquay_daemon._telemetry import STARTED
 from cardamomquay_daemon._telemetry import STOPPED
 from cardamomquay_daemon._telemetry import STOPPING
@@ -46,6 +55,10 @@
     from cardamomquay_daemon._settings import Settings
 
 
+CLAIM_THREADS = 2
+RELEASE_WAIT_S = 2.0
+
+
 class Daemon:
     """One host of the system.
 
@@ -69,7 +82,15 @@
         )
         connection = PlatformConnection(settings.platform)
         tables = HttpTableService(connection)
-        reducer = Reducer((MembershipPart(), ConfigPart(), UnsettledPart()))
+        reducer = Reducer(
+            (
+                MembershipPart(),
+                ConfigPart(),
+                UnsettledPart(),
+                LeasePart(),
+                LendersPart(slot_resources),
+            )
+        )
         self._runtime = Runtime(
             reducer,
             self.identity,
@@ -93,15 +114,33 @@
             settings.peer_tls,
         )
         self._runtime.handle(self.peers.handlers())
+        self._leases = LeaseEffects(tables, self._clock, self._runtime, self._telemetry)
+        self._runtime.handle(self._leases.handlers())
+        self._slots = SlotLending(self._runtime, self._clock, self.peers, settings.host)
+        self.peers.lend_slots = self._slots.serve
+        self._runtime.handle(
+            {LendingStarted: self._slots.start, LendingStopped: self._slots.stop}
+        )
+        self._chooser = SlotChooser(
+            self._clock,
+            self._slots,
+            settings.host,
+            self.identity.incarnation,
+            settings.region,
+        )
+        self._claims_executor = ThreadPoolExecutor(CLAIM_THREADS, "claims")
+        self._registry = GroupedOnceRegistry(
+            tables, self._clock, self._claims_executor, self._live_hosts
+        )
         self._admission = StaticSplitAdmission(self._clock)
-        self._runtime.listen(self._apply_quota)
+        self._runtime.listen(self._apply_config)
         relay = Relay(
             self._runtime,
             self._clock,
             self.identity,
             self._admission,
-            RandomChooser(random.Random()),
-            TableOnceRegistry(tables),
+            self._chooser,
+            self._registry,
             UpstreamClient(settings.limits.answer_bytes),
             self._telemetry,
         )
@@ -137,6 +176,9 @@
         with ExitStack() as stack:
             stack.enter_context(self._runtime.running())
             stack.enter_context(self.peers.running())
+            stack.enter_context(polling(self._chooser))
+            # Runs after the listeners have closed and their requests are done.
+            stack.callback(self._give_back)
             stack.enter_context(serving(operators, "operators"))
             stack.enter_context(serving(callers, "callers"))
             self._telemetry.log(STARTED, listen=settings.listen)
@@ -153,14 +195,33 @@
         with condition:
             self._clock.wait(condition, self._settings.limits.stop_wait_s)
 
-    def _apply_quota(self, snapshot: Snapshot) -> None:
+    def _give_back(self) -> None:
+        """Complete the claims and release what hangs on the host lease."""
+        self._registry.close()
+        self._claims_executor.shutdown()
+        self._runtime.post(ReleaseLeaseRequested(self._clock.now_s()))
+        self._leases.released.wait(RELEASE_WAIT_S)
+
+    def _live_hosts(self) -> int:
+        members = self._runtime.snapshot.core.part(MembershipState)
+        return max(1, len(members.members))
+
+    def _apply_config(self, snapshot: Snapshot) -> None:
         config = snapshot.config
         if config is None:
             return
         hosts = max(1, len(snapshot.core.part(MembershipState).members))
-        if self._applied != (config.version, hosts):
-            self._applied = (config.version, hosts)
-            self._admission.apply(config.organisations, hosts)
+        if self._applied == (config.version, hosts):
+            return
+        self._applied = (config.version, hosts)
+        self._admission.apply(config.organisations, hosts)
+        weights = {o.name: o.rate_per_s for o in config.organisations.values()}
+        self._chooser.apply(config.pools, weights)
+        self._slots.apply(config)
+        reach = config.regions_in_reach(self.identity.region)
+        for pool in config.pools.values():
+            served = {upstream.region for upstream in pool.upstreams}
+            self._chooser.set_regions(pool.name, [r for r in reach if r in served])
 
 
 def new_incarnation() -> str:
