Wait at most 50 ms for a slot while another region may be used

Cause: with several regions allowed, a request waited in the first one until its deadline, so a full region kept it from a free one. Change: only the last allowed region may use the whole deadline. Measured in paused time: the fourth request to a region with three slots gets a slot of the next region; with the rule disabled test_next_region_when_the_first_is_busy: Lists differ: ['u0', 'u0', 'u0'] != ['u0', 'u0', 'u0', 'far']. A new test drains an upstream with and without contact to the lender: no reservation is valid 3 s later.

--- a/packages/core/src/cardamomquay/balancing/_slots.py
+++ b/packages/core/src/cardamomquay/balancing/_slots.py
@@ -23,6 +23,11 @@
     from cardamomquay.config import Pool
 
 
+# Longest wait in a region while another one may be used, so that a full region
+# leaves time for the next.
+REGION_WAIT_S = 0.05
+
+
 class SlotChooser(UpstreamChooser):
     """Uses slots lent by one lender for each pool and region; safe for threads.
 
@@ -91,10 +96,14 @@
     ) -> Reservation | Refusal:
         refusal = Refusal(RefusalReason.POOL_EMPTY)
         with self._changed:
-            for region in self._regions.get(pool.name, (self._home,)):
+            regions = self._regions.get(pool.name, (self._home,))
+            for rank, region in enumerate(regions, start=1):
                 table = self._table(pool, region)
                 now_s = self._clock.now_s()
-                ticket = table.submit(organisation, excluded, deadline_s, now_s)
+                until_s = deadline_s
+                if rank < len(regions):
+                    until_s = min(deadline_s, now_s + REGION_WAIT_S)
+                ticket = table.submit(organisation, excluded, until_s, now_s)
                 if ticket.result is None:
                     self._changed.notify_all()
                     self._wait(table, ticket)
--- a/packages/core/tests/balancing/test_slots.py
+++ b/packages/core/tests/balancing/test_slots.py
@@ -241,6 +241,51 @@
             self.assertIsInstance(got, expected)
         self.assertEqual(chooser.connections_allowed("browse", "u1", "mtl"), 0)
 
+    def test_next_region_when_the_first_is_busy(self) -> None:
+        """Guards against a wait for the whole deadline in a full region."""
+        clock, transport, chooser, pool = self.chooser()
+        far = replace(pool.upstreams[0], name="far", region="qc")
+        both = Pool("browse", "owner", (pool.upstreams[0], far))
+        lenders = {
+            "mtl": SlotLender((pool.upstreams[0],), 5.0, 100.0, first=True),
+            "qc": SlotLender((far,), 5.0, 100.0, first=True),
+        }
+        transport.borrow = lambda r: lenders[r.region].lend(r, clock.now_s())  # type: ignore[method-assign]
+        chooser.set_regions("browse", ["mtl", "qc"])
+        results: list[Reservation | Refusal] = []
+        for _ in range(4):
+            thread = threading.Thread(
+                target=lambda: results.append(chooser.reserve(both, "a", (), 110.0))
+            )
+            thread.start()
+            while thread.is_alive():
+                chooser.poll()
+                clock.advance(0.01)
+                thread.join(0.001)
+        names = [r.upstream.name for r in results if isinstance(r, Reservation)]
+        self.assertEqual(names, ["u0", "u0", "u0", "far"])
+        self.assertLess(clock.now_s(), 105.0)
+
+    def test_draining_upstream(self) -> None:
+        """Guards against new work for a leaving upstream after 3 s."""
+        for cut_off in (False, True):
+            with self.subTest(cut_off=cut_off):
+                clock, transport, chooser, pool = self.chooser()
+                chooser.reserve(pool, "a", (), 100.0)
+                chooser.poll()
+                draining = [replace(u, draining=True) for u in pool.upstreams]
+                transport.lender.apply_upstreams(draining, 5.0, 100.0)
+                latest_s = 0.0
+                for _ in range(50):
+                    clock.advance(0.1)
+                    if not cut_off:
+                        chooser.poll()
+                    got = chooser.reserve(pool, "a", (), clock.now_s())
+                    if isinstance(got, Reservation):
+                        latest_s = got.valid_until_s
+                        chooser.release(got, GOOD)
+                self.assertLess(latest_s, 103.0)
+
     def test_regions(self) -> None:
         """Guards against requests that leave the region unasked, or never can."""
         clock, pool = ManualClock(100.0), make_pool(1)
