Measure the gap in service after the loss of a lender

Change: `measure_lender_loss(seed)` loses the lender's host; a successor starts 8 s later and is silent for grant, longest deadline (1 s here) and margin.

--- a/packages/dev/src/cardamomquay_dev/measure_balancing.py
+++ b/packages/dev/src/cardamomquay_dev/measure_balancing.py
@@ -54,6 +54,9 @@
 DEADLINE_S = 1.0
 POLL_S = 0.005
 VIEW_LAG_MAX_S = 1.5
+# Time from the loss of a lender's host until its successor starts: a lease has to
+# be read unchanged for 6 s, and taken over.
+TAKEOVER_S = 8.0
 POOL = "browse"
 REGION = "mtl"
 
@@ -88,6 +91,8 @@
 
 class _Simulation:
     def __init__(self, policy: str, seed: int, load: float, duration_s: float) -> None:
+        self.lender_lost = False
+        self.answered_at: list[float] = []
         self.policy = policy
         self.duration_s = duration_s
         self.random = Random(seed)
@@ -168,6 +173,14 @@
             self.servers[name].connections -= count
         self.lost_at[host.name] = self.now_s
 
+    def lose_lender(self) -> None:
+        self.lender_lost = True
+        self.at(self.now_s + TAKEOVER_S, self._replace_lender)
+
+    def _replace_lender(self) -> None:
+        self.lender_lost = False
+        self.lender = SlotLender(self.pool.upstreams, DEADLINE_S, self.now_s)
+
     def _arrive(self) -> None:
         self.at(self.now_s + self.random.expovariate(self.rate_per_s), self._arrive)
         live = [host for host in self.hosts if not host.lost]
@@ -233,6 +246,7 @@
                 self.sheds["upstream"] += 1
             else:
                 self.latencies.append(self.now_s - arrived_s)
+                self.answered_at.append(self.now_s)
             if host.table is None:
                 self.chooser[host.name].release(got, observation)
                 return
@@ -278,7 +292,7 @@
         self.calls += 1
 
         def reach_lender() -> None:
-            grant = self.lender.lend(request, self.now_s)
+            grant = None if self.lender_lost else self.lender.lend(request, self.now_s)
             self.at(self.now_s + CALL_S / 2, lambda: replied(grant))
 
         def replied(grant: SlotGrant | None) -> None:
@@ -326,6 +340,30 @@
     return _Simulation(policy, seed, load, duration_s).run()
 
 
+def measure_lender_loss(seed: int, load: float = 0.6) -> dict[str, float]:
+    """Measure how long a pool is without service when its lender's host is lost.
+
+    Parameters
+    ----------
+    seed : int
+    load : float, default=0.6
+
+    Returns
+    -------
+    dict
+        Longest time without an answer and its share of refused requests.
+    """
+    simulation = _Simulation("slot_lending", seed, load, 40.0)
+    simulation.at(12.0, simulation.lose_lender)
+    result = simulation.run()
+    answered = np.array(simulation.answered_at)
+    return {
+        "longest_gap_s": round(float(np.diff(answered).max()), 2),
+        "shed_share": round(result["shed_by_host"] / result["requests"], 3),
+        "requests_above_slots": result["requests_above_slots"],
+    }
+
+
 def measure_balancing(seed: int, load: float = 0.6) -> dict[str, dict[str, float]]:
     """Run the simulation for every way to choose.
 
