Add lenders and purses that bound an organisation's runs over all hosts

Change: portions of a limit, a Lender (token bucket, outstanding accounting by numbered requests with cumulative counters, silence, lease check, immediate cut), a Purse on the borrower's side, and LentQuotaAdmission over a LenderDirectory. A new lender accrues its first token at the end of its silence: tokens accrued during the silence would come on top of the predecessor's last burst. Reports state what is held, so a late report cannot free tokens that are still usable. Admission.mark_sent tells when a token is spent; the default does nothing.

--- a/packages/core/src/cardamomquay/admission/_admission.py
+++ b/packages/core/src/cardamomquay/admission/_admission.py
@@ -54,6 +54,15 @@
     def give_back(self, organisation: str, admitted: Admitted) -> None:
         """Return the token of a request that has certainly not run."""
 
+    def mark_sent(  # noqa: B027 - an admission that does not lend has nothing to do
+        self, organisation: str, admitted: Admitted
+    ) -> None:
+        """Note that the request is about to be sent.
+
+        Admissions that lend report the token as spent from here on. A second
+        sending of the same request needs a token of its own.
+        """
+
 
 class TokenBucket:
     """A token bucket; the caller serialises access.
--- /dev/null
+++ b/packages/core/src/cardamomquay/quota/_admission.py
@@ -0,0 +1,209 @@
+"""Admission with lent tokens."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass
+from functools import partial
+from typing import TYPE_CHECKING
+
+from cardamomquay.admission import Admission
+from cardamomquay.admission import Admitted
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+from cardamomquay.quota._messages import Grant
+from cardamomquay.quota._messages import GrantRequest
+from cardamomquay.quota._messages import GrantStatus
+from cardamomquay.quota._messages import LenderDirectory
+from cardamomquay.quota._messages import Limit
+from cardamomquay.quota._purse import Purse
+from cardamomquay.quota._purse import Token
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    from concurrent.futures import Future
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.quota._portions import Portion
+    from cardamomquay.reducer import Identity
+
+# A round trip between regions takes up to 110 ms today.
+MAX_GRANT_WAIT_S = 0.15
+
+
+@dataclass(frozen=True, slots=True)
+class LentAdmitted(Admitted):
+    """A lent token was taken."""
+
+    token: Token
+
+
+class LentQuotaAdmission(Admission):
+    """Takes tokens that the lenders of an organisation's portions have lent.
+
+    Parameters
+    ----------
+    clock : Clock
+    directory : LenderDirectory
+    identity : Identity
+        Of this host.
+    max_wait_s : float, default=MAX_GRANT_WAIT_S
+        Longest wait for a grant, in seconds.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        directory: LenderDirectory,
+        identity: Identity,
+        max_wait_s: float = MAX_GRANT_WAIT_S,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._identity = identity
+        self.max_wait_s = max_wait_s
+        self._numbers = itertools.count(1)
+        # Replaced as a whole, so readers need no lock.
+        self._purses: dict[str, Purse] = {}
+
+    def apply(self, portions: Mapping[str, Sequence[Portion]]) -> None:
+        """Apply the portions of a configuration, by organisation."""
+        purses = {}
+        for name, parts in portions.items():
+            own_first = sorted(parts, key=lambda p: p.region != self._identity.region)
+            resources = tuple(portion.resource for portion in own_first)
+            limit = Limit(
+                sum(portion.limit.rate_per_s for portion in parts),
+                sum(portion.limit.burst for portion in parts),
+            )
+            purse = self._purses.get(name)
+            if purse is None:
+                identity = self._identity
+                purse = Purse(
+                    resources,
+                    limit,
+                    identity.host,
+                    identity.incarnation,
+                    self._numbers,
+                )
+            else:
+                purse.change(resources, limit)
+            purses[name] = purse
+        self._purses = purses
+
+    def admit(self, organisation: str, deadline_s: float) -> Admitted | Refusal:
+        now_s = self._clock.now_s()
+        until_s = min(deadline_s, now_s + self.max_wait_s)
+        outcome = self.try_admit(organisation, first=True)
+        if outcome is not None:
+            return outcome
+        purse = self._purses.get(organisation)
+        if purse is None:
+            return Refusal(RefusalReason.QUOTA_UNAVAILABLE, "no quota known")
+        with purse.condition:
+            purse.waiting += 1
+        try:
+            return self._wait(organisation, purse, until_s)
+        finally:
+            with purse.condition:
+                purse.waiting -= 1
+
+    def try_admit(
+        self, organisation: str, *, first: bool = False
+    ) -> Admitted | Refusal | None:
+        """Take one token without waiting.
+
+        Parameters
+        ----------
+        organisation : str
+        first : bool, default=False
+            Whether this is the request's first attempt, which counts as demand.
+
+        Returns
+        -------
+        Admitted, Refusal or None
+            None while an answer of a lender is awaited.
+        """
+        purse = self._purses.get(organisation)
+        if purse is None:
+            return Refusal(RefusalReason.QUOTA_UNAVAILABLE, "no quota known")
+        now_s = self._clock.now_s()
+        if first:
+            purse.note_demand(now_s)
+        token = purse.take(now_s)
+        if token is not None:
+            self._send(purse, purse.plan(now_s))
+            return LentAdmitted(token.valid_until_s, token)
+        with purse.condition:
+            purse.waiting += first
+        try:
+            self._send(purse, purse.plan(now_s))
+        finally:
+            with purse.condition:
+                purse.waiting -= first
+        token = purse.take(self._clock.now_s())
+        if token is not None:
+            return LentAdmitted(token.valid_until_s, token)
+        if purse.is_hopeless(now_s):
+            return self.refuse(organisation)
+        return None
+
+    def refuse(self, organisation: str) -> Refusal:
+        """Return the refusal of a request that got no token in time."""
+        purse = self._purses.get(organisation)
+        now_s = self._clock.now_s()
+        retry_after_s = None if purse is None else purse.denial(now_s)
+        if retry_after_s is None:
+            detail = "no answer of a lender in time"
+            return Refusal(RefusalReason.QUOTA_UNAVAILABLE, detail)
+        return Refusal(RefusalReason.LIMIT_EXCEEDED, retry_after_s=retry_after_s)
+
+    def mark_sent(self, organisation: str, admitted: Admitted) -> None:
+        purse = self._purses.get(organisation)
+        if purse is not None and isinstance(admitted, LentAdmitted):
+            purse.mark_sent(admitted.token)
+
+    def give_back(self, organisation: str, admitted: Admitted) -> None:
+        purse = self._purses.get(organisation)
+        if purse is not None and isinstance(admitted, LentAdmitted):
+            purse.give_back(admitted.token)
+
+    def maintain(self) -> None:
+        """Return, report and renew; to be called every 100 ms."""
+        now_s = self._clock.now_s()
+        for purse in self._purses.values():
+            self._send(purse, purse.maintain(now_s))
+
+    def _wait(
+        self, organisation: str, purse: Purse, until_s: float
+    ) -> Admitted | Refusal:
+        while True:
+            with purse.condition:
+                changes = purse.changes
+            outcome = self.try_admit(organisation)
+            if outcome is not None:
+                return outcome
+            remaining_s = until_s - self._clock.now_s()
+            if remaining_s <= 0:
+                return self.refuse(organisation)
+            with purse.condition:
+                if purse.changes == changes:
+                    self._clock.wait(purse.condition, remaining_s)
+
+    def _send(self, purse: Purse, requests: Sequence[GrantRequest]) -> None:
+        for request in requests:
+            fut = self._directory.borrow(request)
+            fut.add_done_callback(partial(self._answered, purse, request))
+
+    def _answered(
+        self, purse: Purse, request: GrantRequest, fut: Future[Grant]
+    ) -> None:
+        grant = Grant(GrantStatus.NO_ANSWER)
+        if not fut.cancelled() and fut.exception() is None:
+            grant = fut.result()
+        now_s = self._clock.now_s()
+        purse.complete(request, grant, now_s)
+        if grant.granted < request.wanted:
+            # The lender was short or absent; what is still needed comes from others.
+            self._send(purse, purse.plan(now_s))
--- /dev/null
+++ b/packages/core/src/cardamomquay/quota/_window.py
@@ -0,0 +1,33 @@
+"""Check of a history of runs against a rate and a burst."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from cardamomquay.quota._messages import Limit
+
+
+def largest_excess(run_times_s: Iterable[float], limit: Limit) -> float:
+    """Return the most by which any window exceeds ``rate * t + burst``.
+
+    Parameters
+    ----------
+    run_times_s : iterable of float
+        Times of the runs on one clock, in seconds, in any order.
+    limit : Limit
+
+    Returns
+    -------
+    float
+        Runs above the bound in the worst window; negative or 0 if the bound holds.
+    """
+    worst = -float(limit.burst)
+    lowest = float("inf")
+    for index, at_s in enumerate(sorted(run_times_s)):
+        lowest = min(lowest, index - limit.rate_per_s * at_s)
+        runs_less_rate = index + 1 - limit.rate_per_s * at_s - lowest
+        worst = max(worst, runs_less_rate - limit.burst)
+    return worst
--- /dev/null
+++ b/packages/core/tests/quota/test_lender.py
@@ -0,0 +1,185 @@
+from __future__ import annotations
+
+import unittest
+
+from cardamomquay.leases import LeaseState
+from cardamomquay.quota import CONFIG_IN_FORCE_S
+from cardamomquay.quota import NEW_LENDER_SILENCE_S
+from cardamomquay.quota import Grant
+from cardamomquay.quota import GrantRequest
+from cardamomquay.quota import GrantStatus
+from cardamomquay.quota import Lender
+from cardamomquay.quota import Limit
+from cardamomquay.quota import largest_excess
+
+FOREVER = LeaseState(fence=1, valid_until_s=float("inf"))
+
+
+class Borrower:
+    """Sends well-formed requests and remembers them."""
+
+    def __init__(self, lender: Lender, name: str = "h1") -> None:
+        self.lender = lender
+        self.name = name
+        self.number = 0
+
+    def ask(
+        self,
+        now_s: float,
+        wanted: int = 0,
+        held: int = 0,
+        spent: int = 0,
+        back: int = 0,
+    ) -> Grant:
+        self.number += 1
+        self.last = GrantRequest(
+            "r", self.name, "i1", self.number, 1, wanted, held, spent, back
+        )
+        return self.lender.lend(self.last, now_s)
+
+
+def full_lender(rate: float = 10.0, burst: int = 10) -> tuple[Lender, float]:
+    """Return a lender and a time at which its bucket has just become full."""
+    lender = Lender(
+        "r", 1, Limit(rate, burst), lease=lambda: FOREVER, lease_fence=1, now_s=0.0
+    )
+    return lender, NEW_LENDER_SILENCE_S + burst / rate
+
+
+class NewLenderTest(unittest.TestCase):
+    def test_silent_and_empty(self) -> None:
+        """Guards against lending on top of the predecessor's whole burst."""
+        lender, _ = full_lender()
+        borrower = Borrower(lender)
+        early = borrower.ask(NEW_LENDER_SILENCE_S - 0.01, wanted=5)
+        self.assertEqual((early.status, early.granted), (GrantStatus.STARTING, 0))
+        first = borrower.ask(NEW_LENDER_SILENCE_S, wanted=5)
+        self.assertEqual((first.status, first.granted), (GrantStatus.LENT, 0))
+        self.assertEqual(borrower.ask(NEW_LENDER_SILENCE_S + 0.11, 5).granted, 1)
+
+
+class LeaseTest(unittest.TestCase):
+    def test_lends_only_under_the_lease_of_its_claim(self) -> None:
+        """Guards against two lenders of one portion after a pause."""
+        now_s = 5.0
+        cases = {
+            "valid": (LeaseState(1, 5.1), GrantStatus.LENT),
+            "expired": (LeaseState(1, 5.0), GrantStatus.LEASE_INVALID),
+            "acquired again": (LeaseState(2, 9.0), GrantStatus.LEASE_INVALID),
+        }
+        for name, (lease, expected) in cases.items():
+            with self.subTest(name):
+                lender = Lender(
+                    "r",
+                    1,
+                    Limit(10.0, 10),
+                    lease=lambda lease=lease: lease,
+                    lease_fence=1,
+                    now_s=0.0,
+                )
+                grant = Borrower(lender).ask(now_s, wanted=1)
+                self.assertIs(grant.status, expected)
+
+
+class OutstandingTest(unittest.TestCase):
+    def test_level_and_outstanding_stay_under_the_burst(self) -> None:
+        """Guards against refilling while borrowers hold the burst."""
+        lender, now_s = full_lender()
+        first, second = Borrower(lender), Borrower(lender, "h2")
+        self.assertEqual(first.ask(now_s, wanted=10).granted, 10)
+        self.assertEqual(second.ask(now_s + 1.2, wanted=10).granted, 0)
+
+    def test_report_of_spending_lets_the_level_refill(self) -> None:
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        borrower.ask(now_s, wanted=10)
+        borrower.ask(now_s + 0.1, held=0, spent=10)
+        self.assertEqual(borrower.ask(now_s + 0.45, wanted=10, spent=10).granted, 3)
+
+    def test_a_killed_borrower_blocks_its_tokens_for_the_margin_only(self) -> None:
+        lender, now_s = full_lender()
+        Borrower(lender).ask(now_s, wanted=10)
+        other = Borrower(lender, "h2")
+        self.assertEqual(other.ask(now_s + NEW_LENDER_SILENCE_S, 10).granted, 0)
+        self.assertEqual(other.ask(now_s + NEW_LENDER_SILENCE_S + 0.5, 10).granted, 5)
+
+    def test_returned_tokens_can_be_lent_at_once(self) -> None:
+        lender, now_s = full_lender()
+        borrower, other = Borrower(lender), Borrower(lender, "h2")
+        borrower.ask(now_s, wanted=10)
+        borrower.ask(now_s + 0.01, held=4, back=6)
+        self.assertEqual(other.ask(now_s + 0.01, wanted=10).granted, 6)
+
+    def test_late_return_creates_no_token(self) -> None:
+        """Guards against lending tokens again that had expired at the lender."""
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        borrower.ask(now_s, wanted=5)
+        borrower.ask(now_s + 0.5, wanted=5, held=5)
+        # The first five expire at the lender; the other five were then spent.
+        late = borrower.ask(now_s + 1.3, wanted=10, held=0, spent=5, back=5)
+        self.assertEqual(late.granted, 0)
+
+    def test_unreported_spending_of_an_expired_grant_frees_no_other(self) -> None:
+        """Guards against attributing a late report to tokens still held."""
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        borrower.ask(now_s, wanted=5)
+        borrower.ask(now_s + 0.5, wanted=5, held=5)
+        borrower.ask(now_s + 1.3, held=5, spent=5)
+        self.assertEqual(lender.outstanding(now_s + 1.3), 5)
+
+
+class MessageTest(unittest.TestCase):
+    def test_duplicate_gets_the_same_grant_once(self) -> None:
+        """Guards against a repeated report that hides the grant it got."""
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        grant = borrower.ask(now_s, wanted=10)
+        self.assertEqual(lender.lend(borrower.last, now_s + 0.1), grant)
+        self.assertEqual(lender.outstanding(now_s + 0.1), 10)
+
+    def test_reordered_request_changes_nothing(self) -> None:
+        """Guards against an old report that hides tokens lent since."""
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        borrower.ask(now_s, wanted=1)
+        old = borrower.last
+        borrower.ask(now_s, wanted=4, held=1)
+        self.assertIs(lender.lend(old, now_s + 0.1).status, GrantStatus.STALE)
+        self.assertEqual(lender.outstanding(now_s + 0.1), 5)
+
+    def test_superseded_lender_refuses(self) -> None:
+        lender, now_s = full_lender()
+        request = GrantRequest("r", "h1", "i1", 1, 2, 1, 0, 0, 0)
+        self.assertIs(lender.lend(request, now_s).status, GrantStatus.NOT_LENDER)
+
+
+class ChangeTest(unittest.TestCase):
+    def test_lower_at_once_and_higher_after_every_host_knows(self) -> None:
+        """Guards against the sum of portions exceeding both limits."""
+        lender, now_s = full_lender()
+        borrower = Borrower(lender)
+        lender.change(Limit(2.0, 4), now_s)
+        self.assertEqual(borrower.ask(now_s, wanted=10).granted, 4)
+        borrower.ask(now_s + 0.1, spent=4)
+        self.assertEqual(borrower.ask(now_s + 0.7, wanted=10, spent=4).granted, 1)
+        lender.change(Limit(100.0, 50), now_s + 2.0)
+        before_s = now_s + 2.0 + CONFIG_IN_FORCE_S - 0.1
+        self.assertEqual(borrower.ask(before_s, 50, spent=5).granted, 4)
+        after_s = now_s + 2.0 + CONFIG_IN_FORCE_S
+        borrower.ask(after_s, spent=9)
+        self.assertEqual(borrower.ask(after_s + 0.5, wanted=100, spent=9).granted, 50)
+
+
+class LargestExcessTest(unittest.TestCase):
+    def test_cases(self) -> None:
+        limit = Limit(1.0, 2)
+        cases = {
+            "within": ([0.0, 0.0, 1.0, 2.0], 0.0),
+            "late burst": ([0.0, 5.0, 5.0, 5.0, 5.5], 1.5),
+            "no runs": ([], -2.0),
+        }
+        for name, (times, expected) in cases.items():
+            with self.subTest(name):
+                self.assertAlmostEqual(largest_excess(times, limit), expected)
