Allow a lender of slots for each availability zone

Cause: the loss of one host stopped a pool in its region for 9.2 s. Change: a table may use one lender for each zone (`by_zone`, off by default). It divides its demand among the lenders that answer, and keeps one queue. Figures of the simulation no longer depend on the order of sets: the grants of a reply are applied in their order.

--- a/packages/core/src/cardamomquay/balancing/_messages.py
+++ b/packages/core/src/cardamomquay/balancing/_messages.py
@@ -54,6 +54,8 @@
     avoid : tuple of str
         Upstreams of which the borrower wants no further slot.
     reports : tuple of UpstreamReport
+    zone : str
+        Availability zone whose lender is asked; empty if the region has one lender.
     """
 
     pool: str
@@ -67,6 +69,7 @@
     wanted: int = 0
     avoid: tuple[str, ...] = ()
     reports: tuple[UpstreamReport, ...] = ()
+    zone: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/core/src/cardamomquay/balancing/_slots.py
+++ b/packages/core/src/cardamomquay/balancing/_slots.py
@@ -37,6 +37,9 @@
     transport : SlotTransport
     host, incarnation, region : str
         This host, its run, and its region.
+    by_zone : bool, default=False
+        Whether each availability zone of a region has a lender of its own, so that
+        the loss of one host stops only a part of a pool.
     """
 
     def __init__(
@@ -46,7 +49,10 @@
         host: str,
         incarnation: str,
         region: str,
+        *,
+        by_zone: bool = False,
     ) -> None:
+        self._by_zone = by_zone
         self._clock = clock
         self._transport = transport
         self._host = host
@@ -143,8 +149,7 @@
             due = []
             for table in self._tables.values():
                 table.settle(now_s)
-                request = table.next_call(now_s)
-                if request is not None:
+                while (request := table.next_call(now_s)) is not None:
                     due.append((table, request))
             self._changed.notify_all()
         for table, request in due:
@@ -164,7 +169,14 @@
         table = self._tables.get((pool.name, region))
         if table is None:
             now_s = self._clock.now_s()
-            table = SlotTable(pool, region, self._host, self._incarnation, now_s)
+            table = SlotTable(
+                pool,
+                region,
+                self._host,
+                self._incarnation,
+                now_s,
+                by_zone=self._by_zone,
+            )
             table.set_weights(self._weights)
             self._tables[pool.name, region] = table
         return table
--- a/packages/core/src/cardamomquay/balancing/_table.py
+++ b/packages/core/src/cardamomquay/balancing/_table.py
@@ -4,14 +4,12 @@
 
 from collections import deque
 from dataclasses import dataclass
-from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from cardamomquay.balancing._chooser import ObservedResult
 from cardamomquay.balancing._chooser import Reservation
-from cardamomquay.balancing._health import FAILED_RESULTS
 from cardamomquay.balancing._health import PassiveHealth
-from cardamomquay.balancing._health import UpstreamReport
+from cardamomquay.balancing._line import LenderLine
 from cardamomquay.balancing._messages import SlotCount
 from cardamomquay.balancing._messages import SlotRequest
 from cardamomquay.outcomes import Refusal
@@ -24,6 +22,7 @@
     from cardamomquay.balancing._chooser import Observation
     from cardamomquay.balancing._messages import SlotGrant
     from cardamomquay.config import Pool
+    from cardamomquay.config import Upstream
 
 BUSY_INTERVAL_S = 0.2
 IDLE_INTERVAL_S = 0.5
@@ -54,6 +53,7 @@
 
 @dataclass(slots=True)
 class _Held:
+    line: LenderLine
     slots: int = 0
     in_use: int = 0
     share: float = 1.0
@@ -73,27 +73,27 @@
     borrower, incarnation : str
         This host and its run.
     now_s : float
+    by_zone : bool, default=False
+        Whether each availability zone of the region has a lender of its own.
     """
 
     def __init__(
-        self, pool: Pool, region: str, borrower: str, incarnation: str, now_s: float
+        self,
+        pool: Pool,
+        region: str,
+        borrower: str,
+        incarnation: str,
+        now_s: float,
+        *,
+        by_zone: bool = False,
     ) -> None:
+        self._by_zone = by_zone
+        self._lines: dict[str, LenderLine] = {}
         self._region = region
         self._borrower = borrower
         self._incarnation = incarnation
         self._held: dict[str, _Held] = {}
-        self._stopped: frozenset[str] = frozenset()
-        self._keep = 0
-        self._valid_until_s = float("-inf")
-        self._sequence = 0
-        self._called_at_s = float("-inf")
-        self._outstanding = False
-        self._told_demand = 0
-        self._told_wanted = 0
-        self._contended = False
-        self._spare_connections = 0
         self._demands: deque[tuple[float, int]] = deque()
-        self._reports: dict[str, UpstreamReport] = {}
         self._queue: list[Ticket] = []
         self._weights: Mapping[str, float] = {}
         self._virtual = 0.0
@@ -108,6 +108,8 @@
         self._upstreams = {
             u.name: u for u in pool.upstreams if u.region == self._region
         }
+        for upstream in self._upstreams.values():
+            self._lines.setdefault(self._zone(upstream), LenderLine())
         draining = [u.name for u in self._upstreams.values() if u.draining]
         self.health.set_upstreams(self._upstreams, draining, now_s)
 
@@ -127,9 +129,11 @@
 
     def connections_allowed(self, upstream: str, now_s: float) -> int:
         """Return how many connections this host may keep open to an upstream."""
-        if now_s >= self._valid_until_s:
+        known = self._upstreams.get(upstream)
+        line = None if known is None else self._lines[self._zone(known)]
+        if line is None or now_s >= line.valid_until_s:
             return self.in_use(upstream)
-        return self.held(upstream) + self._spare_connections
+        return self.held(upstream) + line.spare_connections
 
     def in_use(self, upstream: str) -> int:
         """Return the slots of an upstream that requests use now."""
@@ -200,8 +204,11 @@
         """
         name = reservation.upstream.name
         self.health.observe(name, observation, now_s)
-        self._add_report(name, observation)
+        if observation.result is ObservedResult.ANSWERED:
+            self._mean_latency_s += 0.1 * (observation.latency_s - self._mean_latency_s)
         held = self._held.get(name)
+        if held is not None:
+            held.line.report(name, observation)
         if held is not None and held.in_use > 0:
             held.in_use -= 1
             held.used_at_s = now_s
@@ -233,39 +240,46 @@
         -------
         SlotRequest or None
         """
-        if not self._upstreams and not self._held:
+        for zone, line in self._lines.items():
+            request = self._line_call(zone, line, now_s)
+            if request is not None:
+                return request
+        return None
+
+    def _line_call(
+        self, zone: str, line: LenderLine, now_s: float
+    ) -> SlotRequest | None:
+        names = [n for n, u in self._upstreams.items() if self._zone(u) == zone]
+        held = {n: h for n, h in self._held.items() if h.line is line}
+        if not names and not held:
             return None
-        age_s = now_s - self._called_at_s
-        if age_s < (CALL_TIMEOUT_S if self._outstanding else MIN_GAP_S):
+        age_s = now_s - line.called_at_s
+        if age_s < (CALL_TIMEOUT_S if line.outstanding else MIN_GAP_S):
             return None
-        demand = self.waiting + self._in_use()
-        wanted = self._note_demand(now_s)
-        if age_s < self._interval_s(demand, wanted):
+        if line.outstanding:
+            line.answers = False
+        sharing = max(1, sum(other.answers for other in self._lines.values()))
+        # A lender that does not answer is asked too, for when it returns.
+        demand = self._in_use(line) + -(-self.waiting // sharing)
+        wanted = max(demand, -(-self._note_demand(now_s) // sharing))
+        if age_s < self._interval_s(line, demand, wanted):
             return None
-        self._drop_surplus(wanted, now_s)
+        self._drop_surplus(line, wanted, now_s)
         request = SlotRequest(
             self._pool,
             self._region,
             self._borrower,
             self._incarnation,
-            self._sequence + 1,
-            tuple(SlotCount(n, h.slots) for n, h in self._held.items() if h.slots),
-            now_s < self._valid_until_s,
+            line.sequence + 1,
+            tuple(SlotCount(n, h.slots) for n, h in held.items() if h.slots),
+            now_s < line.valid_until_s,
             demand,
             wanted,
-            tuple(
-                name
-                for name in self._upstreams
-                if self.health.usable_share(name, now_s) == 0
-            ),
-            tuple(self._reports.values()),
+            tuple(n for n in names if self.health.usable_share(n, now_s) == 0),
+            tuple(line.reports.values()),
+            zone,
         )
-        self._sequence += 1
-        self._reports.clear()
-        self._called_at_s = now_s
-        self._told_demand = demand
-        self._told_wanted = wanted
-        self._outstanding = True
+        line.start_call(demand, wanted, now_s)
         return request
 
     def apply_reply(
@@ -279,31 +293,31 @@
         grant : SlotGrant or None
         now_s : float
         """
-        if request.sequence != self._sequence or not self._outstanding:
+        line = self._lines[request.zone]
+        if request.sequence != line.sequence or not line.outstanding:
             return
-        self._outstanding = False
+        line.outstanding = False
+        line.answers = grant is not None
         if grant is None:
             return
         granted = {item.upstream: item for item in grant.slots}
-        for name in granted.keys() - self._held.keys():
-            self._held[name] = _Held(used_at_s=now_s)
+        for name in granted:
+            self._held.setdefault(name, _Held(line, used_at_s=now_s))
         for name, held in tuple(self._held.items()):
+            if held.line is not line:
+                continue
             item = granted.get(name)
             held.slots = 0 if item is None else item.slots
             held.share = 1.0 if item is None else item.share
             if held.slots == 0 and held.in_use == 0:
                 del self._held[name]
-        self._keep = grant.keep
-        self._stopped = frozenset(grant.stopped)
-        self._contended = grant.contended
-        self._spare_connections = grant.spare_connections
-        # Dated from the start of the call: the lender dates it from a later time.
-        self._valid_until_s = self._called_at_s + grant.valid_s
+        line.apply(grant)
         self.settle(now_s)
 
+    def _zone(self, upstream: Upstream) -> str:
+        return upstream.availability_zone if self._by_zone else ""
+
     def _pick(self, ticket: Ticket, now_s: float) -> Reservation | None:
-        if now_s >= self._valid_until_s or self._in_use() >= self._keep:
-            return None
         best: tuple[tuple[float, float, str], str] | None = None
         for name, held in self._held.items():
             if name in ticket.excluded or not self._is_open(name, held, now_s):
@@ -319,14 +333,18 @@
         held.used_at_s = now_s
         self._virtual = max(self._virtual, ticket.tag)
         self._note_demand(now_s)
-        return Reservation(self._pool, self._upstreams[name], self._valid_until_s)
+        until_s = held.line.valid_until_s
+        return Reservation(self._pool, self._upstreams[name], until_s)
 
     def _is_open(self, name: str, held: _Held, now_s: float) -> bool:
+        line = held.line
         return (
             held.in_use < held.slots
+            and now_s < line.valid_until_s
+            and self._in_use(line) < line.keep
             and held.rest_until_s <= now_s
             and name in self._upstreams
-            and name not in self._stopped
+            and name not in line.stopped
             and self.health.usable_share(name, now_s) > 0
         )
 
@@ -356,51 +374,39 @@
         highest = self._demands[0][1]
         return highest + SPARE_SLOTS if highest else 0
 
-    def _in_use(self) -> int:
-        return sum(held.in_use for held in self._held.values())
+    def _in_use(self, line: LenderLine | None = None) -> int:
+        return sum(
+            held.in_use
+            for held in self._held.values()
+            if line is None or held.line is line
+        )
 
-    def _interval_s(self, demand: int, wanted: int) -> float:
-        held = sum(held.slots for held in self._held.values())
-        idle = held - self._in_use()
-        if demand > max(held, self._told_demand) or (held > self._keep and idle > 0):
+    def _interval_s(self, line: LenderLine, demand: int, wanted: int) -> float:
+        held = sum(held.slots for held in self._held.values() if held.line is line)
+        idle = held - self._in_use(line)
+        if demand > max(held, line.told_demand) or (held > line.keep and idle > 0):
             return MIN_GAP_S
-        if wanted and not held and not self._told_wanted:
+        if wanted and not held and not line.told_wanted:
             return MIN_GAP_S
         if self._queue:
             return WAITING_INTERVAL_S
-        if self._contended and idle > 0:
+        if line.contended and idle > 0:
             return CONTENDED_INTERVAL_S
         return BUSY_INTERVAL_S if wanted else IDLE_INTERVAL_S
 
-    def _drop_surplus(self, wanted: int, now_s: float) -> None:
-        for name, held in self._held.items():
-            usable = name in self._upstreams and name not in self._stopped
+    def _drop_surplus(self, line: LenderLine, wanted: int, now_s: float) -> None:
+        own = {name: held for name, held in self._held.items() if held.line is line}
+        for name, held in own.items():
+            usable = name in self._upstreams and name not in line.stopped
             if not usable or self.health.usable_share(name, now_s) == 0:
                 held.slots = min(held.slots, held.in_use)
-        allowed = min(self._keep, wanted)
-        surplus = sum(held.slots for held in self._held.values()) - allowed
+        allowed = min(line.keep, wanted)
+        surplus = sum(held.slots for held in own.values()) - allowed
         by_cost = sorted(
-            self._held,
-            key=lambda n: (self.health.cost_s(n, now_s), -self._held[n].used_at_s),
+            own, key=lambda n: (self.health.cost_s(n, now_s), -own[n].used_at_s)
         )
         while surplus > 0 and by_cost:
-            held = self._held[by_cost.pop()]
+            held = own[by_cost.pop()]
             idle = max(0, held.slots - held.in_use)
             held.slots -= min(idle, surplus)
             surplus -= min(idle, surplus)
-
-    def _add_report(self, name: str, observation: Observation) -> None:
-        result = observation.result
-        old = self._reports.get(name, UpstreamReport(name))
-        if result is ObservedResult.ANSWERED:
-            self._mean_latency_s += 0.1 * (observation.latency_s - self._mean_latency_s)
-            old = replace(
-                old,
-                answered=old.answered + 1,
-                latency_sum_s=old.latency_sum_s + observation.latency_s,
-            )
-        elif result is ObservedResult.SHED:
-            old = replace(old, shed=old.shed + 1)
-        elif result in FAILED_RESULTS:
-            old = replace(old, failed=old.failed + 1)
-        self._reports[name] = old
--- a/packages/core/tests/balancing/test_slots.py
+++ b/packages/core/tests/balancing/test_slots.py
@@ -113,6 +113,49 @@
         self.table.release(got[0], GOOD, GRANT_S)  # type: ignore[arg-type]
         self.assertIsInstance(self.take(GRANT_S), Refusal)
 
+    def test_lenders_by_zone(self) -> None:
+        """Guards against a pool that stops when the host of one lender is lost."""
+        zones = ("mtl-a", "mtl-b")
+        pool = Pool(
+            "browse",
+            "owner",
+            tuple(
+                replace(u, availability_zone=zone)
+                for u, zone in zip(self.pool.upstreams, zones, strict=True)
+            ),
+        )
+        lenders = {
+            zone: SlotLender([upstream], 5.0, 0.0, first=True)
+            for zone, upstream in zip(zones, pool.upstreams, strict=True)
+        }
+        table = SlotTable(pool, "mtl", "h", "1", 0.0, by_zone=True)
+        tickets = [table.submit("a", (), LATE_S, 0.0) for _ in range(6)]
+        asked: dict[str, list[int]] = {zone: [] for zone in zones}
+        for step in range(400):
+            now_s = step / 100
+            while (request := table.next_call(now_s)) is not None:
+                asked[request.zone].append(request.demand)
+                lost = request.zone == "mtl-b" and now_s > 1.0
+                grant = None if lost else lenders[request.zone].lend(request, now_s)
+                table.apply_reply(request, grant, now_s)
+            if now_s == 1.0:
+                got = {t.result.upstream.name for t in tickets
+                       if isinstance(t.result, Reservation)}  # fmt: skip
+                self.assertEqual(got, {"u0", "u1"})
+                self.assertEqual(asked["mtl-a"][0], 3, "half of the demand")
+                for ticket in tickets:
+                    assert isinstance(ticket.result, Reservation)
+                    table.release(ticket.result, GOOD, now_s)
+        late = [table.submit("a", (), LATE_S, now_s) for _ in range(3)]
+        now_s += 0.1
+        request = table.next_call(now_s)
+        assert request is not None
+        self.assertEqual((request.zone, request.demand), ("mtl-a", 3))
+        table.apply_reply(request, lenders["mtl-a"].lend(request, now_s), now_s)
+        names = [t.result.upstream.name for t in late
+                 if isinstance(t.result, Reservation)]  # fmt: skip
+        self.assertEqual(names, ["u0"] * 3)
+
     def test_idle_slots_are_returned(self) -> None:
         """Guards against a host that keeps slots that it does not use."""
         self.grant(0.0)
--- a/packages/dev/src/cardamomquay_dev/measure_balancing.py
+++ b/packages/dev/src/cardamomquay_dev/measure_balancing.py
@@ -36,9 +36,16 @@
     from collections.abc import Callable
 
     from cardamomquay.balancing import SlotGrant
+    from cardamomquay.balancing import SlotRequest
     from cardamomquay.balancing import UpstreamChooser
 
-POLICIES = ("slot_lending", "rotating_subsets", "random", "round_robin")
+POLICIES = (
+    "slot_lending",
+    "slot_lending_by_zone",
+    "rotating_subsets",
+    "random",
+    "round_robin",
+)
 DURATION_S = 16.0
 COLD_JOINS_AT_S = 3.0
 HOSTS_JOIN_AT_S = 5.0
@@ -59,11 +66,15 @@
 TAKEOVER_S = 8.0
 POOL = "browse"
 REGION = "mtl"
+ZONES = ("mtl-a", "mtl-b")
+BY_ZONE = "slot_lending_by_zone"
 
 
 def _upstreams(count: int) -> tuple[Upstream, ...]:
     return tuple(
-        Upstream(f"u{i:02d}", f"10.0.0.{i + 1}:80", REGION, "mtl-a", 3 + i % 2, 330)
+        Upstream(
+            f"u{i:02d}", f"10.0.0.{i + 1}:80", REGION, ZONES[i // 2 % 2], 3 + i % 2, 330
+        )
         for i in range(count)
     )
 
@@ -91,7 +102,7 @@
 
 class _Simulation:
     def __init__(self, policy: str, seed: int, load: float, duration_s: float) -> None:
-        self.lender_lost = False
+        self.lost_lender: str | None = None
         self.answered_at: list[float] = []
         self.policy = policy
         self.duration_s = duration_s
@@ -101,7 +112,11 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self.pool = Pool(POOL, "owner", _upstreams(11))
         self.servers = {u.name: _Server(u) for u in _upstreams(12)}
-        self.lender = SlotLender(self.pool.upstreams, DEADLINE_S, 0.0, first=True)
+        zones = ZONES if policy == BY_ZONE else ("",)
+        self.lenders = {
+            zone: SlotLender(self._of(zone), DEADLINE_S, 0.0, first=True)
+            for zone in zones
+        }
         self.hosts: list[_Host] = []
         self.joined_at: dict[str, float] = {}
         self.lost_at: dict[str, float] = {}
@@ -142,14 +157,20 @@
             "probes_per_s": round(self.probes / self.duration_s, 2),
         }
 
+    def _of(self, zone: str) -> tuple[Upstream, ...]:
+        zones = {"": ZONES}.get(zone, (zone,))
+        return tuple(u for u in self.pool.upstreams if u.availability_zone in zones)
+
     def at(self, when_s: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (when_s, next(self._order), action))
 
     def _join(self) -> None:
         name = f"h{len(self.hosts):02d}"
         host = _Host(name, self.random.uniform(0.1, VIEW_LAG_MAX_S))
-        if self.policy in {"slot_lending", "rotating_subsets"}:
-            host.table = SlotTable(self.pool, REGION, name, "1", self.now_s)
+        if self.policy in {"slot_lending", BY_ZONE, "rotating_subsets"}:
+            host.table = SlotTable(
+                self.pool, REGION, name, "1", self.now_s, by_zone=self.policy == BY_ZONE
+            )
         elif self.policy == "random":
             self.chooser[name] = RandomChooser(Random(self.random.random()))
         else:
@@ -160,7 +181,8 @@
 
     def _cold_joins(self) -> None:
         self.pool = Pool(POOL, "owner", _upstreams(12))
-        self.lender.apply_upstreams(self.pool.upstreams, DEADLINE_S, self.now_s)
+        for zone, lender in self.lenders.items():
+            lender.apply_upstreams(self._of(zone), DEADLINE_S, self.now_s)
         for host in self.hosts:
             if host.table is not None:
                 host.table.apply_pool(self.pool, self.now_s)
@@ -174,12 +196,14 @@
         self.lost_at[host.name] = self.now_s
 
     def lose_lender(self) -> None:
-        self.lender_lost = True
+        self.lost_lender = next(iter(self.lenders))
         self.at(self.now_s + TAKEOVER_S, self._replace_lender)
 
     def _replace_lender(self) -> None:
-        self.lender_lost = False
-        self.lender = SlotLender(self.pool.upstreams, DEADLINE_S, self.now_s)
+        zone = self.lost_lender
+        assert zone is not None
+        self.lost_lender = None
+        self.lenders[zone] = SlotLender(self._of(zone), DEADLINE_S, self.now_s)
 
     def _arrive(self) -> None:
         self.at(self.now_s + self.random.expovariate(self.rate_per_s), self._arrive)
@@ -267,10 +291,10 @@
 
     def _poll(self) -> None:
         self.at(self.now_s + POLL_S, self._poll)
-        for name in self.lender.health.probes_due(self.now_s):
-            if self.policy == "slot_lending":
-                self.probes += 1
-            self.lender.health.probe_done(name, True, self.now_s)
+        for lender in self.lenders.values():
+            for name in lender.health.probes_due(self.now_s):
+                self.probes += int(self.policy in {"slot_lending", BY_ZONE})
+                lender.health.probe_done(name, True, self.now_s)
         for host in self.hosts:
             if host.table is not None and not host.lost:
                 host.table.settle(self.now_s)
@@ -279,26 +303,29 @@
     def _call(self, host: _Host) -> None:
         if host.table is None or host.lost:
             return
-        request = host.table.next_call(self.now_s)
-        if request is None:
-            return
-        self._close_idle(host, host.table)
+        while (request := host.table.next_call(self.now_s)) is not None:
+            self._close_idle(host, host.table)
+            self._send(host, host.table, request)
+
+    def _send(self, host: _Host, table: SlotTable, request: SlotRequest) -> None:
         if self.policy == "rotating_subsets":
             grant = rotating_grant(
                 host.name, self._view(host), self.pool.upstreams, self.now_s
             )
-            host.table.apply_reply(request, grant, self.now_s)
+            table.apply_reply(request, grant, self.now_s)
             return
         self.calls += 1
 
         def reach_lender() -> None:
-            grant = None if self.lender_lost else self.lender.lend(request, self.now_s)
+            lender = self.lenders[request.zone]
+            lost = self.lost_lender == request.zone
+            grant = None if lost else lender.lend(request, self.now_s)
             self.at(self.now_s + CALL_S / 2, lambda: replied(grant))
 
         def replied(grant: SlotGrant | None) -> None:
-            if host.lost or host.table is None:
+            if host.lost:
                 return
-            host.table.apply_reply(request, grant, self.now_s)
+            table.apply_reply(request, grant, self.now_s)
             self._settle(host)
 
         self.at(self.now_s + CALL_S / 2, reach_lender)
@@ -340,20 +367,23 @@
     return _Simulation(policy, seed, load, duration_s).run()
 
 
-def measure_lender_loss(seed: int, load: float = 0.6) -> dict[str, float]:
+def measure_lender_loss(
+    seed: int, load: float = 0.6, policy: str = "slot_lending"
+) -> dict[str, float]:
     """Measure how long a pool is without service when its lender's host is lost.
 
     Parameters
     ----------
     seed : int
     load : float, default=0.6
+    policy : str, default="slot_lending"
 
     Returns
     -------
     dict
         Longest time without an answer and its share of refused requests.
     """
-    simulation = _Simulation("slot_lending", seed, load, 40.0)
+    simulation = _Simulation(policy, seed, load, 40.0)
     simulation.at(12.0, simulation.lose_lender)
     result = simulation.run()
     answered = np.array(simulation.answered_at)
