Count bad upstreams once, and skip work of the lender when slots suffice

Cause: each choice counted the bad upstreams of the pool again, and each call to the lender divided the slots even when there were enough for all. Change: `PassiveHealth` keeps the count; `SlotLender` divides only under contention and looks for free slots only if it may lend; `SlotTable` checks each lender once for a choice. With a rule disabled a test fails: count after removal: test_removed_upstreams_count_no_more, True is not false; count after return: test_returned_upstreams_count_no_more, True is not false; division under contention: test_fair_division, AssertionError: 20 != 10.

--- a/packages/core/src/cardamomquay/balancing/_health.py
+++ b/packages/core/src/cardamomquay/balancing/_health.py
@@ -103,6 +103,7 @@
         self._records: dict[str, _Record] = {}
         self._started_at_s = now_s
         self._draining: frozenset[str] = frozenset()
+        self._bad = 0
 
     def set_upstreams(
         self, names: Iterable[str], draining: Iterable[str], now_s: float
@@ -132,6 +133,7 @@
         for name in (self._draining - now_draining) & listed:
             self._records[name].ramp_from_s = now_s
         self._draining = now_draining
+        self._bad = sum(r.ejected_at_s is not None for r in self._records.values())
 
     def observe(self, name: str, observation: Observation, now_s: float) -> None:
         """Learn from one request."""
@@ -212,8 +214,7 @@
 
     def is_ignored(self) -> bool:
         """Whether more than half of the pool looks bad."""
-        bad = sum(r.ejected_at_s is not None for r in self._records.values())
-        return bad * 2 > len(self._records)
+        return self._bad * 2 > len(self._records)
 
     def usable_share(self, name: str, now_s: float) -> float:
         """Return the share of an upstream's slots that may be used.
@@ -280,6 +281,7 @@
     def _judge(self, record: _Record, now_s: float) -> None:
         if record.ejected_at_s is None:
             if record.looks_bad():
+                self._bad += 1
                 record.ejected_at_s = now_s
                 record.ejections += 1
                 record.ramp_from_s = None
@@ -287,10 +289,11 @@
         # Real answers arrive here only while health is ignored. They clear the
         # upstream without a ramp, since it carries its full load already.
         if self.is_ignored() and record.good > record.bad:
+            self._bad -= 1
             record.ejected_at_s = None
 
-    @staticmethod
-    def _return(record: _Record, now_s: float) -> None:
+    def _return(self, record: _Record, now_s: float) -> None:
+        self._bad -= 1
         record.ejected_at_s = None
         record.ramp_from_s = now_s
         record.good = record.bad = record.shed = 0.0
--- a/packages/core/src/cardamomquay/balancing/_lender.py
+++ b/packages/core/src/cardamomquay/balancing/_lender.py
@@ -229,12 +229,15 @@
         """
         loans = {
             other: loan
-            for other, loan in sorted(self._loans.items())
+            for other, loan in self._loans.items()
             if now_s < loan.valid_until_s
         }
+        if sum(loan.wanted for loan in loans.values()) <= total:
+            return loans[key].wanted, False
         # With fewer slots than borrowers the spare slots have to take turns, or the
         # last borrowers would never get one.
         turn = int(now_s / TURN_S)
+        loans = dict(sorted(loans.items()))
         needs = {other: loan.demand for other, loan in loans.items()}
         first = divide_slots(needs, total, turn)
         spare = total - sum(first.values())
@@ -245,15 +248,18 @@
     def _lend_new(
         self, loan: _Loan, keep: int, usable: dict[str, int], now_s: float
     ) -> None:
+        held = sum(n for name, n in loan.counts.items() if usable.get(name, 0) > 0)
+        if held >= keep:
+            return
         out: Counter[str] = Counter()
         for other in self._loans.values():
-            out.update(other.counts)
+            for name, slots in other.counts.items():
+                out[name] += slots
         free = {
             name: min(usable[name], self._capacity(name)) - out[name]
             for name in self._upstreams
             if name not in loan.avoid
         }
-        held = sum(n for name, n in loan.counts.items() if usable.get(name, 0) > 0)
         while held < keep:
             choices = [name for name, slots in free.items() if slots > 0]
             if not choices:
--- a/packages/core/src/cardamomquay/balancing/_table.py
+++ b/packages/core/src/cardamomquay/balancing/_table.py
@@ -319,8 +319,15 @@
 
     def _pick(self, ticket: Ticket, now_s: float) -> Reservation | None:
         best: tuple[tuple[float, float, str], str] | None = None
+        usable = [
+            line
+            for line in self._lines.values()
+            if now_s < line.valid_until_s and self._in_use(line) < line.keep
+        ]
         for name, held in self._held.items():
-            if name in ticket.excluded or not self._is_open(name, held, now_s):
+            if held.line not in usable or name in ticket.excluded:
+                continue
+            if not self._is_open(name, held, now_s):
                 continue
             cost = (self.health.cost_s(name, now_s), -held.used_at_s, name)
             if best is None or cost < best[0]:
@@ -337,14 +344,11 @@
         return Reservation(self._pool, self._upstreams[name], until_s)
 
     def _is_open(self, name: str, held: _Held, now_s: float) -> bool:
-        line = held.line
         return (
             held.in_use < held.slots
-            and now_s < line.valid_until_s
-            and self._in_use(line) < line.keep
             and held.rest_until_s <= now_s
             and name in self._upstreams
-            and name not in line.stopped
+            and name not in held.line.stopped
             and self.health.usable_share(name, now_s) > 0
         )
 
--- a/packages/core/tests/balancing/test_health.py
+++ b/packages/core/tests/balancing/test_health.py
@@ -57,6 +57,25 @@
                 self.assertEqual(health.usable_share("u0", 0.5), share)
                 self.assertEqual(health.is_ignored(), bad > 6)
 
+    def test_removed_upstreams_count_no_more(self) -> None:
+        """Guards against health that stays ignored for upstreams that are gone."""
+        health = pool(7)
+        health.set_upstreams(NAMES[3:], (), 0.0)
+        self.assertFalse(health.is_ignored())
+        self.assertEqual(health.usable_share("u3", 0.5), 0.0)
+        health.probe_done("u3", True, 1.0)
+        health.set_upstreams(NAMES[4:7], (), 1.0)
+        self.assertTrue(health.is_ignored())
+
+    def test_returned_upstreams_count_no_more(self) -> None:
+        """Guards against health that is ignored for upstreams that have returned."""
+        health = pool(6)
+        health.probe_done("u0", True, 1.0)
+        for _ in range(3):
+            health.observe("u6", FAILED, 1.0)
+        self.assertFalse(health.is_ignored())
+        self.assertEqual(health.usable_share("u6", 1.0), 0.0)
+
     def test_good_answers_end_the_ignoring(self) -> None:
         """Guards against health that stays switched off after the fault."""
         health = pool(7)
