Take slots back when fewer may be used than are out

Cause: after an operator lowered an upstream's slots, hosts that held the old number kept it as long as their fair share allowed it. Change: the lender stops new work on such an upstream for each borrower that asks, until what is out fits. Measured in paused time: 3 of 3 slots of two upstreams out to two hosts, lowered to 1: after 0.8 s with calls every 0.1 s, 1 of each is out. With the rule disabled test_fewer_slots_than_before: AssertionError: 3 != 1. Conclusion: a lower slot count holds once each holder has called and its requests in flight have ended.

--- a/packages/core/src/cardamomquay/balancing/_lender.py
+++ b/packages/core/src/cardamomquay/balancing/_lender.py
@@ -160,7 +160,14 @@
             SlotCount(name, slots, self.health.usable_share(name, now_s))
             for name, slots in sorted(loan.counts.items())
         )
-        stopped = tuple(name for name in loan.counts if usable.get(name, 0) == 0)
+        # Where fewer slots may be used than are out, for example after an operator
+        # lowered them, the borrowers that ask return theirs until the rest fits.
+        stopped = tuple(
+            name
+            for name in loan.counts
+            if sum(other.counts[name] for other in self._loans.values())
+            > usable.get(name, 0)
+        )
         return SlotGrant(
             counts, GRANT_S, keep, stopped, contended, loan.spare_connections
         )
--- a/packages/core/tests/balancing/test_lending.py
+++ b/packages/core/tests/balancing/test_lending.py
@@ -203,6 +203,25 @@
             out = lender.outstanding("u3", 10.0 + after_s)
             self.assertEqual(out, expected)
 
+    def test_fewer_slots_than_before(self) -> None:
+        """Guards against hosts that keep slots that an operator has taken away."""
+        lender = self.lender(2)
+        first, second = Borrower(lender, "a"), Borrower(lender, "b")
+        first.call(0.0, 3)
+        second.call(0.0, 3)
+        lender.apply_upstreams(upstreams(2, slots=1), DEADLINE_S, 0.1)
+        for step in range(1, 9):
+            for borrower in (first, second):
+                borrower.call(0.1 + step / 10, 3)
+                assert borrower.grant is not None
+                for name in borrower.grant.stopped:
+                    del borrower.slots[name]
+        for name in ("u0", "u1"):
+            self.assertEqual(lender.outstanding(name, 1.0), 1)
+            self.assertEqual(
+                first.slots.get(name, 0) + second.slots.get(name, 0), 1, name
+            )
+
     def test_draining(self) -> None:
         """Guards against new work for a leaving upstream after 3 s."""
         lender = self.lender(2)
