Let a distant host commit without waiting for round trips

Cause: the batcher took the round trip of a remote host, 72 ms, for load, and one group in flight made the next wait for it. Change: the interval counts latency above the least one seen; up to four groups of a host are in flight. They may take effect in any order, since each change depends on the version of its own row.

--- a/packages/core/src/cardamomquay/idempotency/__init__.py
+++ b/packages/core/src/cardamomquay/idempotency/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from cardamomquay.idempotency._batcher import COMMITS_MAX
 from cardamomquay.idempotency._batcher import ClaimBatcher
 from cardamomquay.idempotency._changes import AbandonChange
 from cardamomquay.idempotency._changes import AnswerChange
@@ -24,6 +25,7 @@
 from cardamomquay.idempotency._sweep import sweep_claims
 
 __all__ = [
+    "COMMITS_MAX",
     "AbandonChange",
     "AnswerChange",
     "Change",
--- a/packages/core/src/cardamomquay/idempotency/_batcher.py
+++ b/packages/core/src/cardamomquay/idempotency/_batcher.py
@@ -19,6 +19,9 @@
 LATENCY_WEIGHT = 0.2
 QUEUE_MAX = 1024
 GROUP_MAX_CHANGES = 128
+# Groups in flight at once, so that a distant host need not wait for a round trip.
+# Groups of one host may take effect in any order: each change depends on its row.
+COMMITS_MAX = 4
 GROUP_MAX_BYTES = 1_048_576
 
 
@@ -40,6 +43,7 @@
         self._queue_max = queue_max
         self._queue: deque[tuple[float, Change[Any]]] = deque()
         self._latency_s = 0.0
+        self._least_latency_s = float("inf")
         self._last_commit_s = float("-inf")
 
     def __len__(self) -> int:
@@ -62,9 +66,14 @@
         return True
 
     def interval_s(self, live_hosts: int) -> float:
-        """Return the least time between the starts of two commits, in seconds."""
+        """Return the least time between the starts of two commits, in seconds.
+
+        The latency counts as far as it exceeds the least one seen, which is that of
+        the network.
+        """
         share_s = live_hosts / STORE_COMMITS_PER_S
-        return min(GROUP_MAX_S, max(GROUP_MIN_S, share_s, self._latency_s))
+        excess_s = max(0.0, self._latency_s - self._least_latency_s)
+        return min(GROUP_MAX_S, max(GROUP_MIN_S, share_s, excess_s))
 
     def due_s(self, live_hosts: int) -> float | None:
         """Return when the next group is due; None with nothing queued."""
@@ -101,4 +110,7 @@
 
     def observe_latency(self, latency_s: float) -> None:
         """Take the duration of a commit into the moving average."""
+        if self._least_latency_s == float("inf"):
+            self._latency_s = latency_s
+        self._least_latency_s = min(self._least_latency_s, latency_s)
         self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
--- a/packages/core/src/cardamomquay/idempotency/_grouped.py
+++ b/packages/core/src/cardamomquay/idempotency/_grouped.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
+from cardamomquay.idempotency._batcher import COMMITS_MAX
 from cardamomquay.idempotency._batcher import QUEUE_MAX
 from cardamomquay.idempotency._batcher import ClaimBatcher
 from cardamomquay.idempotency._changes import AbandonChange
@@ -33,14 +34,16 @@
 class GroupedOnceRegistry(DurableOnceRegistry):
     """Commits what arrives within an interval of 5 to 100 ms in one transaction.
 
-    One task on the executor waits and commits while anything is queued.
+    While anything is queued, one task on the executor waits for the next group to
+    fall due, and at most `COMMITS_MAX` tasks wait or commit.
 
     Parameters
     ----------
     tables : TableService
     clock : Clock
     executor : concurrent.futures.Executor
-        Given and shut down by the owner, after `close`; one free worker is enough.
+        Given and shut down by the owner, after `close`. One free worker is enough,
+        `COMMITS_MAX` are of use.
     live_hosts : callable
         Returns the number of live hosts, which share the store.
     queue_max : int
@@ -61,7 +64,8 @@
         self._live_hosts = live_hosts
         self._condition = threading.Condition()
         self._batcher = ClaimBatcher(queue_max)
-        self._task_runs = False
+        self._tasks = 0
+        self._tasks_waiting = 0
         self._commits = 0
         self._closed = False
 
@@ -122,9 +126,10 @@
         with self._condition:
             if self._closed or not self._batcher.offer(change, self._clock.now_s()):
                 return False
-            if self._task_runs:
+            if self._tasks_waiting or self._tasks >= COMMITS_MAX:
                 return True
-            self._task_runs = True
+            self._tasks += 1
+            self._tasks_waiting += 1
         try:
             self._executor.submit(self._run)
         except RuntimeError:
@@ -138,13 +143,17 @@
             with self._condition:
                 due_s = self._batcher.due_s(self._live_hosts())
                 if due_s is None:
-                    self._task_runs = False
+                    self._tasks -= 1
+                    self._tasks_waiting -= 1
                     return
                 wait_s = due_s - self._clock.now_s()
                 if wait_s > 0 and not self._closed:
                     self._clock.wait(self._condition, wait_s)
                     continue
+                self._tasks_waiting -= 1
             self._commit_next()
+            with self._condition:
+                self._tasks_waiting += 1
 
     def _commit_next(self) -> bool:
         """Commit the next group; return False with nothing queued."""
--- a/packages/dev/src/cardamomquay_dev/measure_claims.py
+++ b/packages/dev/src/cardamomquay_dev/measure_claims.py
@@ -15,6 +15,7 @@
 
 import numpy as np
 
+from cardamomquay.idempotency import COMMITS_MAX
 from cardamomquay.idempotency import AnswerChange
 from cardamomquay.idempotency import Claim
 from cardamomquay.idempotency import ClaimBatcher
@@ -64,7 +65,7 @@
         self._order = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._batchers = [ClaimBatcher() for _ in range(HOSTS)]
-        self._committing = [False] * HOSTS
+        self._commits = [0] * HOSTS
         self.transactions = 0
         self.refused = 0
         self.latencies_s: dict[int, float] = {}
@@ -108,14 +109,14 @@
             self.refused += 1
 
     def _poll(self, host: int) -> None:
-        """Commit the host's group if it is due; a host has one commit in flight."""
+        """Commit the host's group if it is due; a host has few commits in flight."""
         due_s = self._batchers[host].due_s(HOSTS)
-        if self._committing[host] or due_s is None:
+        if due_s is None or self._commits[host] >= COMMITS_MAX:
             return
         if due_s > self._now_s:
             self._at(due_s, lambda: self._poll(host))
             return
-        self._committing[host] = True
+        self._commits[host] += 1
         self._commit(host, self._batchers[host].take(self._now_s))
 
     def _commit(self, host: int, group: list[Change[Any]]) -> None:
@@ -131,7 +132,7 @@
             self._at(answered_s, answer)
 
         def answer() -> None:
-            self._committing[host] = False
+            self._commits[host] -= 1 if self._grouped else 0
             self._batchers[host].observe_latency(self._now_s - started_s)
             for change in group:
                 change.future.set_result(change.outcome)
