Give the in-memory table service late and dropped transactions

Cause: the fault tests wrapped the in-memory service in a double of their own, and the stand-in cannot show a commit that arrives after its read-back. Change: `Faults.fates` and `Faults.fail_reads`, `deliver_late`, `stored` and counts of calls in `MemoryTableService`; the double is gone. `call_tables` carries out the effects of the leases, for the daemon and the tests.

--- a/packages/core/src/cardamomquay/leases/__init__.py
+++ b/packages/core/src/cardamomquay/leases/__init__.py
@@ -13,6 +13,7 @@
 from cardamomquay.leases._calls import ReleaseLeaseRequested
 from cardamomquay.leases._calls import ScanLeases
 from cardamomquay.leases._calls import WriteLeaseRows
+from cardamomquay.leases._calls import call_tables
 from cardamomquay.leases._part import LeasePart
 from cardamomquay.leases._rows import LEASES_TABLE
 from cardamomquay.leases._rows import LeaseRow
@@ -43,6 +44,7 @@
     "ReleaseLeaseRequested",
     "ScanLeases",
     "WriteLeaseRows",
+    "call_tables",
     "is_lease_valid",
     "lease_row_key",
     "read_lease_row",
--- a/packages/core/src/cardamomquay/leases/_calls.py
+++ b/packages/core/src/cardamomquay/leases/_calls.py
@@ -5,14 +5,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cardamomquay.leases._rows import LEASES_TABLE
 from cardamomquay.reducer import Effect
 from cardamomquay.reducer import Event
 
 if TYPE_CHECKING:
+    from cardamomquay.clock import Clock
     from cardamomquay.platform import Committed
     from cardamomquay.platform import Conflicted
     from cardamomquay.platform import RowKey
     from cardamomquay.platform import RowsRead
+    from cardamomquay.platform import TableService
     from cardamomquay.platform import Transaction
     from cardamomquay.platform import Unavailable
 
@@ -93,3 +96,31 @@
 @dataclass(frozen=True, slots=True)
 class ReleaseLeaseRequested(Event):
     """A planned stop has returned all that depends on the lease."""
+
+
+def call_tables(effect: Effect, tables: TableService, clock: Clock) -> Event | None:
+    """Carry out an effect of the leases that calls the table service.
+
+    Parameters
+    ----------
+    effect : Effect
+    tables : TableService
+    clock : Clock
+
+    Returns
+    -------
+    Event or None
+        The event with the outcome; None for any other effect.
+    """
+    match effect:
+        case ReadLeaseRows(call=call, keys=keys):
+            found = tables.read(keys)
+            return LeaseRowsRead(clock.now_s(), call, found)
+        case WriteLeaseRows(call=call, transaction=transaction):
+            result = tables.transact(transaction)
+            return LeaseRowsWritten(clock.now_s(), call, result)
+        case ScanLeases():
+            scanned = tables.scan(LEASES_TABLE)
+            return LeasesScanned(clock.now_s(), scanned)
+        case _:
+            return None
--- a/packages/core/src/cardamomquay/leases/_part.py
+++ b/packages/core/src/cardamomquay/leases/_part.py
@@ -257,8 +257,8 @@
     own = replace(own, write=None)
     result = event.result
     if not isinstance(result, Committed):
-        certain = isinstance(result, Conflicted) or result.may_have_committed
-        delay_s = 0.0 if certain else LEASE_RETRY_S
+        row_may_differ = isinstance(result, Conflicted) or result.may_have_committed
+        delay_s = 0.0 if row_may_differ else LEASE_RETRY_S
         return replace(own, check_row=True, own_due_s=event.now_s + delay_s), ()
     if write.kind is LeaseWrite.RELEASE:
         own = replace(own, row=None, fence=0, released=True)
--- a/packages/core/src/cardamomquay/platform/__init__.py
+++ b/packages/core/src/cardamomquay/platform/__init__.py
@@ -16,6 +16,7 @@
 from cardamomquay.platform._interfaces import Transaction
 from cardamomquay.platform._interfaces import Unavailable
 from cardamomquay.platform._interfaces import Write
+from cardamomquay.platform._memory import Fate
 from cardamomquay.platform._memory import Faults
 from cardamomquay.platform._memory import MemoryHostList
 from cardamomquay.platform._memory import MemoryObjectStore
@@ -25,6 +26,7 @@
     "Committed",
     "Condition",
     "Conflicted",
+    "Fate",
     "Faults",
     "HostList",
     "JsonValue",
--- a/packages/core/tests/idempotency/contract.py
+++ b/packages/core/tests/idempotency/contract.py
@@ -6,12 +6,12 @@
 
 from idempotency.support import answer
 from idempotency.support import claim
-from table_service.faulty import FaultyTables
 
 from cardamomquay.idempotency import Proceed
 from cardamomquay.idempotency import Replay
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.platform import MemoryTableService
 
 if TYPE_CHECKING:
     import unittest
@@ -35,16 +35,16 @@
 class OnceRegistryContract(Base):
     """Mixed into a `TestCase` that defines `make`."""
 
-    def make(self, tables: FaultyTables) -> OnceRegistry:
+    def make(self, tables: MemoryTableService) -> OnceRegistry:
         raise NotImplementedError
 
     def setUp(self) -> None:
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
         self.registry = self.make(self.tables)
         self.other = self.make(self.tables)
 
     def row(self, of: Claim) -> dict | None:
-        return self.tables.inner._row(of.row_key).value
+        return self.tables.stored(of.row_key).value
 
     def test_first_and_second_host(self) -> None:
         """Guards against a second run, and against a replay of another request."""
@@ -91,13 +91,13 @@
         for name, (fates, unreadable, down, expected, second) in cases.items():
             with self.subTest(name):
                 self.setUp()
-                self.tables.fates = list(fates)
-                self.tables.unreadable = unreadable
-                self.tables.inner.faults.down = down
+                self.tables.faults.fates = list(fates)
+                self.tables.faults.fail_reads = unreadable
+                self.tables.faults.down = down
                 outcome = self.registry.begin(claim("1"))
                 self.assertEqual(told(outcome), expected)
-                self.tables.fates.clear()
-                self.tables.inner.faults.down = False
+                self.tables.faults.fates.clear()
+                self.tables.faults.down = False
                 self.registry.release_pending()
                 self.tables.deliver_late()
                 for _ in range(5):
@@ -119,8 +119,8 @@
                 self.setUp()
                 first = claim("1")
                 self.registry.begin(first)
-                self.tables.fates = list(fates)
-                self.tables.unreadable = unreadable
+                self.tables.faults.fates = list(fates)
+                self.tables.faults.fail_reads = unreadable
                 self.assertIs(self.registry.record(first, answer()), recorded)
                 self.tables.deliver_late()
                 self.assertEqual(told(self.other.begin(claim("2"))), second)
@@ -141,11 +141,11 @@
                 self.setUp()
                 first = claim("1")
                 self.registry.begin(first)
-                self.tables.fates = list(fates)
-                self.tables.unreadable = unreadable
-                self.tables.inner.faults.down = down
+                self.tables.faults.fates = list(fates)
+                self.tables.faults.fail_reads = unreadable
+                self.tables.faults.down = down
                 self.registry.abandon(first)
-                self.tables.inner.faults.down = False
+                self.tables.faults.down = False
                 self.assertEqual(self.registry.release_pending(), 0)
                 self.assertIsNone(self.row(first))
                 self.assertEqual(self.other.begin(claim("2")), Proceed())
@@ -170,5 +170,5 @@
         self.assertEqual(told(self.other.outcome("org", "k")), UNKNOWN)
         self.registry.record(first, answer())
         self.assertEqual(self.other.outcome("org", "k"), answer())
-        self.tables.unreadable = 1
+        self.tables.faults.fail_reads = 1
         self.assertEqual(told(self.other.outcome("org", "k")), UNAVAILABLE)
--- a/packages/core/tests/idempotency/test_once_machine.py
+++ b/packages/core/tests/idempotency/test_once_machine.py
@@ -12,7 +12,6 @@
 from idempotency.support import SteppingClock
 from idempotency.support import answer
 from idempotency.support import claim
-from table_service.faulty import FaultyTables
 
 from cardamomquay.history import RunRecord
 from cardamomquay.history import SendRecord
@@ -23,6 +22,7 @@
 from cardamomquay.idempotency import Proceed
 from cardamomquay.idempotency import Replay
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.platform import MemoryTableService
 
 if TYPE_CHECKING:
     from concurrent.futures import Future
@@ -51,7 +51,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
         self.clock = SteppingClock()
         self.executors = [ManualExecutor() for _ in range(3)]
         self.registries = [self.new_registry(n) for n in range(3)]
@@ -90,7 +90,10 @@
         wanted = claim(str(self.count), key, body)
         begun = self.registries[host].begin_soon(wanted)
         self.requests[host].append(Request(wanted, begun))
-        self.tables.fates, self.tables.unreadable = list(fates), unreadable
+        self.tables.faults.fates, self.tables.faults.fail_reads = (
+            list(fates),
+            unreadable,
+        )
         self.go_on(host, stage, shed)
 
     @rule(host=HOSTS, stage=st.integers(1, 3), shed=st.booleans())
@@ -155,7 +158,7 @@
 
     @rule(down=st.booleans())
     def outage(self, down: bool) -> None:
-        self.tables.inner.faults.down = down
+        self.tables.faults.down = down
 
     def refused(self, request: Request, not_run: bool) -> None:
         name, key = request.claim.claim_id, request.claim.idempotency_key
--- a/packages/core/tests/idempotency/test_registries.py
+++ b/packages/core/tests/idempotency/test_registries.py
@@ -11,7 +11,6 @@
 from idempotency.support import SteppingClock
 from idempotency.support import answer
 from idempotency.support import claim
-from table_service.faulty import FaultyTables
 
 from cardamomquay.clock import ManualClock
 from cardamomquay.idempotency import COMMITS_MAX
@@ -21,15 +20,16 @@
 from cardamomquay.idempotency import Proceed
 from cardamomquay.idempotency import TableOnceRegistry
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.platform import MemoryTableService
 
 
 class TableOnceRegistryTest(OnceRegistryContract, unittest.TestCase):
-    def make(self, tables: FaultyTables) -> TableOnceRegistry:
+    def make(self, tables: MemoryTableService) -> TableOnceRegistry:
         return TableOnceRegistry(tables)
 
 
 class GroupedOnceRegistryContractTest(OnceRegistryContract, unittest.TestCase):
-    def make(self, tables: FaultyTables) -> GroupedOnceRegistry:
+    def make(self, tables: MemoryTableService) -> GroupedOnceRegistry:
         executor = ManualExecutor(at_once=True)
         return GroupedOnceRegistry(tables, SteppingClock(), executor, lambda: 12)
 
@@ -66,7 +66,7 @@
 
 class GroupedOnceRegistryTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
         self.clock = SteppingClock()
         self.executor = ManualExecutor()
         self.registry = self.make()
@@ -106,7 +106,7 @@
 
     def test_lost_answer_of_a_group(self) -> None:
         """Guards against a lost answer that refuses, or reads, each claim alone."""
-        self.tables.fates = ["lost"]
+        self.tables.faults.fates = ["lost"]
         futures = [self.registry.begin_soon(claim(n, n)) for n in "123"]
         self.executor.run()
         self.assertEqual({f.result() for f in futures}, {Proceed()})
@@ -146,7 +146,7 @@
         self.executor.run()
         self.assertEqual(self.registry.begin_soon(claim("2")).cancelled(), False)
         self.executor.run()
-        self.assertIsNotNone(self.tables.inner._row(claim("2").row_key).value)
+        self.assertIsNotNone(self.tables.stored(claim("2").row_key).value)
 
     def test_a_client_that_raises(self) -> None:
         """Guards against waiting for ever, and a claim left behind by a fault."""
@@ -162,7 +162,7 @@
         self.assertIsInstance(future.exception(0), ValueError)
         self.tables.transact = transact
         self.assertEqual(self.registry.release_pending(), 0)
-        self.assertIsNone(self.tables.inner._row(claim("1").row_key).value)
+        self.assertIsNone(self.tables.stored(claim("1").row_key).value)
 
     def test_commits_in_flight_are_bounded(self) -> None:
         """Guards against a slow store that takes every worker of the executor."""
--- a/packages/core/tests/idempotency/test_sweep.py
+++ b/packages/core/tests/idempotency/test_sweep.py
@@ -4,7 +4,6 @@
 
 from idempotency.support import answer
 from idempotency.support import claim
-from table_service.faulty import FaultyTables
 
 from cardamomquay.idempotency import SweepDone
 from cardamomquay.idempotency import SweepFenced
@@ -12,6 +11,7 @@
 from cardamomquay.idempotency import TableOnceRegistry
 from cardamomquay.idempotency import sweep_claims
 from cardamomquay.platform import Condition
+from cardamomquay.platform import MemoryTableService
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Write
@@ -22,7 +22,7 @@
 
 class SweepTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
         self.version = self.take_control()
         registry = TableOnceRegistry(self.tables)
         ages_h = {"old": 0.0, "at the limit": 1.0, "young": 1.1, "undated": None}
@@ -33,10 +33,10 @@
 
     def take_control(self) -> int:
         write = Write(CONTROLLER, {"host": "a"})
-        return self.tables.inner.transact(Transaction((), (write,))).revision
+        return self.tables.transact(Transaction((), (write,))).revision
 
     def left(self) -> int:
-        return len(self.tables.inner.scan("claims").rows)
+        return len(self.tables.scan("claims").rows)
 
     def test_cases(self) -> None:
         """Guards against early expiry, and deletions by a former controller."""
@@ -52,14 +52,14 @@
                 self.setUp()
                 if taken_over:
                     self.take_control()
-                self.tables.fates = list(fates)
+                self.tables.faults.fates = list(fates)
                 fence = Condition(CONTROLLER, self.version)
                 result = sweep_claims(self.tables, 73 * HOUR_S, fence, batch)
                 self.assertEqual((result, self.left()), (expected, left))
 
     def test_a_row_that_changes_meanwhile_stays(self) -> None:
         """Guards against deleting what an older snapshot shows."""
-        old = self.tables.inner.scan("claims")
+        old = self.tables.scan("claims")
         TableOnceRegistry(self.tables).abandon(claim("at the limit", "at the limit"))
         TableOnceRegistry(self.tables).begin(
             claim("new", "at the limit", at_s=72 * HOUR_S)
@@ -67,6 +67,7 @@
         self.tables.scan = lambda table: old
         fence = Condition(CONTROLLER, self.version)
         result = sweep_claims(self.tables, 73 * HOUR_S, fence)
+        del self.tables.scan
         self.assertEqual((result, self.left()), (SweepDone(1, 1), 3))
 
 
--- a/packages/core/tests/leases/hosts.py
+++ b/packages/core/tests/leases/hosts.py
@@ -10,15 +10,9 @@
 from cardamomquay.currency import HeadRead
 from cardamomquay.currency import HeadReadFailed
 from cardamomquay.currency import ReadHead
-from cardamomquay.leases import LEASES_TABLE
 from cardamomquay.leases import LeasePart
-from cardamomquay.leases import LeaseRowsRead
-from cardamomquay.leases import LeaseRowsWritten
-from cardamomquay.leases import LeasesScanned
 from cardamomquay.leases import LeaseState
-from cardamomquay.leases import ReadLeaseRows
-from cardamomquay.leases import ScanLeases
-from cardamomquay.leases import WriteLeaseRows
+from cardamomquay.leases import call_tables
 from cardamomquay.leases import is_lease_valid
 from cardamomquay.leases import lease_row_key
 from cardamomquay.leases import read_lease_row
@@ -26,22 +20,19 @@
 from cardamomquay.membership import MemberRecord
 from cardamomquay.membership import MembershipPart
 from cardamomquay.membership import MembershipState
-from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
 from cardamomquay.reducer import Identity
 from cardamomquay.reducer import Reducer
 from cardamomquay.reducer import Tick
 
 if TYPE_CHECKING:
-    from table_service.faulty import FaultyTables
-
     from cardamomquay.clock import ManualClock
     from cardamomquay.leases import LeaseRow
+    from cardamomquay.platform import MemoryTableService
     from cardamomquay.reducer import Effect
     from cardamomquay.reducer import Event
 
 STORE_REGION = "mtl"
-HEAD = RowKey("config", "head")
 
 
 class LeaseHost:
@@ -53,7 +44,7 @@
         incarnation: str,
         region: str,
         clock: ManualClock,
-        tables: FaultyTables,
+        tables: MemoryTableService,
     ) -> None:
         self.identity = Identity(host, incarnation, region, "a", STORE_REGION)
         self.clock = clock
@@ -80,16 +71,9 @@
         """Run the oldest effect at the table service."""
         started_s, effect = self.issued.pop(0)
         match effect:
-            case ReadLeaseRows(call=call, keys=keys):
-                self.answers.append(LeaseRowsRead(0.0, call, self.tables.read(keys)))
-            case WriteLeaseRows(call=call, transaction=transaction):
-                result = self.tables.transact(transaction)
-                self.answers.append(LeaseRowsWritten(0.0, call, result))
-            case ScanLeases():
-                result = self.tables.scan(LEASES_TABLE)
-                self.answers.append(LeasesScanned(0.0, result))
             case ReadHead():
-                result = self.tables.inner.read([HEAD])
+                # A scan, so that `Faults.fail_reads` hits the reads of leases only.
+                result = self.tables.scan("config")
                 failed = isinstance(result, Unavailable)
                 self.answers.append(
                     HeadReadFailed(0.0, started_s, result.refused)
@@ -97,7 +81,11 @@
                     else HeadRead(0.0, started_s, 0)
                 )
             case _:
-                self.told.append(effect)
+                event = call_tables(effect, self.tables, self.clock)
+                if event is None:
+                    self.told.append(effect)
+                else:
+                    self.answers.append(event)
 
     def deliver(self) -> None:
         self.post(replace(self.answers.pop(0), now_s=self.clock.now_s()))
@@ -160,6 +148,6 @@
         exchange(hosts)
 
 
-def stored_lease(tables: FaultyTables, host: str) -> LeaseRow | None:
+def stored_lease(tables: MemoryTableService, host: str) -> LeaseRow | None:
     """Return what the store holds, past every fault."""
-    return read_lease_row(tables.inner._row(lease_row_key(host)))
+    return read_lease_row(tables.stored(lease_row_key(host)))
--- a/packages/core/tests/leases/test_leases.py
+++ b/packages/core/tests/leases/test_leases.py
@@ -6,7 +6,6 @@
 from leases.hosts import LeaseHost
 from leases.hosts import run
 from leases.hosts import stored_lease
-from table_service.faulty import FaultyTables
 
 from cardamomquay.clock import ManualClock
 from cardamomquay.currency import HeadReadFailed
@@ -17,13 +16,14 @@
 from cardamomquay.leases import LeaseState
 from cardamomquay.leases import ReleaseLeaseRequested
 from cardamomquay.leases import is_lease_valid
+from cardamomquay.platform import MemoryTableService
 from cardamomquay.reducer import Tick
 
 
 class LeaseTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(100.0)
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
 
     def host(self, name: str, region: str = "qc", incarnation: str = "1") -> LeaseHost:
         return LeaseHost(name, incarnation, region, self.clock, self.tables)
@@ -76,7 +76,7 @@
                 self.setUp()
                 host = self.host("a")
                 host.tick()
-                self.tables.fates = list(fates)
+                self.tables.faults.fates = list(fates)
                 run([host], 2.0)
                 self.tables.deliver_late()
                 run([host], 2.5)
@@ -88,13 +88,13 @@
         """Guards against dating a late commit of one attempt from another."""
         host = self.host("a")
         host.tick()
-        self.tables.fates = ["late"]
+        self.tables.faults.fates = ["late"]
         self.clock.advance(2.0)
         host.post(Tick(self.clock.now_s()))
         host.settle()  # The row still shows the acquisition.
         host.post(Tick(self.clock.now_s()))
         host.settle()
-        self.tables.fates = ["dropped"]
+        self.tables.faults.fates = ["dropped"]
         self.clock.advance(2.0)
         host.post(Tick(self.clock.now_s()))  # A second renewal is issued, then lost,
         self.tables.deliver_late()  # while the row shows the first.
@@ -115,7 +115,7 @@
                 host.tick()
                 successor.tick()
                 self.assertEqual(successor.lease.fence, 0)
-                self.tables.fates = fates
+                self.tables.faults.fates = fates
                 host.post(ReleaseLeaseRequested(self.clock.now_s()))
                 self.assertFalse(host.valid)
                 run([host], 2.0)
@@ -166,7 +166,7 @@
                 reclaimer = self.host("r", STORE_REGION)
                 run([reclaimer], 4.0)
                 if kind == "read":
-                    self.tables.unreadable = 1
+                    self.tables.faults.fail_reads = 1
                     run([reclaimer], 1.0)
                 elif kind == "head read":
                     now_s = self.clock.now_s()
@@ -221,11 +221,11 @@
         """Guards against a stop of all holders while the store is down."""
         hosts = [self.host("a"), self.host("m1", "mtl"), self.host("m2", "mtl")]
         run(hosts, 4.0)
-        self.tables.inner.faults.down = True
+        self.tables.faults.down = True
         for _ in range(60):
             run(hosts, 0.5)
             self.assertTrue(all(host.valid for host in hosts))
-        self.tables.inner.faults.down = False
+        self.tables.faults.down = False
         for _ in range(40):
             run(hosts, 0.5)
             self.assertTrue(all(host.valid for host in hosts))
@@ -234,7 +234,7 @@
         """Guards against a partitioned holder that keeps a reclaimed lease."""
         hosts = [self.host("a"), self.host("m1", "mtl"), self.host("m2", "mtl")]
         run(hosts, 4.0)
-        self.tables.inner.faults.unreachable = True
+        self.tables.faults.unreachable = True
         run(hosts, 6.0)
         self.assertFalse(any(host.valid for host in hosts))
 
@@ -244,7 +244,7 @@
         paused = self.host("a")
         run([paused, *hosts], 4.0)
         run(hosts, 8.0)
-        self.tables.inner.faults.down = True
+        self.tables.faults.down = True
         run([paused, *hosts], 2.0)
         self.assertFalse(paused.valid)
 
--- a/packages/core/tests/leases/test_leases_machine.py
+++ b/packages/core/tests/leases/test_leases_machine.py
@@ -4,15 +4,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine
 from hypothesis.stateful import invariant
-from hypothesis.stateful import precondition
 from hypothesis.stateful import rule
 from leases.hosts import LeaseHost
 from leases.hosts import exchange
 from leases.hosts import stored_lease
-from table_service.faulty import FaultyTables
 
 from cardamomquay.clock import ManualClock
 from cardamomquay.leases import ReleaseLeaseRequested
+from cardamomquay.platform import MemoryTableService
 from cardamomquay.reducer import Tick
 
 REGIONS = {"a": "qc", "m1": "mtl", "m2": "mtl"}
@@ -29,7 +28,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = ManualClock(100.0)
-        self.tables = FaultyTables()
+        self.tables = MemoryTableService()
         self.runs = 0
         self.hosts = [self.new_host(name) for name in REGIONS]
         self.paused: set[str] = set()
@@ -89,16 +88,15 @@
 
     @rule(fates=st.lists(st.sampled_from(["ok", "lost", "late", "dropped"])))
     def answers_go_wrong(self, fates: list[str]) -> None:
-        self.tables.fates = fates
+        self.tables.faults.fates = fates
 
-    @precondition(lambda self: self.tables.late)
     @rule()
     def late_commit(self) -> None:
         self.tables.deliver_late()
 
     @rule(down=st.booleans())
     def outage(self, down: bool) -> None:
-        self.tables.inner.faults.down = down
+        self.tables.faults.down = down
 
     @invariant()
     def rows_agree(self) -> None:
