Release a claim that a late second write brings back

Cause: a claim whose first answer is lost is written twice. After its release the second write could take effect and block the key for 72 hours. Change: the release of such a claim is looked at again by `release_pending`, five times like that of a claim that was refused.

--- a/packages/core/src/cardamomquay/idempotency/_registry.py
+++ b/packages/core/src/cardamomquay/idempotency/_registry.py
@@ -31,7 +31,7 @@
 
 # Bounds of what a daemon remembers; beyond them the oldest is dropped, which costs
 # a read more, or leaves a claim as "outcome unknown".
-VERSIONS_MAX = 4096
+CLAIMED_MAX = 4096
 PENDING_MAX = 1024
 PENDING_BATCH = 64
 # A claim whose answer was lost may still be written after a read that misses it,
@@ -50,7 +50,8 @@
     def __init__(self, tables: TableService) -> None:
         self._tables = tables
         self._memory_lock = threading.Lock()
-        self._versions: OrderedDict[str, int] = OrderedDict()
+        # Version of the own row, and whether a second write of it may come late.
+        self._claimed: OrderedDict[str, tuple[int, bool]] = OrderedDict()
         self._pending: OrderedDict[str, tuple[Claim, int]] = OrderedDict()
 
     @abstractmethod
@@ -105,15 +106,16 @@
     def _remember(self, change: Change[Any]) -> None:
         claim_id = change.claim.claim_id
         if isinstance(change, AbandonChange):
-            self._versions.pop(claim_id, None)
-            if not change.outcome:
-                self._add_pending(change.claim, 1)
+            _, doubtful = self._claimed.pop(claim_id, (0, False))
+            if doubtful or not change.outcome:
+                checks = LATE_COMMIT_CHECKS if doubtful else 1
+                self._add_pending(change.claim, checks)
         elif isinstance(change, AnswerChange):
-            self._versions.pop(claim_id, None)
+            self._claimed.pop(claim_id, None)
         elif isinstance(change.outcome, Proceed) and change.version is not None:
-            self._versions[claim_id] = change.version
-            if len(self._versions) > VERSIONS_MAX:
-                self._versions.popitem(last=False)
+            self._claimed[claim_id] = (change.version, change.doubtful)
+            if len(self._claimed) > CLAIMED_MAX:
+                self._claimed.popitem(last=False)
         elif change.doubtful or change.outcome is None:
             self._add_pending(change.claim, LATE_COMMIT_CHECKS)
 
@@ -124,7 +126,8 @@
 
     def _known_version(self, claim: Claim) -> int | None:
         with self._memory_lock:
-            return self._versions.get(claim.claim_id)
+            version, _ = self._claimed.get(claim.claim_id, (None, False))
+            return version
 
 
 class TableOnceRegistry(DurableOnceRegistry):
--- a/packages/core/tests/idempotency/contract.py
+++ b/packages/core/tests/idempotency/contract.py
@@ -153,6 +153,17 @@
                 self.tables.deliver_late()
                 self.assertIsNotNone(self.row(first), "released another's claim")
 
+    def test_a_claim_written_again_after_its_release(self) -> None:
+        """Guards against a late second write that blocks the key for 72 hours."""
+        self.tables.faults.fates = ["late"]
+        first = claim("1")
+        self.assertEqual(self.registry.begin(first), Proceed())
+        self.registry.abandon(first)
+        self.tables.deliver_late()
+        self.assertIsNotNone(self.row(first))
+        self.registry.release_pending()
+        self.assertIsNone(self.row(first))
+
     def test_an_answered_claim_is_not_abandoned(self) -> None:
         """Guards against a second run of an answered request."""
         first = claim("1")
--- a/packages/core/tests/idempotency/test_registries.py
+++ b/packages/core/tests/idempotency/test_registries.py
@@ -140,6 +140,15 @@
         refused = self.registry.begin_soon(claim("2")).result(0)
         self.assertEqual(told(refused), RefusalReason.STOPPING)
 
+    def test_executor_shut_down_first(self) -> None:
+        """Guards against callers that wait for a worker that is gone."""
+        executor = ThreadPoolExecutor(1)
+        executor.shutdown()
+        registry = GroupedOnceRegistry(self.tables, self.clock, executor, lambda: 12)
+        self.assertEqual(registry.begin_soon(claim("1")).result(0), Proceed())
+        refused = registry.begin_soon(claim("2")).result(0)
+        self.assertEqual(told(refused), RefusalReason.STOPPING)
+
     def test_a_cancelled_claim_is_not_written(self) -> None:
         """Guards against a claim that nobody waits for."""
         self.registry.begin_soon(claim("1")).cancel()
