Measure control: bytes, processor, memory and times of the exchange

Cause: nothing told what the exchange costs for each daemon, nor how fast a configuration or the loss of a host reaches the last daemon.

Change: clients and servers of the peer protocol and of the platform count their bytes (TCP and TLS headers are not in them); `MemberWatch` logs and counts changes of hosts' states; `cardamomquay_dev.measure_control` runs 4, 8 and 12 daemons on loopback; `cardamomquay_dev.capacity` measures the slopes of the core.

--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -24,6 +24,7 @@
 from cardamomquay_daemon._caller_port import CallerPort
 from cardamomquay_daemon._effects import ConfigEffects
 from cardamomquay_daemon._effects import HostListEffects
+from cardamomquay_daemon._member_watch import MemberWatch
 from cardamomquay_daemon._operator_port import OperatorPort
 from cardamomquay_daemon._peer import PeerNode
 from cardamomquay_daemon._platform_client import HttpHostList
@@ -67,7 +68,7 @@
             address=settings.listen,
             peer_address=settings.peer_listen,
         )
-        connection = PlatformConnection(settings.platform)
+        connection = PlatformConnection(settings.platform, self._telemetry)
         tables = HttpTableService(connection)
         reducer = Reducer((MembershipPart(), ConfigPart(), UnsettledPart()))
         self._runtime = Runtime(
@@ -95,6 +96,7 @@
         self._runtime.handle(self.peers.handlers())
         self._admission = StaticSplitAdmission(self._clock)
         self._runtime.listen(self._apply_quota)
+        self._runtime.listen(MemberWatch(self._clock, self._telemetry))
         relay = Relay(
             self._runtime,
             self._clock,
--- a/packages/daemon/src/cardamomquay_daemon/_peer.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -13,10 +13,8 @@
 
 from grpclib import GRPCError
 from grpclib import Status
-from grpclib.client import Channel
 from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
-from grpclib.server import Server
 
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigLoadFailed
@@ -29,6 +27,9 @@
 from cardamomquay.membership import MembershipState
 from cardamomquay.outcomes import format_findings
 from cardamomquay_daemon import _peer_codec
+from cardamomquay_daemon._peer_traffic import ByteCount
+from cardamomquay_daemon._peer_traffic import CountedChannel
+from cardamomquay_daemon._peer_traffic import CountedServer
 from cardamomquay_daemon._telemetry import CONFIG_INVALID
 from cardamomquay_daemon._telemetry import PEER_FAILED
 from cardamomquay_daemon.wire import peer_pb2
@@ -81,9 +82,13 @@
 class _Connection:
     """A channel to one peer; used in the asyncio thread only."""
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None) -> None:
+    def __init__(
+        self, address: str, tls: ssl.SSLContext | None, count: ByteCount
+    ) -> None:
         host, _, port = address.rpartition(":")
-        self._channel = Channel(host.strip("[]"), int(port), ssl=tls)
+        self._channel = CountedChannel(
+            host.strip("[]"), int(port), ssl=tls, count=count
+        )
         self.stub: Any = PeerStub(self._channel)
         self.failures = 0
 
@@ -128,6 +133,7 @@
         self._client_tls = None if tls is None else _tls(tls, ssl.Purpose.SERVER_AUTH)
         self._connections: dict[str, _Connection] = {}
         self._exchanging: set[str] = set()
+        self._bytes = ByteCount()
         self._loop = asyncio.new_event_loop()
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -241,7 +247,7 @@
 
     async def _serve(self, started: concurrent.futures.Future[None]) -> None:
         host, _, port = self._identity.peer_address.rpartition(":")
-        server = Server([self])
+        server = CountedServer([self], count=self._bytes)
         try:
             await server.start(host.strip("[]"), int(port), ssl=self._server_tls)
         except OSError as exc:
@@ -287,6 +293,9 @@
         for address in tuple(self._connections):
             if address not in wanted:
                 self._connections.pop(address).close()
+        sent, received = self._bytes.take()
+        self._telemetry.count("peers.bytes_sent", sent)
+        self._telemetry.count("peers.bytes_received", received)
         request = _peer_codec.request_to_wire(self._statement())
         await asyncio.gather(*(self._exchange(target, request) for target in targets))
 
@@ -361,7 +370,7 @@
     def _connection(self, address: str) -> _Connection:
         connection = self._connections.get(address)
         if connection is None:
-            connection = _Connection(address, self._client_tls)
+            connection = _Connection(address, self._client_tls, self._bytes)
             self._connections[address] = connection
         return connection
 
@@ -374,7 +383,7 @@
             and self._connections.get(address) is connection
         ):
             connection.close()
-            fresh = _Connection(address, self._client_tls)
+            fresh = _Connection(address, self._client_tls, self._bytes)
             fresh.failures = connection.failures
             self._connections[address] = fresh
 
--- a/packages/daemon/src/cardamomquay_daemon/_platform_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/_platform_client.py
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
+    from cardamomquay_daemon._telemetry import Telemetry
+
 CONNECT_TIMEOUT_MS = 500
 CALL_TIMEOUT_MS = 1500
 OK = 200
@@ -47,10 +49,13 @@
     ----------
     base_url : str
         For example ``http://127.0.0.1:7000``.
+    telemetry : Telemetry, optional
+        Counts the bytes of all calls.
     """
 
-    def __init__(self, base_url: str) -> None:
+    def __init__(self, base_url: str, telemetry: Telemetry | None = None) -> None:
         self._base_url = base_url
+        self._telemetry = telemetry
         self._local = threading.local()
 
     def call(
@@ -82,6 +87,9 @@
             curl.close()
             refused = code == pycurl.E_COULDNT_CONNECT
             return Unavailable(f"curl error {code}", not refused, refused)
+        if self._telemetry is not None:
+            self._telemetry.count("platform.calls")
+            self._telemetry.count("platform.bytes", _bytes_of(curl))
         status = int(curl.getinfo(pycurl.RESPONSE_CODE))
         if status >= SERVICE_DOWN:
             return Unavailable(f"status {status}", status != SERVICE_DOWN, refused=True)
@@ -176,6 +184,17 @@
         return tuple(ListedHost(**host) for host in document["hosts"])
 
 
+def _bytes_of(curl: pycurl.Curl) -> int:
+    """Return the bytes of a call in both directions, headers included."""
+    sizes = (
+        pycurl.REQUEST_SIZE,
+        pycurl.SIZE_UPLOAD,
+        pycurl.HEADER_SIZE,
+        pycurl.SIZE_DOWNLOAD,
+    )
+    return sum(int(curl.getinfo(size)) for size in sizes)
+
+
 def _row(document: Any) -> Row:
     table, key, version, value = document
     return Row(RowKey(table, key), version, value)
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -55,6 +55,7 @@
 CONFIG_WITHOUT_EVIDENCE = LogEvent(
     2007, "config_without_evidence", "A peer's configuration was not shown current."
 )
+MEMBER_STATE = LogEvent(4002, "member_state", "The state of a host changed.")
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/_slopes.py
@@ -0,0 +1,274 @@
+"""Costs of the core at several numbers of hosts, upstreams and blocks."""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import time
+import tracemalloc
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from cardamomquay.config import Config
+from cardamomquay.config import Pool
+from cardamomquay.config import Route
+from cardamomquay.config import Upstream
+from cardamomquay.currency import ConfigLoaded
+from cardamomquay.currency import ConfigPart
+from cardamomquay.currency import UnsettledPart
+from cardamomquay.currency import exchange_statement
+from cardamomquay.membership import ExchangeAnswered
+from cardamomquay.membership import ExchangeReceived
+from cardamomquay.membership import HostsListed
+from cardamomquay.membership import MemberRecord
+from cardamomquay.membership import MembershipPart
+from cardamomquay.membership import MembershipState
+from cardamomquay.membership import PeerRecord
+from cardamomquay.membership import PeerTarget
+from cardamomquay.membership import StoreReport
+from cardamomquay.platform import ListedHost
+from cardamomquay.reducer import Identity
+from cardamomquay.reducer import Reducer
+from cardamomquay.reducer import Tick
+from cardamomquay.routing import LookupRequest
+from cardamomquay.routing import rank_hosts
+from cardamomquay_daemon import _peer_codec
+from cardamomquay_daemon._runtime import build_snapshot
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomquay.reducer import CoreState
+
+REGIONS = 7
+ZONES = 27
+MEASURE_S = 0.2
+ROUNDS = 3
+SEED = 20_261_204
+
+
+@dataclass(frozen=True, slots=True)
+class HostCosts:
+    """Costs at one number of hosts; times in microseconds, sizes in bytes."""
+
+    hosts: int
+    tick_us: float
+    answer_of_two_records_us: float
+    answer_of_all_records_us: float
+    snapshot_us: float
+    statement_us: float
+    statement_bytes: int
+    record_bytes: float
+    memory_a_host: float
+    lookup_us: float
+    lookup_answer_bytes: int
+
+
+def microseconds(call: Callable[[], object]) -> float:
+    """Return the shortest mean time of a call over some rounds."""
+    best = float("inf")
+    for _ in range(ROUNDS):
+        count = 0
+        started = time.perf_counter()
+        while (passed := time.perf_counter() - started) < MEASURE_S:
+            call()
+            count += 1
+        best = min(best, passed / count)
+    return round(best * 1e6, 2)
+
+
+def record(number: int) -> MemberRecord:
+    """Return a record of the size that a daemon's has."""
+    region = f"region-{number % REGIONS}"
+    return MemberRecord(
+        host=f"host-{number:03d}",
+        incarnation=f"{1_796_357_195_700_280_400 + number:020d}-0123abcd",
+        sequence=1_000_000_000 + number,
+        region=region,
+        availability_zone=f"{region}-{number % ZONES:02d}",
+        address=f"10.1.{number // 250}.{number % 250 + 1}:7001",
+        peer_address=f"10.1.{number // 250}.{number % 250 + 1}:7003",
+        config_version=350,
+        store_report=StoreReport.READ,
+        load=0.25,
+    )
+
+
+def core_with(hosts: int) -> tuple[Reducer, CoreState]:
+    """Return a reducer, and the state of a host that has heard all others."""
+    reducer = Reducer((MembershipPart(), ConfigPart(), UnsettledPart()))
+    own = record(0)
+    identity = Identity(
+        own.host,
+        own.incarnation,
+        own.region,
+        own.availability_zone,
+        own.region,
+        own.address,
+        own.peer_address,
+    )
+    core = reducer.initial(identity)
+    core, _ = reducer.reduce(core, ConfigLoaded(1.0, Config(350), 1.0))
+    listed = tuple(
+        ListedHost(r.host, r.address, r.peer_address, r.region, r.availability_zone)
+        for r in map(record, range(hosts))
+    )
+    core, _ = reducer.reduce(core, HostsListed(1.0, listed))
+    core, _ = reducer.reduce(core, _answer(1.0, tuple(range(1, hosts))))
+    return reducer, core
+
+
+def _answer(now_s: float, numbers: tuple[int, ...]) -> ExchangeAnswered:
+    records = tuple(PeerRecord(record(n), 0.0, 0.1) for n in numbers)
+    sender = record(numbers[0])
+    target = PeerTarget(sender.host, sender.peer_address)
+    return ExchangeAnswered(now_s, now_s, target, sender.host, records, 350, 0.1)
+
+
+def host_costs(hosts: int) -> HostCosts:
+    """Measure the core at a number of hosts.
+
+    Parameters
+    ----------
+    hosts : int
+
+    Returns
+    -------
+    HostCosts
+    """
+    gc.collect()
+    tracemalloc.start()
+    reducer, core = core_with(hosts)
+    gc.collect()
+    memory = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    two = _answer(1.2, (1, 2))
+    everyone = _answer(1.2, tuple(range(1, hosts)))
+    received = ExchangeReceived(1.2, "host-001", everyone.records, 350)
+    statement = exchange_statement(core, 1.2)
+    wire = _peer_codec.request_to_wire(statement)
+    members = core.part(MembershipState)
+    request = LookupRequest("region-1", "region-1-01")
+
+    def answer_lookup() -> str:
+        answer = rank_hosts(members, request, 1.2)
+        return json.dumps(
+            [[h.host, h.address, h.region, h.weight] for h in answer.hosts]
+        )
+
+    reducer.reduce(core, received)
+    return HostCosts(
+        hosts=hosts,
+        tick_us=microseconds(lambda: reducer.reduce(core, Tick(1.1))),
+        answer_of_two_records_us=microseconds(lambda: reducer.reduce(core, two)),
+        answer_of_all_records_us=microseconds(lambda: reducer.reduce(core, everyone)),
+        snapshot_us=microseconds(lambda: build_snapshot(core, 1.2)),
+        statement_us=microseconds(
+            lambda: _peer_codec.request_to_wire(
+                exchange_statement(core, 1.2)
+            ).SerializeToString()
+        ),
+        statement_bytes=len(wire.SerializeToString()),
+        record_bytes=round(
+            sum(r.ByteSize() for r in wire.records) / len(wire.records), 1
+        ),
+        memory_a_host=round(memory / hosts, 1),
+        lookup_us=microseconds(answer_lookup),
+        lookup_answer_bytes=len(answer_lookup()),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCosts:
+    """Costs of a configuration; bytes on the wire, milliseconds to take it in."""
+
+    upstreams: int
+    wire_bytes: int
+    encode_ms: float
+    parse_ms: float
+
+
+def config_costs(sites: int) -> ConfigCosts:
+    """Measure a configuration with a route and a pool of 12 upstreams for each site.
+
+    Parameters
+    ----------
+    sites : int
+
+    Returns
+    -------
+    ConfigCosts
+    """
+    pools = {
+        f"pool-{s}": Pool(
+            f"pool-{s}",
+            "owner",
+            tuple(
+                Upstream(
+                    f"pool-{s}-{u}",
+                    f"10.2.{s % 250}.{u + 1}:8000",
+                    f"region-{s % REGIONS}",
+                    f"region-{s % REGIONS}-{s % ZONES:02d}",
+                    3,
+                    390,
+                )
+                for u in range(12)
+            ),
+        )
+        for s in range(sites)
+    }
+    routes = {
+        f"route-{s}": Route(f"route-{s}", "owner", f"/site-{s}", f"pool-{s}")
+        for s in range(sites)
+    }
+    config = Config(350, "edit", routes=routes, pools=pools)
+    message = _peer_codec.config_to_wire(config, 0.1)
+    parsed = _peer_codec.config_from_wire(message)
+    if parsed != config:
+        raise RuntimeError("the configuration did not come back unchanged")
+    encode_us = microseconds(lambda: _peer_codec.config_to_wire(config, 0.1))
+    parse_us = microseconds(lambda: _peer_codec.config_from_wire(message))
+    return ConfigCosts(
+        12 * sites,
+        message.ByteSize(),
+        round(encode_us / 1000, 2),
+        round(parse_us / 1000, 2),
+    )
+
+
+@dataclass(frozen=True, slots=True)
+class BlockCosts:
+    """Costs of a table of client blocks in sorted arrays."""
+
+    blocks: int
+    table_bytes: int
+    search_us: float
+
+
+def block_costs(blocks: int) -> BlockCosts:
+    """Measure a binary search over sorted block starts.
+
+    Parameters
+    ----------
+    blocks : int
+
+    Returns
+    -------
+    BlockCosts
+    """
+    source = random.Random(SEED)
+    starts = np.array(sorted(source.sample(range(2**32), blocks)), dtype=np.uint32)
+    lengths = np.full(blocks, 24, dtype=np.uint8)
+    sites = np.arange(blocks, dtype=np.uint16) % 150
+    wanted = [np.uint32(source.randrange(2**32)) for _ in range(1000)]
+    turn = iter(range(10**9))
+
+    def search() -> int:
+        address = wanted[next(turn) % len(wanted)]
+        return int(sites[max(0, int(starts.searchsorted(address, "right")) - 1)])
+
+    size = starts.nbytes + lengths.nbytes + sites.nbytes
+    return BlockCosts(blocks, size, microseconds(search))
