Exchange with few partners and pass on only what is newer

Change: a host calls the 2 hosts of which it heard least each 0.5 s, one dead host beside them, and at the next tick any host that it has not heard of for 0.9 s (again after 0.3 s). A request carries the own record and (host, incarnation, sequence) of the others; the answer has only newer statements, without region, zone and addresses where the caller knows the incarnation. The wire format is the same. Incarnations are 18 characters.

--- a/packages/core/src/cardamomquay/currency/__init__.py
+++ b/packages/core/src/cardamomquay/currency/__init__.py
@@ -7,8 +7,10 @@
 from cardamomquay.currency._currency import RegionReport
 from cardamomquay.currency._currency import is_current
 from cardamomquay.currency._currency import is_outage_confirmed
+from cardamomquay.currency._exchange import Request
 from cardamomquay.currency._exchange import Statement
-from cardamomquay.currency._exchange import exchange_statement
+from cardamomquay.currency._exchange import exchange_reply
+from cardamomquay.currency._exchange import exchange_request
 from cardamomquay.currency._exchange import own_record
 from cardamomquay.currency._part import ConfigInForce
 from cardamomquay.currency._part import ConfigLoaded
@@ -60,7 +62,9 @@
     "RegionReport",
     "Statement",
     "currency_view",
-    "exchange_statement",
+    "Request",
+    "exchange_reply",
+    "exchange_request",
     "is_current",
     "is_outage_confirmed",
     "own_record",
--- a/packages/core/src/cardamomquay/currency/_part.py
+++ b/packages/core/src/cardamomquay/currency/_part.py
@@ -232,7 +232,7 @@
     own: ConfigState, event: ExchangeReceived, core: CoreState
 ) -> tuple[ConfigState, tuple[Effect, ...]]:
     # A request that was sent unasked gives no evidence, only a newer version.
-    sender = core.part(MembershipState).members.get(event.sender)
+    sender = core.part(MembershipState).members.get(event.own.record.host)
     if sender is None:
         return own, ()
     return _fetch_newer(own, event.config_version, sender.record.peer_address)
--- a/packages/core/src/cardamomquay/currency/_unsettled.py
+++ b/packages/core/src/cardamomquay/currency/_unsettled.py
@@ -165,7 +165,8 @@
     version = core.part(ConfigState).version
     in_store_region = core.identity.region == core.identity.store_region
     wait_s = ADOPTED_SETTLE_AFTER_S if in_store_region else float("inf")
-    for received in event.records:
+    records = event.records if isinstance(event, ExchangeAnswered) else (event.own,)
+    for received in records:
         text = received.record.extra.get(UNSETTLED_EXTRA)
         if text is not None:
             for edit in _parse(text):
--- a/packages/core/src/cardamomquay/membership/__init__.py
+++ b/packages/core/src/cardamomquay/membership/__init__.py
@@ -2,26 +2,27 @@
 
 from __future__ import annotations
 
-from cardamomquay.membership._part import DEAD_AFTER_S
 from cardamomquay.membership._part import EXCHANGE_INTERVAL_S
 from cardamomquay.membership._part import FORGET_AFTER_S
-from cardamomquay.membership._part import SEQUENCES_PER_S
-from cardamomquay.membership._part import SUSPECT_AFTER_S
-from cardamomquay.membership._part import ExchangeAnswered
-from cardamomquay.membership._part import ExchangeReceived
-from cardamomquay.membership._part import ExchangeWithPeers
-from cardamomquay.membership._part import ExtraPublished
-from cardamomquay.membership._part import HostsListed
-from cardamomquay.membership._part import LeaveRequested
-from cardamomquay.membership._part import Member
 from cardamomquay.membership._part import MembershipPart
-from cardamomquay.membership._part import MembershipState
-from cardamomquay.membership._part import PeerTarget
-from cardamomquay.membership._part import ReadHostList
+from cardamomquay.membership._records import Known
 from cardamomquay.membership._records import MemberRecord
 from cardamomquay.membership._records import MemberState
 from cardamomquay.membership._records import PeerRecord
 from cardamomquay.membership._records import StoreReport
+from cardamomquay.membership._state import DEAD_AFTER_S
+from cardamomquay.membership._state import SEQUENCES_PER_S
+from cardamomquay.membership._state import SUSPECT_AFTER_S
+from cardamomquay.membership._state import ExchangeAnswered
+from cardamomquay.membership._state import ExchangeReceived
+from cardamomquay.membership._state import ExchangeWithPeers
+from cardamomquay.membership._state import ExtraPublished
+from cardamomquay.membership._state import HostsListed
+from cardamomquay.membership._state import LeaveRequested
+from cardamomquay.membership._state import Member
+from cardamomquay.membership._state import MembershipState
+from cardamomquay.membership._state import PeerTarget
+from cardamomquay.membership._state import ReadHostList
 
 __all__ = [
     "DEAD_AFTER_S",
@@ -34,6 +35,7 @@
     "ExchangeWithPeers",
     "ExtraPublished",
     "HostsListed",
+    "Known",
     "LeaveRequested",
     "Member",
     "MemberRecord",
--- a/packages/core/src/cardamomquay/membership/_part.py
+++ b/packages/core/src/cardamomquay/membership/_part.py
@@ -2,16 +2,25 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-from dataclasses import field
 from dataclasses import replace
-from typing import TYPE_CHECKING
 
 import immutables
 
+from cardamomquay.membership._partners import choose_partners
+from cardamomquay.membership._partners import overdue_hosts
 from cardamomquay.membership._records import MemberRecord
-from cardamomquay.membership._records import MemberState
-from cardamomquay.membership._records import PeerRecord
+from cardamomquay.membership._state import DEAD_AFTER_S
+from cardamomquay.membership._state import SEQUENCES_PER_S
+from cardamomquay.membership._state import ExchangeAnswered
+from cardamomquay.membership._state import ExchangeReceived
+from cardamomquay.membership._state import ExchangeWithPeers
+from cardamomquay.membership._state import ExtraPublished
+from cardamomquay.membership._state import HostsListed
+from cardamomquay.membership._state import LeaveRequested
+from cardamomquay.membership._state import Member
+from cardamomquay.membership._state import MembershipState
+from cardamomquay.membership._state import PeerTarget
+from cardamomquay.membership._state import ReadHostList
 from cardamomquay.reducer import CoreState
 from cardamomquay.reducer import Effect
 from cardamomquay.reducer import Event
@@ -19,159 +28,11 @@
 from cardamomquay.reducer import Part
 from cardamomquay.reducer import Tick
 
-if TYPE_CHECKING:
-    from cardamomquay.platform import ListedHost
-
 HOST_LIST_INTERVAL_S = 1.0
 EXCHANGE_INTERVAL_S = 0.5
-SUSPECT_AFTER_S = 1.5
-DEAD_AFTER_S = 5.0
 # A dead host that the platform does not list is called for so long, since a host
 # that was paused or cut off may return.
 FORGET_AFTER_S = 60.0
-# Sequence numbers are microseconds of the sender's clock. They grow with each
-# statement, and a number that a peer sends back dates the message that carries it.
-SEQUENCES_PER_S = 1_000_000
-
-
-@dataclass(frozen=True, slots=True)
-class ReadHostList(Effect):
-    """Read the platform's host list; the answer is `HostsListed`."""
-
-
-@dataclass(frozen=True, slots=True)
-class PeerTarget:
-    """A host to call, and where."""
-
-    host: str
-    peer_address: str
-
-
-@dataclass(frozen=True, slots=True)
-class ExchangeWithPeers(Effect):
-    """Exchange records with each target; each answer is `ExchangeAnswered`."""
-
-    targets: tuple[PeerTarget, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class HostsListed(Event):
-    """The platform's list, which may be an old one."""
-
-    hosts: tuple[ListedHost, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class LeaveRequested(Event):
-    """A planned stop of this host begins."""
-
-
-@dataclass(frozen=True, slots=True)
-class ExtraPublished(Event):
-    """Sets an entry of the own record's `extra`; None removes it."""
-
-    name: str
-    value: str | None
-
-
-@dataclass(frozen=True, slots=True)
-class ExchangeAnswered(Event):
-    """A peer answered a call that this host began at `started_s`.
-
-    Parameters
-    ----------
-    started_s : float
-    target : PeerTarget
-        Whom this host meant to call.
-    sender : str
-        Host that answered.
-    records : tuple of PeerRecord
-    config_version : int
-        Version in force on the peer.
-    confirmed_age_s : float or None
-        Age of the peer's evidence for that version.
-    """
-
-    started_s: float
-    target: PeerTarget
-    sender: str
-    records: tuple[PeerRecord, ...]
-    config_version: int = 0
-    confirmed_age_s: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class ExchangeReceived(Event):
-    """A peer called this host.
-
-    Parameters
-    ----------
-    sender : str
-    records : tuple of PeerRecord
-    config_version : int
-        Version in force on the peer.
-    """
-
-    sender: str
-    records: tuple[PeerRecord, ...]
-    config_version: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class Member:
-    """A host's newest record and when it was heard.
-
-    Parameters
-    ----------
-    record : MemberRecord
-    heard_at_s : float
-        On this host's clock: the host made this statement at this time or later.
-        For a host that is only listed, when it was first listed.
-    heard : bool
-        False while only the platform's list names the host.
-    """
-
-    record: MemberRecord
-    heard_at_s: float
-    heard: bool = True
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipState:
-    """State of the membership part.
-
-    Parameters
-    ----------
-    members : immutables.Map of str to Member
-    own_host : str
-    leaving : bool
-        Whether this host leaves.
-    list_due_s, exchange_due_s : float
-    by_peer_address : immutables.Map of str to str
-        Host that was heard last at each address.
-    listed : frozenset of str
-        Hosts of the platform's newest list.
-    """
-
-    members: immutables.Map[str, Member]
-    own_host: str = ""
-    leaving: bool = False
-    list_due_s: float = 0.0
-    exchange_due_s: float = 0.0
-    by_peer_address: immutables.Map[str, str] = field(default_factory=immutables.Map)
-    listed: frozenset[str] = frozenset()
-
-    def state_of(self, host: str, now_s: float) -> MemberState:
-        """Return a host's state at `now_s`; an unknown host counts as dead."""
-        member = self.members.get(host)
-        if member is None:
-            return MemberState.DEAD
-        age_s = 0.0 if host == self.own_host else now_s - member.heard_at_s
-        if age_s > DEAD_AFTER_S:
-            return MemberState.DEAD
-        if member.record.leaving:
-            return MemberState.LEAVING
-        return MemberState.SUSPECT if age_s > SUSPECT_AFTER_S else MemberState.LIVE
 
 
 class MembershipPart(Part[MembershipState]):
@@ -224,16 +85,19 @@
     if now_s >= own.list_due_s:
         own = replace(own, list_due_s=now_s + HOST_LIST_INTERVAL_S)
         effects.append(ReadHostList())
+    targets: tuple[PeerTarget, ...]
     if now_s >= own.exchange_due_s:
         own = replace(own, exchange_due_s=now_s + EXCHANGE_INTERVAL_S)
         own = _forget(own, now_s)
-        targets = tuple(
-            PeerTarget(name, member.record.peer_address)
-            for name, member in own.members.items()
-            if name != own.own_host and member.record.peer_address
-        )
-        if targets:
-            effects.append(ExchangeWithPeers(targets))
+        targets = choose_partners(own, now_s)
+    else:
+        targets = overdue_hosts(own, now_s)
+    if targets:
+        called = own.called_at_s
+        for target in targets:
+            called = called.set(target.host, now_s)
+        own = replace(own, called_at_s=called)
+        effects.append(ExchangeWithPeers(targets))
     return own, tuple(effects)
 
 
@@ -263,7 +127,13 @@
     addresses = own.by_peer_address
     if addresses.get(member.record.peer_address) == host:
         addresses = addresses.delete(member.record.peer_address)
-    return replace(own, members=own.members.delete(host), by_peer_address=addresses)
+    called = own.called_at_s
+    return replace(
+        own,
+        members=own.members.delete(host),
+        by_peer_address=addresses,
+        called_at_s=called.delete(host) if host in called else called,
+    )
 
 
 def _exchange_answered(
@@ -286,29 +156,24 @@
 def _exchange_received(
     own: MembershipState, event: ExchangeReceived, identity: Identity
 ) -> MembershipState:
-    """Apply records that a peer sent unasked.
+    """Apply the record of a peer that called.
 
     A request can wait in a socket while this host is paused, so its arrival dates
     nothing. The sequence number of this host's own record in it does: the request
     was sent after this host made that statement.
     """
-    sent_after_s = float("-inf")
-    for received in event.records:
-        record = received.record
-        if (record.host, record.incarnation) == (identity.host, identity.incarnation):
-            sent_after_s = record.sequence / SEQUENCES_PER_S
-    for received in event.records:
-        known = own.members.get(received.record.host)
-        if sent_after_s > float("-inf"):
-            record, heard_at_s = received.dated(min(sent_after_s, event.now_s))
-            own = _apply_record(own, record, heard_at_s, event.now_s)
-        elif known is None and received.heard_age_s < DEAD_AFTER_S:
-            # Not dated, so not heard: called from now on, offered once it answers.
-            record, _ = received.dated(event.now_s - FORGET_AFTER_S)
-            suspect_s = event.now_s - DEAD_AFTER_S
-            member = Member(record, suspect_s, heard=False)
-            own = replace(own, members=own.members.set(record.host, member))
-    return own
+    received = event.own
+    for known in event.known:
+        if (known.host, known.incarnation) == (identity.host, identity.incarnation):
+            sent_after_s = min(known.sequence / SEQUENCES_PER_S, event.now_s)
+            record, heard_at_s = received.dated(sent_after_s)
+            return _apply_record(own, record, heard_at_s, event.now_s)
+    if received.record.host in own.members:
+        return own
+    # Not dated, so not heard: called from now on, offered once it answers.
+    record, _ = received.dated(event.now_s - FORGET_AFTER_S)
+    member = Member(record, event.now_s - DEAD_AFTER_S, heard=False)
+    return replace(own, members=own.members.set(record.host, member))
 
 
 def _apply_record(
@@ -316,6 +181,11 @@
 ) -> MembershipState:
     if record.host == own.own_host or now_s - heard_at_s > FORGET_AFTER_S:
         return own
+    if not record.peer_address:
+        completed = _complete(record, own.members.get(record.host))
+        if completed is None:
+            return own
+        record = completed
     holder = own.by_peer_address.get(record.peer_address)
     if holder is not None and holder != record.host:
         if own.members[holder].heard_at_s >= heard_at_s:
@@ -340,6 +210,18 @@
     )
 
 
+def _complete(record: MemberRecord, known: Member | None) -> MemberRecord | None:
+    if known is None or known.record.incarnation != record.incarnation:
+        return None
+    return replace(
+        record,
+        region=known.record.region,
+        availability_zone=known.record.availability_zone,
+        address=known.record.address,
+        peer_address=known.record.peer_address,
+    )
+
+
 def _same_statement(one: MemberRecord, other: MemberRecord) -> bool:
     return (one.incarnation, one.sequence) == (other.incarnation, other.sequence)
 
--- a/packages/core/src/cardamomquay/membership/_records.py
+++ b/packages/core/src/cardamomquay/membership/_records.py
@@ -67,6 +67,15 @@
     extra: immutables.Map[str, str] = field(default_factory=immutables.Map)
 
 
+@dataclass(frozen=True, slots=True)
+class Known:
+    """Which statement of a host the sender knows."""
+
+    host: str
+    incarnation: str
+    sequence: int
+
+
 @dataclass(frozen=True, slots=True)
 class PeerRecord:
     """A record as a peer stated it, with ages at the time of sending.
@@ -74,7 +83,8 @@
     Parameters
     ----------
     record : MemberRecord
-        Its `store_report_at_s` has no meaning before `dated` set it.
+        Its `store_report_at_s` has no meaning before `dated` set it. Without an
+        address it is a short one, for a receiver that knows the incarnation.
     heard_age_s : float
         How long ago the sender knew the record to be current.
     store_report_age_s : float
@@ -84,6 +94,13 @@
     heard_age_s: float
     store_report_age_s: float
 
+    def shortened(self) -> PeerRecord:
+        """Leave out what does not change during an incarnation."""
+        record = replace(
+            self.record, region="", availability_zone="", address="", peer_address=""
+        )
+        return replace(self, record=record)
+
     def dated(self, sent_after_s: float) -> tuple[MemberRecord, float]:
         """Convert the ages to the receiver's clock.
 
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -163,4 +163,5 @@
 
 def new_incarnation() -> str:
     """Return an incarnation that sorts after those of earlier runs."""
-    return f"{time.time_ns():020d}-{uuid.uuid4().hex[:8]}"
+    # Short, since each exchange carries it for each host.
+    return f"{time.time_ns() // 1_000_000:012x}{uuid.uuid4().hex[:6]}"
--- a/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
@@ -13,6 +13,8 @@
 from cardamomquay.config import check_address
 from cardamomquay.config import config_rows
 from cardamomquay.config import parse_config
+from cardamomquay.currency import Request
+from cardamomquay.membership import Known
 from cardamomquay.membership import MemberRecord
 from cardamomquay.membership import PeerRecord
 from cardamomquay.membership import StoreReport
@@ -104,8 +106,9 @@
 def record_from_wire(message: Any) -> PeerRecord | None:
     """Return the record of a message, None if it is not a usable one."""
     try:
-        check_address(message.address)
-        check_address(message.peer_address)
+        if message.address or message.peer_address:
+            check_address(message.address)
+            check_address(message.peer_address)
         report = StoreReport(message.store_report)
     except ValueError:
         return None
@@ -135,12 +138,32 @@
     return tuple(record for record in records if record is not None)
 
 
-def request_to_wire(statement: Statement) -> Any:
-    """Return the request of an exchange."""
+def request_to_wire(request: Request) -> Any:
+    """Return the message of a request: the own record, then what is known."""
+    known = [
+        peer_pb2.MemberRecord(
+            host=entry.host, incarnation=entry.incarnation, sequence=entry.sequence
+        )
+        for entry in request.known
+    ]
     return peer_pb2.ExchangeRequest(
-        records=[record_to_wire(record) for record in statement.records],
-        config_version=statement.config_version,
+        records=[record_to_wire(request.own), *known],
+        config_version=request.config_version,
+    )
+
+
+def request_from_wire(message: Any) -> Request | None:
+    """Return the request of a message, None if its first record is not usable."""
+    if not message.records:
+        return None
+    own = record_from_wire(message.records[0])
+    if own is None or not own.record.peer_address:
+        return None
+    known = tuple(
+        Known(entry.host, entry.incarnation, entry.sequence)
+        for entry in message.records[1:]
     )
+    return Request(own, known, message.config_version)
 
 
 def reply_to_wire(statement: Statement) -> Any:
--- a/packages/dev/src/cardamomquay_dev/_slopes.py
+++ b/packages/dev/src/cardamomquay_dev/_slopes.py
@@ -8,6 +8,7 @@
 import time
 import tracemalloc
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import numpy as np
@@ -19,9 +20,9 @@
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigPart
 from cardamomquay.currency import UnsettledPart
-from cardamomquay.currency import exchange_statement
+from cardamomquay.currency import exchange_reply
+from cardamomquay.currency import exchange_request
 from cardamomquay.membership import ExchangeAnswered
-from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import HostsListed
 from cardamomquay.membership import MemberRecord
 from cardamomquay.membership import MembershipPart
@@ -60,6 +61,7 @@
     answer_of_all_records_us: float
     snapshot_us: float
     statement_us: float
+    request_bytes: int
     statement_bytes: int
     record_bytes: float
     memory_a_host: float
@@ -85,7 +87,7 @@
     region = f"region-{number % REGIONS}"
     return MemberRecord(
         host=f"host-{number:03d}",
-        incarnation=f"{1_796_357_195_700_280_400 + number:020d}-0123abcd",
+        incarnation=f"{1_796_357_195_700 + number:012x}0123ab",
         sequence=1_000_000_000 + number,
         region=region,
         availability_zone=f"{region}-{number % ZONES:02d}",
@@ -147,9 +149,13 @@
     tracemalloc.stop()
     two = _answer(1.2, (1, 2))
     everyone = _answer(1.2, tuple(range(1, hosts)))
-    received = ExchangeReceived(1.2, "host-001", everyone.records, 350)
-    statement = exchange_statement(core, 1.2)
-    wire = _peer_codec.request_to_wire(statement)
+    request_wire = _peer_codec.request_to_wire(exchange_request(core, 1.2))
+    # The larger of two answers: the caller knows all hosts, and all records that
+    # this host has are newer.
+    older = tuple(
+        replace(known, sequence=0) for known in exchange_request(core, 1.2).known
+    )
+    wire = _peer_codec.reply_to_wire(exchange_reply(core, 1.2, older))
     members = core.part(MembershipState)
     request = LookupRequest("region-1", "region-1-01")
 
@@ -159,7 +165,6 @@
             [[h.host, h.address, h.region, h.weight] for h in answer.hosts]
         )
 
-    reducer.reduce(core, received)
     return HostCosts(
         hosts=hosts,
         tick_us=microseconds(lambda: reducer.reduce(core, Tick(1.1))),
@@ -167,11 +172,12 @@
         answer_of_all_records_us=microseconds(lambda: reducer.reduce(core, everyone)),
         snapshot_us=microseconds(lambda: build_snapshot(core, 1.2)),
         statement_us=microseconds(
-            lambda: _peer_codec.request_to_wire(
-                exchange_statement(core, 1.2)
+            lambda: _peer_codec.reply_to_wire(
+                exchange_reply(core, 1.2, older)
             ).SerializeToString()
         ),
-        statement_bytes=len(wire.SerializeToString()),
+        request_bytes=request_wire.ByteSize(),
+        statement_bytes=wire.ByteSize(),
         record_bytes=round(
             sum(r.ByteSize() for r in wire.records) / len(wire.records), 1
         ),
