--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -31,6 +31,7 @@
 from cardamomquay_daemon._effects import ConfigEffects
 from cardamomquay_daemon._effects import HostListEffects
 from cardamomquay_daemon._lease_effects import LeaseEffects
+from cardamomquay_daemon._member_watch import MemberWatch
 from cardamomquay_daemon._operator_port import OperatorPort
 from cardamomquay_daemon._peer import PeerNode
 from cardamomquay_daemon._platform_client import HttpHostList
@@ -86,7 +87,7 @@
             address=settings.listen,
             peer_address=settings.peer_listen,
         )
-        connection = PlatformConnection(settings.platform)
+        connection = PlatformConnection(settings.platform, self._telemetry)
         tables = HttpTableService(connection)
         reducer = Reducer(
             (
@@ -144,6 +145,7 @@
         )
         self._admission = LentQuotaAdmission(self._clock, self._tokens, self.identity)
         self._runtime.listen(self._apply_config)
+        self._runtime.listen(MemberWatch(self._clock, self._telemetry))
         relay = Relay(
             self._runtime,
             self._clock,
@@ -251,4 +253,5 @@
 
 def new_incarnation() -> str:
     """Return an incarnation that sorts after those of earlier runs."""
-    return f"{time.time_ns():020d}-{uuid.uuid4().hex[:8]}"
+    # Short, since each exchange carries it for each host.
+    return f"{time.time_ns() // 1_000_000:012x}{uuid.uuid4().hex[:6]}"
--- a/packages/daemon/src/cardamomquay_daemon/_peer.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -13,22 +13,24 @@
 
 from grpclib import GRPCError
 from grpclib import Status
-from grpclib.client import Channel
 from grpclib.exceptions import ProtocolError
 from grpclib.exceptions import StreamTerminatedError
-from grpclib.server import Server
 
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigLoadFailed
 from cardamomquay.currency import ConfigState
 from cardamomquay.currency import FetchConfigFromPeer
-from cardamomquay.currency import exchange_statement
+from cardamomquay.currency import exchange_reply
+from cardamomquay.currency import exchange_request
 from cardamomquay.membership import ExchangeAnswered
 from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import ExchangeWithPeers
 from cardamomquay.membership import MembershipState
 from cardamomquay.outcomes import format_findings
 from cardamomquay_daemon import _peer_codec
+from cardamomquay_daemon._peer_traffic import ByteCount
+from cardamomquay_daemon._peer_traffic import CountedChannel
+from cardamomquay_daemon._peer_traffic import CountedServer
 from cardamomquay_daemon._telemetry import CONFIG_INVALID
 from cardamomquay_daemon._telemetry import PEER_FAILED
 from cardamomquay_daemon.wire import peer_pb2
@@ -81,9 +83,13 @@
 class _Connection:
     """A channel to one peer; used in the asyncio thread only."""
 
-    def __init__(self, address: str, tls: ssl.SSLContext | None) -> None:
+    def __init__(
+        self, address: str, tls: ssl.SSLContext | None, count: ByteCount
+    ) -> None:
         host, _, port = address.rpartition(":")
-        self._channel = Channel(host.strip("[]"), int(port), ssl=tls)
+        self._channel = CountedChannel(
+            host.strip("[]"), int(port), ssl=tls, count=count
+        )
         self.stub: Any = PeerStub(self._channel)
         self.failures = 0
 
@@ -131,6 +137,7 @@
         self._client_tls = None if tls is None else _tls(tls, ssl.Purpose.SERVER_AUTH)
         self._connections: dict[str, _Connection] = {}
         self._exchanging: set[str] = set()
+        self._bytes = ByteCount()
         self._loop = asyncio.new_event_loop()
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -202,19 +209,17 @@
         return _peer_codec.borrow_answer_from_wire(reply)
 
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
-        request = await stream.recv_message()
-        assert request is not None
-        records = _peer_codec.records_from_wire(request.records)
-        await stream.send_message(_peer_codec.reply_to_wire(self._statement()))
-        if records:
-            self._runtime.post(
-                ExchangeReceived(
-                    self._clock.now_s(),
-                    records[0].record.host,
-                    records,
-                    request.config_version,
-                )
-            )
+        message = await stream.recv_message()
+        assert message is not None
+        request = _peer_codec.request_from_wire(message)
+        if request is None:
+            raise GRPCError(Status.INVALID_ARGUMENT, "no usable record of the sender")
+        core, now_s = self._runtime.snapshot.core, self._clock.now_s()
+        reply = exchange_reply(core, now_s, request.known, self.load())
+        await stream.send_message(_peer_codec.reply_to_wire(reply))
+        self._runtime.post(
+            ExchangeReceived(now_s, request.own, request.known, request.config_version)
+        )
 
     async def FetchConfig(self, stream: Any) -> None:  # noqa: N802
         request = await stream.recv_message()
@@ -290,7 +295,7 @@
 
     async def _serve(self, started: concurrent.futures.Future[None]) -> None:
         host, _, port = self._identity.peer_address.rpartition(":")
-        server = Server([self])
+        server = CountedServer([self], count=self._bytes)
         try:
             await server.start(host.strip("[]"), int(port), ssl=self._server_tls)
         except OSError as exc:
@@ -306,11 +311,6 @@
         server.close()
         await server.wait_closed()
 
-    def _statement(self) -> Any:
-        # In the asyncio thread only, so that the sequence numbers grow.
-        core = self._runtime.snapshot.core
-        return exchange_statement(core, self._clock.now_s(), self.load())
-
     def _exchange_all(self, effect: ExchangeWithPeers) -> None:
         self._spawn(self._exchange_targets(effect.targets))
 
@@ -332,12 +332,26 @@
             coroutine.close()
 
     async def _exchange_targets(self, targets: Sequence[PeerTarget]) -> None:
-        wanted = {target.peer_address for target in targets}
+        self._close_unknown()
+        sent, received = self._bytes.take()
+        self._telemetry.count("peers.bytes_sent", sent)
+        self._telemetry.count("peers.bytes_received", received)
+        # In the asyncio thread only, as the replies, so that sequence numbers grow.
+        core, now_s = self._runtime.snapshot.core, self._clock.now_s()
+        request = _peer_codec.request_to_wire(
+            exchange_request(core, now_s, self.load())
+        )
+        await asyncio.gather(*(self._exchange(target, request) for target in targets))
+
+    def _close_unknown(self) -> None:
+        """Close connections to addresses that no host has any more."""
+        members = self._runtime.snapshot.core.part(MembershipState).members
+        if len(self._connections) < len(members):
+            return
+        wanted = {member.record.peer_address for member in members.values()}
         for address in tuple(self._connections):
             if address not in wanted:
                 self._connections.pop(address).close()
-        request = _peer_codec.request_to_wire(self._statement())
-        await asyncio.gather(*(self._exchange(target, request) for target in targets))
 
     async def _exchange(self, target: PeerTarget, request: Any) -> None:
         address = target.peer_address
@@ -410,7 +424,7 @@
     def _connection(self, address: str) -> _Connection:
         connection = self._connections.get(address)
         if connection is None:
-            connection = _Connection(address, self._client_tls)
+            connection = _Connection(address, self._client_tls, self._bytes)
             self._connections[address] = connection
         return connection
 
@@ -423,7 +437,7 @@
             and self._connections.get(address) is connection
         ):
             connection.close()
-            fresh = _Connection(address, self._client_tls)
+            fresh = _Connection(address, self._client_tls, self._bytes)
             fresh.failures = connection.failures
             self._connections[address] = fresh
 
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -63,6 +63,7 @@
 LEASES_RECLAIMED = LogEvent(
     5003, "leases_reclaimed", "Expired leases of other hosts were deleted."
 )
+MEMBER_STATE = LogEvent(4002, "member_state", "The state of a host changed.")
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
