Cover repeated edits and full TLS records, and reserve test ports

Cause: trials that switched off the settling of a repeated edit and the look at data inside OpenSSL failed no test, and two runs of the tests at the same time took the same ports (seen once: 'initial configuration was not stored'). Change: a test for an edit that a second daemon gets, requests that fill one TLS record, and a guard port for each block of ports.

--- a/packages/cli/tests/test_commands.py
+++ b/packages/cli/tests/test_commands.py
@@ -14,6 +14,8 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Write
 from cardamomquay_cli import _editing
+from cardamomquay_cli._client import OperatorClient
+from cardamomquay_cli._client import Reply
 from cardamomquay_cli._commands import COMMANDS
 from cardamomquay_cli._results import EXIT_MEANINGS
 from cardamomquay_cli._results import ExitCode
@@ -100,6 +102,19 @@
         self.assertEqual(again[1]["version"], first[1]["version"])
         self.assertEqual(self.cli("show", "routes", "browse")[1]["timeout_s"], 3)
 
+    def test_edit_that_is_sent_to_a_second_daemon(self) -> None:
+        # The client sends the same document again when an answer is lost.
+        client = OperatorClient([self.url], "op-a.secret-a")
+        change = {"table": "organisations", "key": "salsa", "value": None}
+        document = {"edit_id": "e-1", "expected_version": 1, "changes": [change]}
+        versions = []
+        for timeout in (2, 3):
+            reply = client.post("/v1/edits", document)
+            assert isinstance(reply, Reply)
+            versions.append((reply.status, reply.document["version"]))
+            self.cli("patch", "routes", "browse", f"timeout_s={timeout}")
+        self.assertEqual(versions, [(200, 2), (200, 2)])
+
     def test_lost_answer_is_settled(self) -> None:
         self.tables.faults.lose_answers = 1
         code, document = self.cli("patch", "routes", "browse", "timeout_s=4")
--- a/packages/daemon/tests/test_tls.py
+++ b/packages/daemon/tests/test_tls.py
@@ -113,10 +113,11 @@
         context = self.context()
         conn = context.wrap_socket(self.connect(), server_hostname="127.0.0.1")
         self.addCleanup(conn.close)
-        # More than the reader's buffer, so that a part waits inside OpenSSL.
-        body = b"x" * 4000
-        post = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4000\r\n\r\n" + body
-        conn.sendall(post * 4)
+        # Four requests of half the reader's buffer fill one TLS record, so that the
+        # last two wait inside OpenSSL when the reader's buffer is empty.
+        head = b"POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        body = b"x" * (4096 - len(head % 4000))
+        conn.sendall((head % len(body) + body) * 4)
         with conn.makefile("rb") as stream:
             for _ in range(4):
                 answer = read_answer(stream)
--- a/packages/dev/tests/fleet_ports.py
+++ b/packages/dev/tests/fleet_ports.py
@@ -1,18 +1,41 @@
 from __future__ import annotations
 
 import socket
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
 
 FIRST_PORT = 26000
 LAST_PORT = 32000
+BLOCK = 200
+USED = (0, 1, 10, 11, 60, 130)
+
+
+@contextmanager
+def reserved_ports() -> Iterator[int]:
+    """Reserve a block of ports and give the first one.
+
+    The last port of the block stays bound, so that another run of these tests on the
+    same machine takes another block.
+    """
+    guard, base = _reserve()
+    with guard:
+        yield base
 
 
-def free_base_port() -> int:
-    """Return the first of 200 ports that nothing listens on now."""
-    for base in range(FIRST_PORT, LAST_PORT, 200):
+def _reserve() -> tuple[socket.socket, int]:
+    for base in range(FIRST_PORT, LAST_PORT, BLOCK):
+        try:
+            guard = socket.create_server(("127.0.0.1", base + BLOCK - 1))
+        except OSError:
+            continue
         try:
-            for offset in (0, 1, 10, 11, 60, 130):
+            for offset in USED:
                 socket.create_server(("127.0.0.1", base + offset)).close()
         except OSError:
+            guard.close()
             continue
-        return base
+        return guard, base
     raise RuntimeError("no free ports")
--- a/packages/dev/tests/test_canary_key.py
+++ b/packages/dev/tests/test_canary_key.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from fleet_ports import free_base_port
+from fleet_ports import reserved_ports
 
 from cardamomquay_dev._fleet import KURVEHAENG
 from cardamomquay_dev._fleet import PARTENAIRES
@@ -31,7 +31,8 @@
 
     def setUp(self) -> None:
         directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.fleet = plan_fleet(directory, free_base_port(), hosts=1)
+        base_port = self.enterContext(reserved_ports())
+        self.fleet = plan_fleet(directory, base_port, hosts=1)
         self.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(self.statsd.close)
         self.statsd.bind(("127.0.0.1", 0))
--- a/packages/dev/tests/test_readme_tour.py
+++ b/packages/dev/tests/test_readme_tour.py
@@ -8,7 +8,7 @@
 import unittest
 from pathlib import Path
 
-from fleet_ports import free_base_port
+from fleet_ports import reserved_ports
 
 from cardamomquay_dev._fleet import plan_fleet
 from cardamomquay_dev.playground import running_playground
@@ -46,8 +46,12 @@
 
     def test_commands_print_what_the_pages_show(self) -> None:
         for page in ("README.md", "docs/operators.md"):
-            with self.subTest(page), tempfile.TemporaryDirectory() as directory:
-                fleet = plan_fleet(Path(directory), free_base_port(), hosts=4)
+            with (
+                self.subTest(page),
+                tempfile.TemporaryDirectory() as directory,
+                reserved_ports() as base_port,
+            ):
+                fleet = plan_fleet(Path(directory), base_port, hosts=4)
                 with running_playground(fleet) as environment:
                     self._check(page, environment)
 
