--- a/packages/core/src/cardamomquay/config/__init__.py
+++ b/packages/core/src/cardamomquay/config/__init__.py
@@ -25,6 +25,7 @@
 from cardamomquay.config._model import StoredKey
 from cardamomquay.config._model import Upstream
 from cardamomquay.config._model import digest_secret
+from cardamomquay.config._rows import config_rows
 from cardamomquay.config._validate import parse_config
 from cardamomquay.config._validate import validate_config
 
@@ -47,6 +48,7 @@
     "StoredKey",
     "Upstream",
     "check_address",
+    "config_rows",
     "digest_secret",
     "expected_text",
     "found_text",
--- a/packages/core/src/cardamomquay/currency/__init__.py
+++ b/packages/core/src/cardamomquay/currency/__init__.py
@@ -7,17 +7,31 @@
 from cardamomquay.currency._currency import RegionReport
 from cardamomquay.currency._currency import is_current
 from cardamomquay.currency._currency import is_outage_confirmed
+from cardamomquay.currency._exchange import Statement
+from cardamomquay.currency._exchange import exchange_statement
+from cardamomquay.currency._exchange import own_record
 from cardamomquay.currency._part import ConfigInForce
 from cardamomquay.currency._part import ConfigLoaded
 from cardamomquay.currency._part import ConfigLoadFailed
 from cardamomquay.currency._part import ConfigPart
 from cardamomquay.currency._part import ConfigState
+from cardamomquay.currency._part import ConfigWithoutEvidence
+from cardamomquay.currency._part import FetchConfigFromPeer
 from cardamomquay.currency._part import HeadRead
 from cardamomquay.currency._part import HeadReadFailed
 from cardamomquay.currency._part import LoadConfig
 from cardamomquay.currency._part import OlderConfigIgnored
 from cardamomquay.currency._part import ReadHead
 from cardamomquay.currency._part import currency_view
+from cardamomquay.currency._unsettled import EditAnswerLost
+from cardamomquay.currency._unsettled import SettleEdits
+from cardamomquay.currency._unsettled import SettleTried
+from cardamomquay.currency._unsettled import UnsettledEdit
+from cardamomquay.currency._unsettled import UnsettledPart
+from cardamomquay.currency._unsettled import UnsettledState
+from cardamomquay.currency._unsettled import plan_settlement
+from cardamomquay.currency._unsettled import refused_keys
+from cardamomquay.currency._unsettled import withdrawn_keys
 
 __all__ = [
     "CURRENCY_BOUND_S",
@@ -26,14 +40,28 @@
     "ConfigLoaded",
     "ConfigPart",
     "ConfigState",
+    "ConfigWithoutEvidence",
+    "EditAnswerLost",
+    "SettleEdits",
+    "SettleTried",
+    "UnsettledEdit",
+    "UnsettledPart",
+    "UnsettledState",
+    "plan_settlement",
+    "refused_keys",
+    "withdrawn_keys",
     "CurrencyView",
+    "FetchConfigFromPeer",
     "HeadRead",
     "HeadReadFailed",
     "LoadConfig",
     "OlderConfigIgnored",
     "ReadHead",
     "RegionReport",
+    "Statement",
     "currency_view",
+    "exchange_statement",
     "is_current",
     "is_outage_confirmed",
+    "own_record",
 ]
--- a/packages/daemon/src/cardamomquay_daemon/_operator_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_operator_port.py
@@ -21,6 +21,7 @@
 from cardamomquay.config import StoredKey
 from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigState
+from cardamomquay.currency import EditAnswerLost
 from cardamomquay.membership import MembershipState
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
@@ -42,6 +43,7 @@
     from _typeshed.wsgi import WSGIEnvironment
 
     from cardamomquay.clock import Clock
+    from cardamomquay.currency import UnsettledEdit
     from cardamomquay.platform import TableService
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
@@ -208,7 +210,7 @@
         except (KeyError, TypeError, ValueError) as exc:
             text = f"malformed edit: {type(exc).__name__}: {exc}"
             return json_response({"error": text}, 400)
-        result = commit_edit(self._tables, self._clock, edit)
+        result = commit_edit(self._tables, self._clock, edit, self._answer_lost)
         match result:
             case EditAccepted(config=config):
                 self._runtime.post(
@@ -265,6 +267,9 @@
                     {"accepted": False, "error": f"store: {reason}"}, 503
                 )
 
+    def _answer_lost(self, unsettled: UnsettledEdit) -> None:
+        self._runtime.post(EditAnswerLost(self._clock.now_s(), unsettled))
+
 
 def _number(request: Request, name: str) -> int | None:
     text = request.args.get(name, "")
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -21,8 +21,7 @@
 from cardamomquay.outcomes import RetryReason
 from cardamomquay.retries import NOT_RUN_REASONS
 from cardamomquay.retries import FailedAttempt
-from cardamomquay.retries import RetryBudget
-from cardamomquay.retries import may_retry
+from cardamomquay.retries import RetryPolicy
 from cardamomquay_daemon._upstream_client import UpstreamAnswer
 from cardamomquay_daemon._upstream_client import UpstreamClient
 from cardamomquay_daemon._upstream_client import UpstreamFailure
@@ -125,7 +124,7 @@
         self._registry = registry
         self._client = client
         self._telemetry = telemetry
-        self._budgets: defaultdict[str, RetryBudget] = defaultdict(RetryBudget)
+        self._retries: defaultdict[str, RetryPolicy] = defaultdict(RetryPolicy)
 
     def relay(self, req: CallerRequest) -> RelayedAnswer | Refusal:
         """Answer a request.
@@ -185,6 +184,11 @@
         stored = config.find_key(req.key)
         if stored is None:
             return Refusal(RefusalReason.KEY_REJECTED)
+        if stored.key_id in snapshot.refused_keys:
+            return Refusal(
+                RefusalReason.CONFIGURATION_STALE,
+                "an edit that withdraws the key is not settled",
+            )
         if not _may_use(route, stored.holder, stored.owner):
             return Refusal(RefusalReason.ORGANISATION_NOT_ALLOWED)
         return _Authorised(config, route, stored.holder)
@@ -239,8 +243,8 @@
     ) -> RelayedAnswer | Refusal:
         route = authorised.route
         pool = authorised.config.pools[route.pool]
-        budget = self._budgets[pool.name]
-        budget.earn()
+        policy = self._retries[pool.name]
+        policy.fresh()
         excluded: set[str] = set()
         attempts = 0
         # A failure after which the request may have run: from then on no refusal
@@ -267,7 +271,7 @@
                 remaining_s=deadline_s - self._clock.now_s(),
                 pool_sheds=False,
             )
-            if not (may_retry(failed) and budget.spend()):
+            if not policy.retry(failed, self._clock.now_s()):
                 if may_have_run is None:
                     self._return_token(authorised, admitted)
                 return _refusal_of(may_have_run or result)
@@ -308,6 +312,12 @@
             observed = _observe(result)
         finally:
             self._chooser.release(reservation, observed)
+        self._retries[pool.name].answered(
+            reservation.upstream.name,
+            observed.result is ObservedResult.SHED,
+            observed.latency_s,
+            self._clock.now_s(),
+        )
         if isinstance(result, UpstreamFailure):
             return result
         return RelayedAnswer(result.status, result.headers, result.body)
@@ -331,6 +341,11 @@
             return Refusal(RefusalReason.POOL_BUSY, "slot grant expired")
         if admitted is not None and now_s >= admitted.valid_until_s:
             return Refusal(RefusalReason.QUOTA_UNAVAILABLE, "quota grant expired")
+        snapshot = self._runtime.snapshot
+        if snapshot.config is authorised.config:
+            if authorised.organisation and not snapshot.is_current(now_s):
+                return Refusal(RefusalReason.CONFIGURATION_STALE)
+            return None
         again = self._authorise(req)
         if isinstance(again, Refusal):
             return again
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -51,6 +51,18 @@
 STORE_UNAVAILABLE = LogEvent(
     3001, "store_unavailable", "A call of the platform failed."
 )
+EDIT_SETTLED = LogEvent(
+    2008, "edit_settled", "An edit whose answer was lost cannot be accepted any more."
+)
+PEER_FAILED = LogEvent(4001, "peer_failed", "A call of another daemon failed.")
+CONFIG_WITHOUT_EVIDENCE = LogEvent(
+    2007, "config_without_evidence", "A peer's configuration was not shown current."
+)
+LEASE_ACQUIRED = LogEvent(5001, "lease_acquired", "This host holds a new host lease.")
+LEASE_LOST = LogEvent(5002, "lease_lost", "This host's lease was taken away.")
+LEASES_RECLAIMED = LogEvent(
+    5003, "leases_reclaimed", "Expired leases of other hosts were deleted."
+)
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
