--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -31,6 +31,7 @@
 
 RESERVED_PREFIX = "/.cardamomquay/v1/"
 HOSTS_PATH = RESERVED_PREFIX + "hosts"
+READ_METHODS = frozenset({"GET", "HEAD"})
 READY_PATH = RESERVED_PREFIX + "ready"
 OUTCOMES_PREFIX = RESERVED_PREFIX + "outcomes/"
 
@@ -80,6 +81,9 @@
 
     def _respond(self, request: Request) -> Response:
         path = request.path
+        if path.startswith(RESERVED_PREFIX) and request.method not in READ_METHODS:
+            self._telemetry.refused(RefusalReason.METHOD_NOT_ALLOWED)
+            return refusal_response(Refusal(RefusalReason.METHOD_NOT_ALLOWED))
         if path == HOSTS_PATH:
             return self._lookup(request)
         if path == READY_PATH:
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -84,6 +84,8 @@
     "events.dropped": "Events dropped because the queue was full.",
     "lookups.answered": "Look-ups of hosts that were answered.",
     "operators.rejected": "Calls of the operator port without a valid operator key.",
+    "peers.exchange_failed": "Exchanges with a peer that gave no usable answer.",
+    "peers.exchange_skipped": "Exchanges left out while the one before was running.",
     "requests.answered": "Requests that got an upstream's or a recorded answer.",
     "requests.replayed": "Requests that got a recorded answer.",
     "store.unavailable": "Reads of the head row that failed.",
--- a/packages/dev/tests/test_canary_key.py
+++ b/packages/dev/tests/test_canary_key.py
@@ -10,6 +10,7 @@
 
 from fleet_ports import reserved_ports
 
+from cardamomquay_dev._checks import read_runs
 from cardamomquay_dev._fleet import KURVEHAENG
 from cardamomquay_dev._fleet import PARTENAIRES
 from cardamomquay_dev._fleet import Fleet
@@ -61,10 +62,11 @@
                 f"http://{self.fleet.hosts[0].operator_listen}/v1/counters",
                 (f"X-Operator-Key: {self.fleet.operator_keys[PARTENAIRES]}",),
             )
-            runs = get_json(f"http://{self.fleet.upstream_control}/control/runs")
-        self.assertGreaterEqual(len(runs["runs"]), 2)
+            document = get_json(f"http://{self.fleet.upstream_control}/control/runs")
+            runs = read_runs(document)
+        self.assertGreaterEqual(len(runs), 2)
         # The stand-in searches each request's headers and body for the canary.
-        self.assertEqual([run for run in runs["runs"] if run[-1]], [])
+        self.assertEqual([run for run in runs if run.key_seen], [])
         self.assertGreater(counters["refused.key_rejected"], 0)
         self.assertNotIn(CANARY, json.dumps(counters))
         for answer in self.answers:
--- a/packages/dev/tests/test_docs.py
+++ b/packages/dev/tests/test_docs.py
@@ -27,7 +27,7 @@
 routes/browse: pool found 'none', expected the name of a pool
 at once: [True, True, False]; the next in 0.5 s
 after 0.5 s: True
-hosts for qc-a: host-1 (weight 4), host-0 (weight 1)
+hosts for qc-a: host-1 (weight 400), host-0 (weight 100)
 """
 
 
