--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -58,12 +58,12 @@
 CONFIG_WITHOUT_EVIDENCE = LogEvent(
     2007, "config_without_evidence", "A peer's configuration was not shown current."
 )
+MEMBER_STATE = LogEvent(4002, "member_state", "The state of a host changed.")
 LEASE_ACQUIRED = LogEvent(5001, "lease_acquired", "This host holds a new host lease.")
 LEASE_LOST = LogEvent(5002, "lease_lost", "This host's lease was taken away.")
 LEASES_RECLAIMED = LogEvent(
     5003, "leases_reclaimed", "Expired leases of other hosts were deleted."
 )
-MEMBER_STATE = LogEvent(4002, "member_state", "The state of a host changed.")
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
@@ -85,8 +85,8 @@
     "events.dropped": "Events dropped because the queue was full.",
     "lookups.answered": "Look-ups of hosts that were answered.",
     "operators.rejected": "Calls of the operator port without a valid operator key.",
-    "peers.exchange_failed": "Exchanges with another daemon that got no answer.",
-    "peers.exchange_skipped": "Exchanges left out since the one before was still open.",
+    "peers.exchange_failed": "Exchanges with a peer that gave no usable answer.",
+    "peers.exchange_skipped": "Exchanges left out while the one before was running.",
     "requests.answered": "Requests that got an upstream's or a recorded answer.",
     "requests.replayed": "Requests that got a recorded answer.",
     "store.unavailable": "Reads of the head row that failed.",
--- a/packages/dev/tests/test_canary_key.py
+++ b/packages/dev/tests/test_canary_key.py
@@ -8,8 +8,9 @@
 from pathlib import Path
 from typing import Any
 
-from fleet_ports import free_base_port
+from fleet_ports import reserved_ports
 
+from cardamomquay_dev._checks import read_runs
 from cardamomquay_dev._fleet import KURVEHAENG
 from cardamomquay_dev._fleet import PARTENAIRES
 from cardamomquay_dev._fleet import Fleet
@@ -31,7 +32,8 @@
 
     def setUp(self) -> None:
         directory = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.fleet = plan_fleet(directory, free_base_port(), hosts=1)
+        base_port = self.enterContext(reserved_ports())
+        self.fleet = plan_fleet(directory, base_port, hosts=1)
         self.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(self.statsd.close)
         self.statsd.bind(("127.0.0.1", 0))
@@ -60,10 +62,11 @@
                 f"http://{self.fleet.hosts[0].operator_listen}/v1/counters",
                 (f"X-Operator-Key: {self.fleet.operator_keys[PARTENAIRES]}",),
             )
-            runs = get_json(f"http://{self.fleet.upstream_control}/control/runs")
-        self.assertGreaterEqual(len(runs["runs"]), 2)
+            document = get_json(f"http://{self.fleet.upstream_control}/control/runs")
+            runs = read_runs(document)
+        self.assertGreaterEqual(len(runs), 2)
         # The stand-in searches each request's headers and body for the canary.
-        self.assertEqual([run for run in runs["runs"] if run[7]], [])
+        self.assertEqual([run for run in runs if run.key_seen], [])
         self.assertGreater(counters["refused.key_rejected"], 0)
         self.assertNotIn(CANARY, json.dumps(counters))
         for answer in self.answers:
