Add a weighted fair queue by organisation

Change: FairQueue, start-time fair queueing with bounded work, bounded queue and deadlines. A full queue gives a place to the organisation that is further behind.

--- /dev/null
+++ b/packages/core/src/cardamomquay/admission/_fair_queue.py
@@ -0,0 +1,180 @@
+"""Bounded concurrency, shared fairly among organisations."""
+
+from __future__ import annotations
+
+import itertools
+import threading
+from contextlib import contextmanager
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+
+    from cardamomquay.clock import Clock
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A request's place, in the queue or at work."""
+
+    organisation: str
+    start_tag: float
+    finish_tag: float
+    order: int
+    is_running: bool = False
+
+
+class FairQueue:
+    """A weighted fair queue by organisation; thread-safe.
+
+    Start-time fair queueing: a request's start tag is the larger of the virtual time
+    and its organisation's last finish tag, its finish tag lies 1 / weight later, and
+    the waiting request with the lowest start tag runs next. An organisation that
+    asks for more than its share waits behind its own requests only.
+
+    Parameters
+    ----------
+    clock : Clock
+    limit : int
+        Requests at work at once.
+    longest_queue : int
+        Requests waiting at once, over all organisations.
+
+    Notes
+    -----
+    P. Goyal, H. M. Vin and H. Cheng, "Start-time Fair Queueing", SIGCOMM 1996.
+    """
+
+    def __init__(self, clock: Clock, limit: int, longest_queue: int) -> None:
+        self._clock = clock
+        self._limit = limit
+        self._longest_queue = longest_queue
+        self._condition = threading.Condition()
+        self._weights: Mapping[str, float] = {}
+        self._finish_tags: dict[str, float] = {}
+        self._virtual_time = 0.0
+        self._running = 0
+        self._order = itertools.count()
+        # At most `longest_queue` tickets, so a linear search for the next is cheap.
+        self._waiting: dict[Ticket, None] = {}
+
+    def apply(self, weights: Mapping[str, float]) -> None:
+        """Set each organisation's weight, its entitled rate."""
+        with self._condition:
+            self._weights = dict(weights)
+            kept = self._finish_tags.keys() & weights.keys()
+            self._finish_tags = {name: self._finish_tags[name] for name in kept}
+
+    @contextmanager
+    def slot(self, organisation: str, deadline_s: float) -> Iterator[Refusal | None]:
+        """Hold a slot for the body; yield a refusal if there was none in time.
+
+        Parameters
+        ----------
+        organisation : str
+        deadline_s : float
+            Latest time until which to wait, on the host's clock.
+        """
+        ticket = self.enter(organisation)
+        if ticket is None:
+            yield Refusal(RefusalReason.POOL_BUSY, "queue is full")
+            return
+        try:
+            if self._wait(ticket, deadline_s):
+                yield None
+            else:
+                yield Refusal(RefusalReason.POOL_BUSY, "no slot in time")
+        finally:
+            self.leave(ticket)
+
+    def enter(self, organisation: str) -> Ticket | None:
+        """Queue a request, or start it at once.
+
+        Parameters
+        ----------
+        organisation : str
+
+        Returns
+        -------
+        Ticket or None
+            None if the queue is full and the organisation has no claim to a place.
+        """
+        with self._condition:
+            if len(self._waiting) >= self._longest_queue:
+                if (last := self._last_waiting()) is None:
+                    return None
+                if self._next_start(organisation) >= last.start_tag:
+                    return None
+                # The place goes to the organisation that is further behind.
+                self._drop(last)
+            start_tag = self._next_start(organisation)
+            finish_tag = start_tag + 1.0 / self._weight(organisation)
+            self._finish_tags[organisation] = finish_tag
+            ticket = Ticket(organisation, start_tag, finish_tag, next(self._order))
+            self._waiting[ticket] = None
+            self._start_next()
+            return ticket
+
+    def leave(self, ticket: Ticket) -> None:
+        """End a request, whether it ran or waited."""
+        with self._condition:
+            if ticket.is_running:
+                ticket.is_running = False
+                self._running -= 1
+            elif ticket in self._waiting:
+                self._drop(ticket)
+            self._start_next()
+
+    def is_dropped(self, ticket: Ticket) -> bool:
+        """Whether a waiting request lost its place to another organisation's."""
+        with self._condition:
+            return not ticket.is_running and ticket not in self._waiting
+
+    def _wait(self, ticket: Ticket, deadline_s: float) -> bool:
+        with self._condition:
+            while not ticket.is_running:
+                remaining_s = deadline_s - self._clock.now_s()
+                if remaining_s <= 0 or ticket not in self._waiting:
+                    return False
+                self._clock.wait(self._condition, remaining_s)
+            return True
+
+    def _weight(self, organisation: str) -> float:
+        return self._weights.get(organisation, 1.0)
+
+    def _next_start(self, organisation: str) -> float:
+        finish_tag = self._finish_tags.get(organisation, 0.0)
+        return max(self._virtual_time, finish_tag)
+
+    def _last_waiting(self) -> Ticket | None:
+        key = _by_start_tag
+        return max(self._waiting, key=key) if self._waiting else None
+
+    def _drop(self, ticket: Ticket) -> None:
+        del self._waiting[ticket]
+        # A request that never ran does not count as service, unless later ones of
+        # its organisation have been queued behind it.
+        if self._finish_tags.get(ticket.organisation) == ticket.finish_tag:
+            self._finish_tags[ticket.organisation] = ticket.start_tag
+        self._condition.notify_all()
+
+    def _start_next(self) -> None:
+        started = False
+        while self._waiting and self._running < self._limit:
+            ticket = min(self._waiting, key=_by_start_tag)
+            del self._waiting[ticket]
+            ticket.is_running = True
+            self._running += 1
+            self._virtual_time = max(self._virtual_time, ticket.start_tag)
+            started = True
+        if started:
+            self._condition.notify_all()
+
+
+def _by_start_tag(ticket: Ticket) -> tuple[float, int]:
+    return ticket.start_tag, ticket.order
