Check the window bound over several hosts with faults in paused time

Cause: the lender's tables say nothing about the sum over hosts, nor about faults between them. Threads waiting for an organisation that is out of tokens are bounded. A lender that is short by less than the clock resolves is asked again after 2 ms; without that the fleet span in one instant. A request is retried when an answer arrives.

--- a/packages/core/src/cardamomquay/quota/_admission.py
+++ b/packages/core/src/cardamomquay/quota/_admission.py
@@ -98,16 +98,10 @@
         outcome = self.try_admit(organisation, first=True)
         if outcome is not None:
             return outcome
-        purse = self._purses.get(organisation)
-        if purse is None:
-            return Refusal(RefusalReason.QUOTA_UNAVAILABLE, "no quota known")
-        with purse.condition:
-            purse.waiting += 1
         try:
-            return self._wait(organisation, purse, until_s)
+            return self._wait(organisation, until_s)
         finally:
-            with purse.condition:
-                purse.waiting -= 1
+            self.end_wait(organisation)
 
     def try_admit(
         self, organisation: str, *, first: bool = False
@@ -123,7 +117,8 @@
         Returns
         -------
         Admitted, Refusal or None
-            None while an answer of a lender is awaited.
+            None while an answer of a lender is awaited. After None at the first
+            attempt the request counts as waiting until `end_wait`.
         """
         purse = self._purses.get(organisation)
         if purse is None:
@@ -135,19 +130,20 @@
         if token is not None:
             self._send(purse, purse.plan(now_s))
             return LentAdmitted(token.valid_until_s, token)
-        with purse.condition:
-            purse.waiting += first
-        try:
-            self._send(purse, purse.plan(now_s))
-        finally:
-            with purse.condition:
-                purse.waiting -= first
-        token = purse.take(self._clock.now_s())
-        if token is not None:
-            return LentAdmitted(token.valid_until_s, token)
-        if purse.is_hopeless(now_s):
+        if first and purse.is_crowded(now_s):
             return self.refuse(organisation)
-        return None
+        if first:
+            purse.begin_wait()
+        outcome = self._ask_and_take(organisation, purse, now_s)
+        if first and outcome is not None:
+            purse.end_wait()
+        return outcome
+
+    def end_wait(self, organisation: str) -> None:
+        """End the wait of a request; it was admitted, refused or given up."""
+        purse = self._purses.get(organisation)
+        if purse is not None:
+            purse.end_wait()
 
     def refuse(self, organisation: str) -> Refusal:
         """Return the refusal of a request that got no token in time."""
@@ -175,10 +171,20 @@
         for purse in self._purses.values():
             self._send(purse, purse.maintain(now_s))
 
-    def _wait(
-        self, organisation: str, purse: Purse, until_s: float
-    ) -> Admitted | Refusal:
+    def _ask_and_take(
+        self, organisation: str, purse: Purse, now_s: float
+    ) -> Admitted | Refusal | None:
+        self._send(purse, purse.plan(now_s))
+        token = purse.take(self._clock.now_s())
+        if token is not None:
+            return LentAdmitted(token.valid_until_s, token)
+        return self.refuse(organisation) if purse.is_hopeless(now_s) else None
+
+    def _wait(self, organisation: str, until_s: float) -> Admitted | Refusal:
         while True:
+            purse = self._purses.get(organisation)
+            if purse is None:
+                return self.refuse(organisation)
             with purse.condition:
                 changes = purse.changes
             outcome = self.try_admit(organisation)
--- a/packages/core/src/cardamomquay/quota/_purse.py
+++ b/packages/core/src/cardamomquay/quota/_purse.py
@@ -31,6 +31,9 @@
 LOCAL_PATIENCE_S = 0.02
 REMOTE_PATIENCE_S = 0.15
 FAILURE_PAUSE_S = 0.05
+# A lender can be short of a token by less than the clock resolves.
+SHORTEST_PAUSE_S = 0.002
+CROWD_S = 0.05
 # An answer counts as "out of tokens" while the next one is under way.
 DENIAL_MEMORY_S = 0.25
 
@@ -82,6 +85,11 @@
         self._batch = batch
         self._open = True
 
+    @property
+    def resource(self) -> str:
+        """Portion that the token is of."""
+        return self._batch.account.resource
+
     @property
     def valid_until_s(self) -> float:
         """End of the grant's validity, on the host's clock."""
@@ -125,9 +133,20 @@
         self._numbers = numbers
         self._accounts: dict[str, _Account] = {}
         self._set_resources(resources)
+        self._next_expiry_s = float("inf")
         self._demand = 0.0
         self._demand_at_s = 0.0
 
+    def begin_wait(self) -> None:
+        """Count a request that waits for a token."""
+        with self.condition:
+            self.waiting += 1
+
+    def end_wait(self) -> None:
+        """Count a request off that has waited."""
+        with self.condition:
+            self.waiting -= 1
+
     def note_demand(self, now_s: float) -> None:
         """Count one request, whether it gets a token or not."""
         with self.condition:
@@ -148,15 +167,9 @@
         """
         with self.condition:
             self._drop_expired(now_s)
-            batches = [
-                batch
-                for account in self._accounts.values()
-                for batch in account.batches
-                if batch.free > 0
-            ]
-            if not batches:
+            batch = self._first_to_expire()
+            if batch is None:
                 return None
-            batch = min(batches, key=lambda b: b.valid_until_s)
             batch.free -= 1
             batch.taken += 1
             return Token(batch)
@@ -279,6 +292,18 @@
                 for account in self._accounts.values()
             )
 
+    def is_crowded(self, now_s: float) -> bool:
+        """Whether more requests wait than tokens can accrue while they do.
+
+        Only while the lenders say that they are out of tokens. Without this bound an
+        organisation above its rate would keep the threads of the host waiting.
+        """
+        with self.condition:
+            rate = self._limit.rate_per_s
+            if self.waiting <= max(1.0, rate * CROWD_S):
+                return False
+            return all(a.is_denied(now_s) for a in self._accounts.values())
+
     def free(self, now_s: float) -> int:
         """Return the tokens that can be taken now."""
         with self.condition:
@@ -291,6 +316,16 @@
         for index, account in enumerate(self._accounts.values()):
             account.patience_s = REMOTE_PATIENCE_S if index else LOCAL_PATIENCE_S
 
+    def _first_to_expire(self) -> _Batch | None:
+        first = None
+        for account in self._accounts.values():
+            for batch in account.batches:
+                if batch.free > 0 and (
+                    first is None or batch.valid_until_s < first.valid_until_s
+                ):
+                    first = batch
+        return first
+
     def _free(self) -> int:
         return sum(b.free for a in self._accounts.values() for b in a.batches)
 
@@ -369,18 +404,22 @@
             valid_until_s = account.started_s + grant.valid_s
             batch = _Batch(account, grant.fence, valid_until_s, grant.granted)
             account.batches.append(batch)
+            self._next_expiry_s = min(self._next_expiry_s, valid_until_s)
         if grant.granted < request.wanted:
-            account.blocked_until_s = now_s + grant.retry_after_s
+            wait_s = max(SHORTEST_PAUSE_S, grant.retry_after_s)
+            account.blocked_until_s = now_s + wait_s
             account.denied_at_s = now_s
         elif request.wanted > 0:
             account.denied_at_s = float("-inf")
 
     def _drop_expired(self, now_s: float) -> None:
+        if now_s < self._next_expiry_s:
+            return
+        self._next_expiry_s = float("inf")
         for account in self._accounts.values():
-            if any(b.valid_until_s <= now_s for b in account.batches):
-                account.batches = [
-                    b for b in account.batches if b.valid_until_s > now_s
-                ]
+            account.batches = [b for b in account.batches if b.valid_until_s > now_s]
+            for batch in account.batches:
+                self._next_expiry_s = min(self._next_expiry_s, batch.valid_until_s)
 
     def _withdraw_idle(self, now_s: float) -> set[str]:
         """Take tokens out of the stock to return them; name their resources."""
--- /dev/null
+++ b/packages/core/tests/quota/test_admission.py
@@ -0,0 +1,109 @@
+from __future__ import annotations
+
+import threading
+import unittest
+from concurrent.futures import Future
+
+from cardamomquay.admission import Admitted
+from cardamomquay.clock import ManualClock
+from cardamomquay.config import Organisation
+from cardamomquay.outcomes import Refusal
+from cardamomquay.quota import MAX_GRANT_WAIT_S
+from cardamomquay.quota import Grant
+from cardamomquay.quota import GrantRequest
+from cardamomquay.quota import GrantStatus
+from cardamomquay.quota import LenderDirectory
+from cardamomquay.quota import LentQuotaAdmission
+from cardamomquay.quota import divide
+from cardamomquay.reducer import Identity
+
+REGIONS = ("a", "b")
+ORGANISATION = Organisation("o", "x", 10.0, 10)
+LENT = Grant(GrantStatus.LENT, 1, 1, 1.0)
+OUT = Grant(GrantStatus.LENT, 1, 0, 1.0, retry_after_s=0.1)
+NO_ANSWER = Grant(GrantStatus.NO_ANSWER)
+STARTING = Grant(GrantStatus.STARTING, 1, retry_after_s=1.0)
+
+
+class TableDirectory(LenderDirectory):
+    """Answers by resource; a resource without an answer stays pending."""
+
+    def __init__(self, answers: dict[str, Grant | Exception]) -> None:
+        self.answers = answers
+        self.pending: list[Future[Grant]] = []
+        self.asked = threading.Event()
+
+    def borrow(self, request: GrantRequest) -> Future[Grant]:
+        fut: Future[Grant] = Future()
+        answer = self.answers.get(request.resource.rpartition(".")[2])
+        if isinstance(answer, Exception):
+            fut.set_exception(answer)
+        elif answer is not None:
+            fut.set_result(answer)
+        else:
+            self.pending.append(fut)
+            self.asked.set()
+        return fut
+
+
+class AdmitTest(unittest.TestCase):
+    def new(self, answers: dict[str, Grant | Exception]) -> LentQuotaAdmission:
+        self.clock = ManualClock(100.0)
+        self.directory = TableDirectory(answers)
+        identity = Identity("h1", "i1", "a", "z", "a")
+        admission = LentQuotaAdmission(self.clock, self.directory, identity)
+        admission.apply({"o": divide(ORGANISATION, REGIONS)})
+        return admission
+
+    def test_reasons(self) -> None:
+        """Guards against blaming an organisation for a lender that is away."""
+        cases: dict[str, tuple[dict[str, Grant | Exception], str]] = {
+            "near lender lends": ({"a": LENT, "b": OUT}, "admitted"),
+            "far lender lends": ({"a": OUT, "b": LENT}, "admitted"),
+            "all are out of tokens": ({"a": OUT, "b": OUT}, "limit_exceeded"),
+            "none answers": ({"a": NO_ANSWER, "b": NO_ANSWER}, "quota_unavailable"),
+            "calls fail": ({"a": OSError(), "b": OSError()}, "quota_unavailable"),
+            "one is out, one away": ({"a": OUT, "b": NO_ANSWER}, "quota_unavailable"),
+            "one is out, one new": ({"a": OUT, "b": STARTING}, "quota_unavailable"),
+        }
+        for name, (answers, expected) in cases.items():
+            with self.subTest(name):
+                outcome = self.new(answers).admit("o", 101.0)
+                reason = outcome.reason if isinstance(outcome, Refusal) else "admitted"
+                self.assertEqual(reason, expected)
+
+    def test_unknown_organisation(self) -> None:
+        outcome = self.new({}).admit("other", 101.0)
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.reason, "quota_unavailable")
+
+    def wait_for(self, deadline_s: float, advance_s: float, grant: bool) -> object:
+        admission = self.new({})
+        outcomes: list[Admitted | Refusal] = []
+        thread = threading.Thread(
+            target=lambda: outcomes.append(admission.admit("o", deadline_s))
+        )
+        thread.start()
+        self.assertTrue(self.directory.asked.wait(5.0))
+        if grant:
+            self.directory.pending[0].set_result(LENT)
+        # The clock is advanced again if the thread was not waiting yet.
+        while thread.is_alive():
+            self.clock.advance(advance_s)
+            thread.join(0.01)
+        return outcomes[0]
+
+    def test_waits_for_an_answer_under_way(self) -> None:
+        outcome = self.wait_for(200.0, 0.0, grant=True)
+        assert isinstance(outcome, Admitted)
+        self.assertEqual(outcome.valid_until_s, 101.0)
+
+    def test_wait_ends_at_the_bound(self) -> None:
+        """Guards against threads that a silent lender keeps waiting."""
+        outcome = self.wait_for(200.0, MAX_GRANT_WAIT_S, grant=False)
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.reason, "quota_unavailable")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/lending_fleet.py
@@ -0,0 +1,396 @@
+"""Hosts that lend and borrow tokens in paused time, with faults."""
+
+from __future__ import annotations
+
+from concurrent.futures import Future
+from dataclasses import dataclass
+from dataclasses import field
+from functools import partial
+from typing import TYPE_CHECKING
+
+from cardamomquay.leases import LEASE_RENEWAL_S
+from cardamomquay.leases import LEASE_SAFETY_S
+from cardamomquay.leases import LEASE_TTL_S
+from cardamomquay.leases import LeaseState
+from cardamomquay.outcomes import Refusal
+from cardamomquay.quota import NEW_LENDER_SILENCE_S
+from cardamomquay.quota import Grant
+from cardamomquay.quota import GrantRequest
+from cardamomquay.quota import GrantStatus
+from cardamomquay.quota import Lender
+from cardamomquay.quota import LenderDirectory
+from cardamomquay.quota import LentAdmitted
+from cardamomquay.quota import LentQuotaAdmission
+from cardamomquay.quota import Portion
+from cardamomquay.quota import divide
+from cardamomquay.quota import largest_excess
+from cardamomquay.reducer import Identity
+from cardamomquay_dev.paused_time import EventLoop
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+    from random import Random
+
+    from cardamomquay.admission import Admission
+    from cardamomquay.admission import Admitted
+    from cardamomquay.config import Organisation
+
+MAINTENANCE_S = 0.1
+
+
+@dataclass(eq=False)
+class _Waiting:
+    organisation: str
+    work_s: float
+
+
+@dataclass
+class Host:
+    """One simulated daemon.
+
+    `paused_until_s` delays everything it does, `cut_off` keeps it from the store
+    only; `lease_row_s` is the time at which the store last saw its lease renewed.
+    """
+
+    name: str
+    region: str
+    incarnation: int = 0
+    alive: bool = True
+    paused_until_s: float = 0.0
+    cut_off: bool = False
+    lease: LeaseState = field(default_factory=LeaseState)
+    lease_row_s: float = float("-inf")
+    lenders: dict[str, Lender] = field(default_factory=dict)
+    admission: Admission | None = None
+    waiting: list[_Waiting] = field(default_factory=list)
+
+
+@dataclass
+class LinkFaults:
+    """Faults of messages between hosts.
+
+    `lose_answers` counts the next answers that are lost; `duplicates` the next
+    requests that arrive a second time after `duplicate_delay_s`; `jitter_s` is the
+    largest random delay that is added, which reorders messages. `stale_views` is the
+    share of requests that go to the previous holder of a resource.
+    """
+
+    lose_answers: int = 0
+    duplicates: int = 0
+    duplicate_delay_s: float = 0.3
+    jitter_s: float = 0.0
+    stale_views: float = 0.0
+
+
+class _Directory(LenderDirectory):
+    def __init__(self, fleet: LendingFleet, host: Host) -> None:
+        self._fleet = fleet
+        self._host = host
+
+    def borrow(self, request: GrantRequest) -> Future[Grant]:
+        return self._fleet.carry(self._host, request)
+
+
+class LendingFleet:
+    """Hosts, their lenders and admissions, and the messages between them.
+
+    Parameters
+    ----------
+    hosts : mapping of str to str
+        Region of each host.
+    organisations : sequence of Organisation
+    random : Random
+    local_delay_s, remote_delay_s : float
+        One-way delay within a region and between regions.
+    """
+
+    def __init__(
+        self,
+        hosts: Mapping[str, str],
+        organisations: Sequence[Organisation],
+        random: Random,
+        *,
+        local_delay_s: float = 0.0005,
+        remote_delay_s: float = 0.035,
+    ) -> None:
+        self.loop = EventLoop()
+        self.random = random
+        self.faults = LinkFaults()
+        self.local_delay_s = local_delay_s
+        self.remote_delay_s = remote_delay_s
+        self.hosts = {name: Host(name, region) for name, region in hosts.items()}
+        self.portions: dict[str, tuple[Portion, ...]] = {}
+        self.holders: dict[str, str] = {}
+        self.previous: dict[str, str] = {}
+        self.fences: dict[str, int] = {}
+        self.runs: dict[str, list[float]] = {}
+        self.portion_runs: dict[str, list[float]] = {}
+        self.refusals: list[tuple[float, str, str]] = []
+        self.messages = 0
+        self.store_down = False
+        self.set_organisations(organisations)
+        for host in self.hosts.values():
+            self._start(host)
+        for portions in self.portions.values():
+            for portion in portions:
+                candidates = [
+                    h.name for h in self.hosts.values() if h.region == portion.region
+                ]
+                self.claim(portion, random.choice(candidates))
+
+    def set_organisations(self, organisations: Sequence[Organisation]) -> None:
+        """Put limits in force on every host at once."""
+        regions = sorted({host.region for host in self.hosts.values()})
+        now_s = self.loop.now_s()
+        self.portions = {o.name: divide(o, regions) for o in organisations}
+        for host in self.hosts.values():
+            if isinstance(host.admission, LentQuotaAdmission):
+                host.admission.apply(self.portions)
+        for portions in self.portions.values():
+            for portion in portions:
+                name = self.holders.get(portion.resource)
+                lender = name and self.hosts[name].lenders.get(portion.resource)
+                if lender:
+                    lender.change(portion.limit, now_s)
+
+    def claim(self, portion: Portion, name: str) -> None:
+        """Make a host the lender of a portion, as a committed claim does."""
+        host = self.hosts[name]
+        fence = self.fences.get(portion.resource, 0) + 1
+        self.fences[portion.resource] = fence
+        self.previous[portion.resource] = self.holders.get(portion.resource, name)
+        self.holders[portion.resource] = name
+        host.lenders[portion.resource] = Lender(
+            portion.resource,
+            fence,
+            portion.limit,
+            lease=lambda: host.lease,
+            lease_fence=host.lease.fence,
+            now_s=self.loop.now_s(),
+            silence_s=NEW_LENDER_SILENCE_S,
+        )
+
+    def take_over(self, portion: Portion, name: str) -> bool:
+        """Claim a portion if its holder's lease row could have been reclaimed."""
+        holder = self.hosts[self.holders[portion.resource]]
+        unchanged_s = self.loop.now_s() - holder.lease_row_s
+        if self.store_down or unchanged_s < LEASE_TTL_S:
+            return False
+        self.claim(portion, name)
+        return True
+
+    def kill(self, name: str) -> None:
+        """Lose a host with all its memory."""
+        self.hosts[name].alive = False
+        self.hosts[name].lenders.clear()
+
+    def restart(self, name: str) -> None:
+        """Start a killed host again with a new incarnation."""
+        host = self.hosts[name]
+        host.incarnation += 1
+        host.alive = True
+        self._start(host)
+
+    def pause(self, name: str, seconds: float) -> None:
+        """Suspend a host; it then continues where it stopped."""
+        self.hosts[name].paused_until_s = self.loop.now_s() + seconds
+
+    def request(self, name: str, organisation: str, work_s: float = 0.0) -> None:
+        """Let a caller ask a host to run one request.
+
+        Parameters
+        ----------
+        name, organisation : str
+        work_s : float, default=0.0
+            Time from admission to sending, in seconds.
+        """
+        host = self.hosts[name]
+        self._on(host, partial(self._admit, host, organisation, work_s))
+
+    def excess(self, organisation: Organisation, from_s: float = 0.0) -> float:
+        """Return the largest excess of the runs since `from_s` over the limit."""
+        limits = divide(organisation, [""])[0].limit
+        runs = self.runs.get(organisation.name, [])
+        return largest_excess([at_s for at_s in runs if at_s >= from_s], limits)
+
+    def portion_excess(self, portion: Portion, from_s: float = 0.0) -> float:
+        """Return the same for the runs of one portion."""
+        runs = self.portion_runs.get(portion.resource, [])
+        return largest_excess([at_s for at_s in runs if at_s >= from_s], portion.limit)
+
+    def carry(self, host: Host, request: GrantRequest) -> Future[Grant]:
+        """Carry a request to the lender and its answer back."""
+        self.messages += 1
+        fut: Future[Grant] = Future()
+        stale = self.random.random() < self.faults.stale_views
+        view = self.previous if stale else self.holders
+        lender_host = self.hosts[view[request.resource]]
+        delay_s = self._delay(host, lender_host)
+        arrive = partial(self._arrive, host, lender_host, request, fut)
+        self.loop.after(delay_s, partial(self._on, lender_host, arrive))
+        if self.faults.duplicates > 0:
+            self.faults.duplicates -= 1
+            later_s = delay_s + self.faults.duplicate_delay_s
+            self.loop.after(later_s, partial(self._on, lender_host, arrive))
+        return fut
+
+    def _arrive(
+        self, host: Host, lender_host: Host, request: GrantRequest, fut: Future[Grant]
+    ) -> None:
+        lender = lender_host.lenders.get(request.resource)
+        if lender is None:
+            grant = Grant(GrantStatus.NOT_LENDER)
+        else:
+            grant = lender.lend(request, self.loop.now_s())
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return
+        answer = partial(self._answer, host, fut, grant)
+        delay_s = self._delay(host, lender_host)
+        self.loop.after(delay_s, partial(self._on, host, answer))
+
+    def _answer(self, host: Host, fut: Future[Grant], grant: Grant) -> None:
+        if not fut.done():
+            fut.set_result(grant)
+            self._retry_waiting(host)
+
+    def _delay(self, one: Host, other: Host) -> float:
+        if one is other:
+            return 0.0
+        same = one.region == other.region
+        delay_s = self.local_delay_s if same else self.remote_delay_s
+        return delay_s + self.random.uniform(0.0, self.faults.jitter_s)
+
+    def _on(self, host: Host, call: Callable[[], None]) -> None:
+        """Run a call on a host, later if it is paused, never if it dies."""
+        if not host.alive:
+            return
+        if host.paused_until_s > self.loop.now_s():
+            incarnation = host.incarnation
+
+            def resume() -> None:
+                if host.incarnation == incarnation:
+                    self._on(host, call)
+
+            self.loop.at(host.paused_until_s, resume)
+            return
+        call()
+
+    def _start(self, host: Host) -> None:
+        host.paused_until_s = 0.0
+        host.waiting.clear()
+        self._renew(host, host.incarnation)
+        identity = Identity(host.name, str(host.incarnation), host.region, "", "")
+        admission = LentQuotaAdmission(
+            self.loop.clock, _Directory(self, host), identity
+        )
+        admission.apply(self.portions)
+        host.admission = admission
+        self._maintain(host, host.incarnation)
+
+    def _renew(self, host: Host, incarnation: int) -> None:
+        if host.incarnation != incarnation:
+            return
+        now_s = self.loop.now_s()
+        if host.cut_off:
+            pass
+        elif not self.store_down:
+            lost = now_s - host.lease_row_s >= LEASE_TTL_S
+            fence = host.lease.fence + 1 if lost else host.lease.fence
+            host.lease = LeaseState(fence, now_s + LEASE_TTL_S - LEASE_SAFETY_S)
+            host.lease_row_s = now_s
+        elif host.lease.valid_until_s > now_s:
+            # A confirmed outage extends leases, since nobody can reclaim them.
+            until_s = now_s + LEASE_TTL_S - LEASE_SAFETY_S
+            host.lease = LeaseState(host.lease.fence, until_s)
+            host.lease_row_s = now_s
+        again = partial(self._renew, host, incarnation)
+        self.loop.after(LEASE_RENEWAL_S, partial(self._on, host, again))
+
+    def _maintain(self, host: Host, incarnation: int) -> None:
+        if host.incarnation != incarnation:
+            return
+        if isinstance(host.admission, LentQuotaAdmission):
+            host.admission.maintain()
+            self._retry_waiting(host)
+        again = partial(self._maintain, host, incarnation)
+        self.loop.after(MAINTENANCE_S, partial(self._on, host, again))
+
+    def _admit(self, host: Host, organisation: str, work_s: float) -> None:
+        admission = host.admission
+        assert admission is not None
+        if not isinstance(admission, LentQuotaAdmission):
+            outcome = admission.admit(organisation, self.loop.now_s())
+            self._finish(host, organisation, work_s, outcome)
+            return
+        first = admission.try_admit(organisation, first=True)
+        if first is not None:
+            self._finish(host, organisation, work_s, first)
+            return
+        waiting = _Waiting(organisation, work_s)
+        host.waiting.append(waiting)
+        give_up = partial(self._give_up, host, admission, waiting)
+        self.loop.after(admission.max_wait_s, partial(self._on, host, give_up))
+
+    def _give_up(
+        self, host: Host, admission: LentQuotaAdmission, waiting: _Waiting
+    ) -> None:
+        if waiting in host.waiting:
+            refusal = admission.refuse(waiting.organisation)
+            self._end_wait(host, admission, waiting, refusal)
+
+    def _retry_waiting(self, host: Host) -> None:
+        """Do what the notified threads of a daemon do."""
+        admission = host.admission
+        assert isinstance(admission, LentQuotaAdmission)
+        stuck = set()
+        for waiting in tuple(host.waiting):
+            if waiting.organisation in stuck:
+                continue
+            outcome = admission.try_admit(waiting.organisation)
+            if outcome is None:
+                stuck.add(waiting.organisation)
+            else:
+                self._end_wait(host, admission, waiting, outcome)
+
+    def _end_wait(
+        self,
+        host: Host,
+        admission: LentQuotaAdmission,
+        waiting: _Waiting,
+        outcome: Admitted | Refusal,
+    ) -> None:
+        host.waiting.remove(waiting)
+        admission.end_wait(waiting.organisation)
+        self._finish(host, waiting.organisation, waiting.work_s, outcome)
+
+    def _finish(
+        self,
+        host: Host,
+        organisation: str,
+        work_s: float,
+        outcome: Admitted | Refusal,
+    ) -> None:
+        if isinstance(outcome, Refusal):
+            refusal = (self.loop.now_s(), organisation, str(outcome.reason))
+            self.refusals.append(refusal)
+            return
+        send = partial(self._send, host, organisation, outcome)
+        if work_s > 0:
+            self.loop.after(work_s, partial(self._on, host, send))
+        else:
+            send()
+
+    def _send(self, host: Host, organisation: str, admitted: Admitted) -> None:
+        assert host.admission is not None
+        now_s = self.loop.now_s()
+        if now_s >= admitted.valid_until_s:
+            self.refusals.append((now_s, organisation, "expired"))
+            return
+        host.admission.mark_sent(organisation, admitted)
+        self.runs.setdefault(organisation, []).append(now_s)
+        if isinstance(admitted, LentAdmitted):
+            portion_runs = self.portion_runs.setdefault(admitted.token.resource, [])
+            portion_runs.append(now_s)
