--- a/packages/core/src/cardamomquay/quota/__init__.py
+++ b/packages/core/src/cardamomquay/quota/__init__.py
@@ -15,19 +15,6 @@
 from cardamomquay.quota._messages import GrantStatus
 from cardamomquay.quota._messages import LenderDirectory
 from cardamomquay.quota._messages import Limit
-from cardamomquay.quota._part import ChangeLender
-from cardamomquay.quota._part import Held
-from cardamomquay.quota._part import Holder
-from cardamomquay.quota._part import LendersRead
-from cardamomquay.quota._part import LendersReadFailed
-from cardamomquay.quota._part import LenderWritten
-from cardamomquay.quota._part import QuotaPart
-from cardamomquay.quota._part import QuotaState
-from cardamomquay.quota._part import ReadLenders
-from cardamomquay.quota._part import StartLender
-from cardamomquay.quota._part import StopLender
-from cardamomquay.quota._part import WriteLender
-from cardamomquay.quota._part import choose_host
 from cardamomquay.quota._portions import Portion
 from cardamomquay.quota._portions import divide
 from cardamomquay.quota._portions import portions_of
@@ -41,30 +28,17 @@
     "GRANT_VALID_S",
     "MAX_GRANT_WAIT_S",
     "NEW_LENDER_SILENCE_S",
-    "ChangeLender",
     "Grant",
     "GrantRequest",
     "GrantStatus",
-    "Held",
-    "Holder",
     "Lender",
     "LenderDirectory",
-    "LenderWritten",
-    "LendersRead",
-    "LendersReadFailed",
     "LentAdmitted",
     "LentQuotaAdmission",
     "Limit",
     "Portion",
     "Purse",
-    "QuotaPart",
-    "QuotaState",
-    "ReadLenders",
-    "StartLender",
-    "StopLender",
     "Token",
-    "WriteLender",
-    "choose_host",
     "divide",
     "largest_excess",
     "portions_of",
--- a/packages/daemon/src/cardamomquay_daemon/_token_lending.py
+++ b/packages/daemon/src/cardamomquay_daemon/_token_lending.py
@@ -10,6 +10,8 @@
 
 from cardamomquay.leases import LeaseState
 from cardamomquay.lenders import LendersState
+from cardamomquay.quota import CONFIG_IN_FORCE_S
+from cardamomquay.quota import NEW_LENDER_SILENCE_S
 from cardamomquay.quota import Grant
 from cardamomquay.quota import GrantRequest
 from cardamomquay.quota import GrantStatus
@@ -63,26 +65,21 @@
         self._clock = clock
         self._peers = peers
         self._host = host
+        self._held: dict[str, LendingStarted] = {}
         self._lenders: dict[str, Lender] = {}
         self._limits: dict[str, Limit] = {}
 
     def start(self, effect: LendingStarted) -> None:
         """Begin to lend a portion."""
-        limit = self._limits.get(effect.resource)
-        if limit is None:
-            # The portion left the configuration since it was claimed.
-            return
-        self._lenders[effect.resource] = Lender(
-            effect.resource,
-            effect.fence,
-            limit,
-            lease=self._lease,
-            lease_fence=effect.lease_fence,
-            now_s=self._clock.now_s(),
-        )
+        self._held[effect.resource] = effect
+        # The rate of a new portion may still be lent by others, under the
+        # configuration before.
+        silence_s = CONFIG_IN_FORCE_S if effect.fence == 1 else NEW_LENDER_SILENCE_S
+        self._create(effect, silence_s)
 
     def stop(self, effect: LendingStopped) -> None:
         """End the lending of a portion."""
+        self._held.pop(effect.resource, None)
         self._lenders.pop(effect.resource, None)
 
     def apply(self, config: Config) -> None:
@@ -93,13 +90,31 @@
             for portion in portions
         }
         now_s = self._clock.now_s()
-        for resource, lender in tuple(self._lenders.items()):
+        for resource, effect in self._held.items():
             limit = self._limits.get(resource)
+            lender = self._lenders.get(resource)
             if limit is None:
                 self._lenders.pop(resource, None)
+            elif lender is None:
+                self._create(effect, CONFIG_IN_FORCE_S)
             else:
                 lender.change(limit, now_s)
 
+    def _create(self, effect: LendingStarted, silence_s: float) -> None:
+        limit = self._limits.get(effect.resource)
+        if limit is None:
+            # The portion left the configuration since it was claimed.
+            return
+        self._lenders[effect.resource] = Lender(
+            effect.resource,
+            effect.fence,
+            limit,
+            lease=self._lease,
+            lease_fence=effect.lease_fence,
+            now_s=self._clock.now_s(),
+            silence_s=silence_s,
+        )
+
     def borrow(self, request: GrantRequest) -> Future[Grant]:
         row = self._runtime.snapshot.core.part(LendersState).lender_of(request.resource)
         answer: Future[Grant] = Future()
