Read the host list every 5 s while other hosts are heard

Change: a host that hears a live peer reads the list every 5 s. A host that hears none reads it every second. New hosts do not wait for the list: they call others, which call them back.

Each rule switched off in a scratch copy fails test_interval: - the list read each second: AssertionError: 20 != 4 - the list read every 5 s by a host that hears no one: AssertionError: 1 != 4

--- a/packages/core/src/cardamomquay/membership/_part.py
+++ b/packages/core/src/cardamomquay/membership/_part.py
@@ -9,6 +9,7 @@
 from cardamomquay.membership._partners import choose_partners
 from cardamomquay.membership._partners import overdue_hosts
 from cardamomquay.membership._records import MemberRecord
+from cardamomquay.membership._records import MemberState
 from cardamomquay.membership._state import DEAD_AFTER_S
 from cardamomquay.membership._state import SEQUENCES_PER_S
 from cardamomquay.membership._state import ExchangeAnswered
@@ -28,7 +29,9 @@
 from cardamomquay.reducer import Part
 from cardamomquay.reducer import Tick
 
+# The list only brings hosts together: a new host calls others, which then know it.
 HOST_LIST_INTERVAL_S = 1.0
+HOST_LIST_INTERVAL_HEARD_S = 5.0
 EXCHANGE_INTERVAL_S = 0.5
 # A dead host that the platform does not list is called for so long, since a host
 # that was paused or cut off may return.
@@ -83,7 +86,13 @@
 ) -> tuple[MembershipState, tuple[Effect, ...]]:
     effects: list[Effect] = []
     if now_s >= own.list_due_s:
-        own = replace(own, list_due_s=now_s + HOST_LIST_INTERVAL_S)
+        heard = any(
+            own.state_of(name, now_s) is MemberState.LIVE and member.heard
+            for name, member in own.members.items()
+            if name != own.own_host
+        )
+        interval_s = HOST_LIST_INTERVAL_HEARD_S if heard else HOST_LIST_INTERVAL_S
+        own = replace(own, list_due_s=now_s + interval_s)
         effects.append(ReadHostList())
     targets: tuple[PeerTarget, ...]
     if now_s >= own.exchange_due_s:
--- a/packages/core/tests/membership/test_membership.py
+++ b/packages/core/tests/membership/test_membership.py
@@ -20,6 +20,7 @@
 from cardamomquay.membership import MemberState
 from cardamomquay.membership import PeerRecord
 from cardamomquay.membership import PeerTarget
+from cardamomquay.membership import ReadHostList
 from cardamomquay.membership._partners import choose_partners
 from cardamomquay.reducer import Tick
 from cardamomquay.routing import LookupRequest
@@ -298,6 +299,34 @@
         self.assertEqual(member.record.peer_address, "peer-d")
 
 
+class HostListTest(unittest.TestCase):
+    """Guards against a list that costs more than the exchange, or is not read."""
+
+    def _reads(self, host: Host, start_s: float, seconds: int) -> int:
+        effects = [
+            effect
+            for number in range(10 * seconds)
+            for effect in host.apply(Tick(start_s + number / 10))
+        ]
+        return sum(isinstance(effect, ReadHostList) for effect in effects)
+
+    def test_interval(self) -> None:
+        host, peer = Host("a"), Host("b")
+        self.assertEqual(self._reads(host, 0.0, 4), 4)
+        host.apply(HostsListed(4.0, (peer.listed(),)))
+        self.assertEqual(self._reads(host, 4.0, 4), 4)
+        target = PeerTarget("b", peer.peer_address)
+        reads = 0
+        for second in range(8, 28):
+            records = exchange_reply(peer.core, float(second)).records
+            now_s = float(second)
+            host.apply(ExchangeAnswered(now_s, now_s, target, "b", records))
+            reads += self._reads(host, now_s, 1)
+        self.assertEqual(reads, 4)
+        # Alone again: the list may name hosts that were not known.
+        self.assertGreater(self._reads(host, 28.0, 14), 6)
+
+
 class ReplacedHostTest(unittest.TestCase):
     """Guards against a replaced host's records in place of its successor's."""
 
