Read the extra entries of records, and log a failed peer call

Cause: a protobuf map was given to `immutables.Map` as if it were pairs. The first host that published an entry in `extra`, such as an unsettled edit, could not be heard by anyone, and the exception was lost with its task.

Change: the map is copied into a dict first. A peer task that ends with an exception is logged and counted as a failed effect.

Conclusion: tests of records now have entries in `extra`.

--- a/packages/daemon/src/cardamomquay_daemon/_peer.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -275,13 +275,19 @@
                 return
             task = self._loop.create_task(coroutine)
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._ended)
 
         try:
             self._loop.call_soon_threadsafe(start)
         except RuntimeError:  # The loop is closed: this daemon stops.
             coroutine.close()
 
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        exc = None if task.cancelled() else task.exception()
+        if isinstance(exc, Exception):
+            self._telemetry.effect_failed("peer call", exc)
+
     async def _exchange_targets(self, targets: Sequence[PeerTarget]) -> None:
         self._close_unknown()
         sent, received = self._bytes.take()
--- a/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
@@ -127,7 +127,7 @@
         config_version=message.config_version,
         store_report=report,
         load=message.load,
-        extra=immutables.Map(message.extra),
+        extra=immutables.Map(dict(message.extra)),
     )
     return PeerRecord(record, message.heard_age_s, message.store_report_age_s)
 
--- a/packages/daemon/tests/peer/test_peer.py
+++ b/packages/daemon/tests/peer/test_peer.py
@@ -8,8 +8,10 @@
 import unittest
 from contextlib import ExitStack
 from contextlib import closing
+from dataclasses import replace
 from pathlib import Path
 
+import immutables
 import trustme
 
 from cardamomquay.clock import SystemClock
@@ -23,6 +25,7 @@
 from cardamomquay.currency import ConfigPart
 from cardamomquay.currency import ConfigState
 from cardamomquay.currency import exchange_request
+from cardamomquay.membership import ExtraPublished
 from cardamomquay.membership import HostsListed
 from cardamomquay.membership import MembershipPart
 from cardamomquay.membership import MembershipState
@@ -123,6 +126,18 @@
         state = other.runtime.snapshot.core.part(ConfigState)
         self.assertEqual(state.config, CONFIG)
 
+    def test_extra_entries_reach_the_peer(self) -> None:
+        one, other = Node("one"), Node("other")
+        self.start(one, other)
+        one.list_hosts(other)
+        one.runtime.post(ExtraPublished(one.clock.now_s(), "windows", "{}"))
+
+        def told() -> bool:
+            members = other.runtime.snapshot.core.part(MembershipState).members
+            return "one" in members and "windows" in members["one"].record.extra
+
+        self.wait(told)
+
     def test_peer_that_does_not_answer_does_not_delay_the_others(self) -> None:
         one, other = Node("one"), Node("other")
         silent = socket.create_server(("127.0.0.1", 0))
@@ -285,6 +300,19 @@
                 self.assertEqual(len(_peer_codec.records_from_wire([broken])), 0)
         self.assertEqual(len(_peer_codec.records_from_wire([sound])), 1)
 
+    def test_records_come_back_unchanged(self) -> None:
+        node = Node("one")
+        core = node.runtime.snapshot.core
+        stated = exchange_request(core, 1.0).own
+        extra = immutables.Map({"windows": "{}", "unsettled_edits": "[]"})
+        full = replace(stated, record=replace(stated.record, extra=extra))
+        for record in (full, full.shortened()):
+            wire = _peer_codec.record_to_wire(record)
+            read = _peer_codec.record_from_wire(wire)
+            assert read is not None
+            expected = replace(record.record, store_report_at_s=0.0)
+            self.assertEqual(read.record, expected)
+
     def test_configuration_comes_back_unchanged(self) -> None:
         message = _peer_codec.config_to_wire(CONFIG, 0.5)
         self.assertEqual(_peer_codec.config_from_wire(message), CONFIG)
