Pause hosts before writes and answers in the lease machine

Change: it starts with all hosts watched, pauses before a chosen call or answer, lets 1 to 12 s pass meanwhile, cuts single hosts off from the store, and delivers late answers on resuming.

--- a/packages/core/tests/leases/test_leases_machine.py
+++ b/packages/core/tests/leases/test_leases_machine.py
@@ -10,19 +10,26 @@
 from leases.hosts import stored_lease
 
 from cardamomquay.clock import ManualClock
+from cardamomquay.leases import LeaseRowsRead
+from cardamomquay.leases import LeaseRowsWritten
+from cardamomquay.leases import ReadLeaseRows
 from cardamomquay.leases import ReleaseLeaseRequested
+from cardamomquay.leases import WriteLeaseRows
 from cardamomquay.platform import MemoryTableService
-from cardamomquay.reducer import Tick
 
 REGIONS = {"a": "qc", "m1": "mtl", "m2": "mtl"}
 NAMES = st.sampled_from(sorted(REGIONS))
+STEPS = [1, 2, 3, 5, 8, 13, 21]
+AWAY = [2, 16, 24]
+POINTS = [WriteLeaseRows, LeaseRowsWritten, ReadLeaseRows, LeaseRowsRead]
 
 
 class LeaseMachine(RuleBasedStateMachine):
     """Guards against two holders of one row, and fences that do not grow.
 
-    Hosts are paused, killed and replaced, answers are lost, late or dropped, the
-    store goes down. A holder counts its lease as valid only while the row is its.
+    Hosts are paused, killed, replaced and cut off from the store, answers are lost,
+    late or dropped, the store goes down. A holder counts its lease as valid only
+    while the row is its own.
     """
 
     def __init__(self) -> None:
@@ -34,6 +41,10 @@
         self.paused: set[str] = set()
         self.fences: dict[str, int] = {}
         self.owners: dict[tuple[str, int], str] = {}
+        self.nowhere = MemoryTableService()
+        self.nowhere.faults.unreachable = True
+        # Long enough for every host to be watched by the reclaimers.
+        self.time_passes(24)
 
     def new_host(self, name: str) -> LeaseHost:
         self.runs += 1
@@ -44,7 +55,7 @@
     def running(self) -> list[LeaseHost]:
         return [h for h in self.hosts if h.identity.incarnation not in self.paused]
 
-    @rule(steps=st.integers(1, 16))
+    @rule(steps=st.sampled_from(STEPS))
     def time_passes(self, steps: int) -> None:
         for _ in range(steps):
             self.clock.advance(0.5)
@@ -54,25 +65,35 @@
             if self.running:
                 exchange(self.running)
 
-    @rule(name=NAMES, steps=st.integers(0, 4))
-    def pause(self, name: str, steps: int) -> None:
-        """Pause the name's hosts after some steps and start one more run of it."""
+    @rule(name=NAMES, point=st.sampled_from(POINTS), away=st.sampled_from(AWAY))
+    def pause(self, name: str, point: type, away: int) -> None:
+        """Pause the name's hosts, before a write or its answer; start one more run."""
         for host in self.running:
             if host.identity.host == name:
-                host.post(Tick(self.clock.now_s()))
-                for _ in range(steps):
-                    if host.issued or host.answers:
-                        host.step()
+                for _ in range(40):
+                    waiting = [effect for _, effect in host.issued[:1]]
+                    if any(isinstance(x, point) for x in waiting + host.answers[:1]):
+                        break
+                    host.step()
                 self.paused.add(host.identity.incarnation)
         self.hosts.append(self.new_host(name))
+        self.time_passes(away)
 
     @rule()
     def resume(self) -> None:
         self.paused.clear()
         for host in self.hosts:
+            host.settle()
+            self.rows_agree()
             host.tick()
             self.rows_agree()
 
+    @rule(name=NAMES, cut=st.booleans())
+    def link_to_store(self, name: str, cut: bool) -> None:
+        for host in self.hosts:
+            if host.identity.host == name:
+                host.tables = self.nowhere if cut else self.tables
+
     @rule(name=NAMES)
     def kill(self, name: str) -> None:
         self.hosts = [h for h in self.hosts if h.identity.host != name]
@@ -121,7 +142,7 @@
     derandomize=True,
     deadline=None,
     database=None,
-    max_examples=60,
-    stateful_step_count=25,
+    max_examples=100,
+    stateful_step_count=12,
 )
 LeaseMachineTest = LeaseMachine.TestCase
