Call the tables for leases by the core's own function and release claims in time

Cause: the shell repeated what call_tables does, claims carried no wall time, and claims in doubt were released only at the next change.

--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -34,6 +34,7 @@
 from cardamomquay_daemon._member_watch import MemberWatch
 from cardamomquay_daemon._operator_port import OperatorPort
 from cardamomquay_daemon._peer import PeerNode
+from cardamomquay_daemon._periodic import repeating
 from cardamomquay_daemon._platform_client import HttpHostList
 from cardamomquay_daemon._platform_client import HttpTableService
 from cardamomquay_daemon._platform_client import PlatformConnection
@@ -51,18 +52,19 @@
 from cardamomquay_daemon._telemetry import STOPPING
 from cardamomquay_daemon._telemetry import Telemetry
 from cardamomquay_daemon._token_lending import TokenLending
-from cardamomquay_daemon._token_lending import maintaining
 from cardamomquay_daemon._token_lending import token_resources
 from cardamomquay_daemon._upstream_client import UpstreamClient
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
+    from contextlib import AbstractContextManager
 
     from cardamomquay.config import Config
     from cardamomquay_daemon._settings import Settings
 
 
-CLAIM_THREADS = 2
+CLAIM_THREADS = 4
 RELEASE_WAIT_S = 2.0
 
 
@@ -189,7 +191,12 @@
             stack.enter_context(self._runtime.running())
             stack.enter_context(self.peers.running())
             stack.enter_context(polling(self._chooser))
-            stack.enter_context(maintaining(self._admission))
+            stack.enter_context(
+                self._repeating("tokens", 0.1, self._admission.maintain)
+            )
+            stack.enter_context(
+                self._repeating("claims", 1.0, self._registry.release_pending)
+            )
             # Runs after the listeners have closed and their requests are done.
             stack.callback(self._give_back)
             stack.enter_context(serving(operators, "operators"))
@@ -208,6 +215,11 @@
         with condition:
             self._clock.wait(condition, self._settings.limits.stop_wait_s)
 
+    def _repeating(
+        self, name: str, interval_s: float, work: Callable[[], object]
+    ) -> AbstractContextManager[None]:
+        return repeating(name, interval_s, work, self._telemetry)
+
     def _start_lending(self, effect: LendingStarted) -> None:
         lending = self._slots if is_slot_resource(effect.resource) else self._tokens
         lending.start(effect)
--- a/packages/daemon/src/cardamomquay_daemon/_lease_effects.py
+++ b/packages/daemon/src/cardamomquay_daemon/_lease_effects.py
@@ -10,13 +10,11 @@
 from cardamomquay.leases import LeaseAcquired
 from cardamomquay.leases import LeaseLost
 from cardamomquay.leases import LeaseReleased
-from cardamomquay.leases import LeaseRowsRead
-from cardamomquay.leases import LeaseRowsWritten
 from cardamomquay.leases import LeasesReclaimed
-from cardamomquay.leases import LeasesScanned
 from cardamomquay.leases import ReadLeaseRows
 from cardamomquay.leases import ScanLeases
 from cardamomquay.leases import WriteLeaseRows
+from cardamomquay.leases import call_tables
 from cardamomquay.lenders import LENDERS_TABLE
 from cardamomquay.lenders import LenderRowsWritten
 from cardamomquay.lenders import LendersScanned
@@ -62,9 +60,9 @@
     def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
         """Return the handler of each effect type."""
         return {
-            ReadLeaseRows: self._read,
-            WriteLeaseRows: self._write,
-            ScanLeases: self._scan,
+            ReadLeaseRows: self._call_tables,
+            WriteLeaseRows: self._call_tables,
+            ScanLeases: self._call_tables,
             ScanLenders: self._scan_lenders,
             WriteLenderRows: self._write_lenders,
             LeaseAcquired: self._acquired,
@@ -73,17 +71,10 @@
             LeasesReclaimed: self._reclaimed,
         }
 
-    def _read(self, effect: ReadLeaseRows) -> None:
-        result = self._tables.read(effect.keys)
-        self._runtime.post(LeaseRowsRead(self._clock.now_s(), effect.call, result))
-
-    def _write(self, effect: WriteLeaseRows) -> None:
-        result = self._tables.transact(effect.transaction)
-        self._runtime.post(LeaseRowsWritten(self._clock.now_s(), effect.call, result))
-
-    def _scan(self, effect: ScanLeases) -> None:
-        result = self._tables.scan(LEASES_TABLE)
-        self._runtime.post(LeasesScanned(self._clock.now_s(), result))
+    def _call_tables(self, effect: Effect) -> None:
+        event = call_tables(effect, self._tables, self._clock)
+        if event is not None:
+            self._runtime.post(event)
 
     def _scan_lenders(self, effect: ScanLenders) -> None:
         lenders = self._tables.scan(LENDERS_TABLE)
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 import uuid
 from collections import defaultdict
 from dataclasses import dataclass
@@ -212,6 +213,7 @@
             request_digest=digest_request(req.method, req.target, req.body),
             host=self._identity.host,
             incarnation=self._identity.incarnation,
+            claimed_at_s=time.time(),
         )
         admitted = self._admit(authorised, deadline_s)
         if isinstance(admitted, Refusal):
--- a/packages/daemon/src/cardamomquay_daemon/_token_lending.py
+++ b/packages/daemon/src/cardamomquay_daemon/_token_lending.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-import threading
 from concurrent.futures import Future
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -22,20 +20,17 @@
 from cardamomquay_daemon.wire import peer_pb2
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
     from collections.abc import Mapping
 
     from cardamomquay.clock import Clock
     from cardamomquay.config import Config
     from cardamomquay.lenders import LendingStarted
     from cardamomquay.lenders import LendingStopped
-    from cardamomquay.quota import LentQuotaAdmission
     from cardamomquay.quota import Limit
     from cardamomquay_daemon._peer import PeerNode
     from cardamomquay_daemon._runtime import Runtime
 
 CALL_DEADLINE_S = 0.25
-MAINTAIN_INTERVAL_S = 0.1
 
 
 def token_resources(config: Config) -> Mapping[str, str]:
@@ -153,24 +148,6 @@
         return self._runtime.snapshot.core.part(LeaseState)
 
 
-@contextmanager
-def maintaining(admission: LentQuotaAdmission) -> Iterator[None]:
-    """Return, report and renew tokens for the time of a ``with`` block."""
-    stopping = threading.Event()
-
-    def maintain() -> None:
-        while not stopping.wait(MAINTAIN_INTERVAL_S):
-            admission.maintain()
-
-    thread = threading.Thread(target=maintain, name="tokens", daemon=True)
-    thread.start()
-    try:
-        yield
-    finally:
-        stopping.set()
-        thread.join(timeout=2.0)
-
-
 def _request_to_wire(request: GrantRequest) -> Any:
     return peer_pb2.TokenRequest(
         resource=request.resource,
