Test the steps of moves against faults and stop a deposed controller

Cause: the part was not exercised. An edit reached the hot path only at the next tick. Change: a conflict on the controller's row ends a host's status as controller; an edit is followed at once; evidence, rows and windows do less work per report; MoveRules lets a measurement put a baseline in place of the verdicts.

--- a/packages/core/src/cardamomquay/moves/__init__.py
+++ b/packages/core/src/cardamomquay/moves/__init__.py
@@ -20,6 +20,7 @@
 from cardamomquay.moves._judge import is_plainly_bad
 from cardamomquay.moves._judge import judge
 from cardamomquay.moves._part import MovePart
+from cardamomquay.moves._part import MoveRules
 from cardamomquay.moves._part import MovesState
 from cardamomquay.moves._rows import Move
 from cardamomquay.moves._rows import MoveState
@@ -54,6 +55,7 @@
     "Move",
     "MoveChanged",
     "MovePart",
+    "MoveRules",
     "MoveState",
     "MoveStepDone",
     "MoveStopped",
--- a/packages/core/src/cardamomquay/moves/_evidence.py
+++ b/packages/core/src/cardamomquay/moves/_evidence.py
@@ -129,7 +129,7 @@
     def add(self, count: int, slow: int, old_rate: float) -> WarmUp:
         """Add requests of the new version."""
         now = replace(self, count=self.count + count, slow=self.slow + slow)
-        if self.over or now.count < WARM_UP_BLOCK:
+        if now.count < WARM_UP_BLOCK:
             return now
         rate = now.slow / now.count
         improved = self.best_rate - rate >= WARM_UP_PROGRESS
@@ -182,59 +182,72 @@
         -------
         Evidence
         """
-        after = replace(self, old=self.old.add(old), new=self.new.plus(new))
-        if new.count == 0:
-            return after
-        after = after._with_errors(self.old, new, old, proves_good)
-        # The threshold comes from earlier windows, so the window does not choose it.
-        bucket = self.old.slow_bucket()
-        if bucket is None:
-            return after
-        return after._with_slow(self.old, new, old, bucket, proves_good)
+        before = self.old
+        errors, log_good_errors = self.errors, self.log_good_errors
+        slow, cold, log_good_slow = self.slow, self.cold, self.log_good_slow
+        warm_up = self.warm_up
+        if new.count > 0:
+            errors, log_good_errors = self._errors_after(new, old, proves_good)
+            # The threshold comes from earlier windows, so the window does not choose
+            # it.
+            bucket = before.slow_bucket()
+            if bucket is not None:
+                slow, cold, log_good_slow, warm_up = self._slow_after(
+                    new, old, bucket, proves_good
+                )
+        return Evidence(
+            errors,
+            slow,
+            cold,
+            log_good_errors,
+            log_good_slow,
+            before.add(old),
+            self.new.plus(new) if new.count else self.new,
+            warm_up,
+        )
 
     def restarted(self) -> Evidence:
         """Return the evidence after a step: good has to be proved again."""
         return replace(self, log_good_errors=0.0, log_good_slow=0.0)
 
-    def _with_errors(
-        self, before: Recent, new: Totals, old: Totals, proves_good: bool
-    ) -> Evidence:
+    def _errors_after(
+        self, new: Totals, old: Totals, proves_good: bool
+    ) -> tuple[EProcess, float]:
+        before, errors, good = self.old, self.errors, self.log_good_errors
         sample = (new.errors, new.count, old.errors, old.count)
-        errors = self.errors
         ratios = _log_ratios(sample, before.errors, before.count, ERROR_ODDS)
         if ratios is not None:
             errors = errors.add(ratios)
-        good = self.log_good_errors
         if proves_good and before.count >= OLD_MIN_COUNT:
             good += _log_good(new.errors, new.count, before.error_rate, ERROR_MARGIN)
-        return replace(self, errors=errors, log_good_errors=good)
+        return errors, good
 
-    def _with_slow(
-        self, before: Recent, new: Totals, old: Totals, bucket: int, proves_good: bool
-    ) -> Evidence:
+    def _slow_after(
+        self, new: Totals, old: Totals, bucket: int, proves_good: bool
+    ) -> tuple[EProcess, EProcess, float, WarmUp]:
+        before, process, cold = self.old, self.slow, self.cold
+        is_warm, good = self.warm_up.over, self.log_good_slow
         old_rate = before.slow_rate(bucket)
         answered = new.count - new.errors
         slow = sum(new.buckets[bucket + 1 :])
-        warm_up = self.warm_up.add(answered, slow, old_rate)
+        warm_up = self.warm_up
+        if not is_warm:
+            warm_up = warm_up.add(answered, slow, old_rate)
         # Until the caches are warm, the null hypothesis is that the new version's
         # latencies are those of the old one times what a warm-up explains.
-        shift = 0 if self.warm_up.over else WARM_UP_BUCKETS
+        shift = 0 if is_warm else WARM_UP_BUCKETS
         unexplained = sum(new.buckets[bucket + shift + 1 :])
         old_slow = sum(old.buckets[bucket + 1 :])
         sample = (unexplained, answered, old_slow, old.count - old.errors)
         known = (sum(before.buckets[bucket + 1 :]), sum(before.buckets))
-        slow_process, cold = self.slow, self.cold
         ratios = _log_ratios(sample, *known, SLOW_ODDS)
-        if ratios is not None and self.warm_up.over:
-            slow_process = slow_process.add(ratios)
+        if ratios is not None and is_warm:
+            process = process.add(ratios)
         elif ratios is not None:
             cold = cold.add(ratios)
-        good = self.log_good_slow
-        if proves_good and self.warm_up.over:
+        if proves_good and is_warm:
             good += _log_good(slow, answered, old_rate, SLOW_MARGIN)
-        return replace(
-            self, slow=slow_process, cold=cold, log_good_slow=good, warm_up=warm_up
-        )
+        return process, cold, good, warm_up
 
 
 def _log_add(a: float, b: float) -> float:
--- a/packages/core/src/cardamomquay/moves/_part.py
+++ b/packages/core/src/cardamomquay/moves/_part.py
@@ -11,6 +11,7 @@
 
 from cardamomquay.config import Config
 from cardamomquay.config import Route
+from cardamomquay.currency import ConfigLoaded
 from cardamomquay.currency import ConfigState
 from cardamomquay.currency import currency_view
 from cardamomquay.currency import is_outage_confirmed
@@ -31,6 +32,7 @@
 from cardamomquay.moves._judge import Verdict
 from cardamomquay.moves._judge import is_plainly_bad
 from cardamomquay.moves._judge import judge
+from cardamomquay.moves._rows import CONTROLLER_ROW
 from cardamomquay.moves._rows import ENDED
 from cardamomquay.moves._rows import Move
 from cardamomquay.moves._rows import MoveState
@@ -51,6 +53,7 @@
 from cardamomquay.moves._view import RouteShare
 from cardamomquay.moves._windows import HostReport
 from cardamomquay.platform import Committed
+from cardamomquay.platform import Conflicted
 from cardamomquay.platform import RowKey
 from cardamomquay.reducer import CoreState
 from cardamomquay.reducer import Effect
@@ -60,8 +63,10 @@
 from cardamomquay.reducer import Tick
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
+    from cardamomquay.moves._evidence import Evidence
     from cardamomquay.moves._windows import Totals
 
 READ_INTERVAL_S = 0.5
@@ -143,14 +148,29 @@
         return HostReport(totals, tuple(sorted(self.stopped)), rows)
 
 
+@dataclass(frozen=True, slots=True)
+class MoveRules:
+    """The rules of the verdicts; measurements put a baseline in their place."""
+
+    judge: Callable[[Evidence], Judgement] = judge
+    stop: Callable[[Evidence, Evidence, int], Judgement | None] = is_plainly_bad
+
+
 class MovePart(Part[MovesState]):
     """Follows the rows of moves on every host, and writes them on the controller.
 
     It needs the states of `ConfigPart`, `MembershipPart` and the lease before it.
+
+    Parameters
+    ----------
+    rules : MoveRules, optional
     """
 
     state_type = MovesState
 
+    def __init__(self, rules: MoveRules | None = None) -> None:
+        self._rules = MoveRules() if rules is None else rules
+
     def initial(self, identity: Identity) -> MovesState:
         return MovesState()
 
@@ -159,7 +179,7 @@
     ) -> tuple[MovesState, tuple[Effect, ...]]:
         match event:
             case Tick():
-                return _tick(own, event.now_s, core)
+                return _tick(own, event.now_s, core, self._rules)
             case MovesRead():
                 return _rows_read(own, event, core)
             case MovesReadFailed():
@@ -167,15 +187,21 @@
             case MoveStepDone():
                 return _step_done(own, event, core)
             case ReportHeard():
-                return _report_heard(own, event, core)
+                return _report_heard(own, event, core, self._rules)
             case ControllerChanged():
                 return replace(own, controller=event if event.held else None), ()
+            case ConfigLoaded():
+                # An operator's edit is in force without waiting for a tick.
+                config = core.part(ConfigState).config
+                if config is None:
+                    return own, ()
+                return _follow(own, event.now_s, config), ()
             case _:
                 return own, ()
 
 
 def _tick(
-    own: MovesState, now_s: float, core: CoreState
+    own: MovesState, now_s: float, core: CoreState, rules: MoveRules
 ) -> tuple[MovesState, tuple[Effect, ...]]:
     config = core.part(ConfigState).config
     if config is None:
@@ -193,7 +219,7 @@
             own = replace(own, read_due_s=now_s + READ_TIMEOUT_S)
             effects.append(ReadMoves(keys))
     if own.controller is not None and is_lease_valid(core.part(LeaseState), now_s):
-        own, steps = _control(own, own.controller, now_s, core, config)
+        own, steps = _control(own, now_s, core, config, rules)
         effects.extend(steps)
     return own, tuple(effects)
 
@@ -271,6 +297,11 @@
         if config is not None:
             own = _follow(own, event.now_s, config)
         return own, effects
+    if isinstance(event.outcome, Conflicted) and any(
+        row.key == CONTROLLER_ROW for row in event.outcome.rows
+    ):
+        # Another host is the controller; trying again would only load the store.
+        own = replace(own, controller=None)
     # Whether the step took effect shows in a read that begins after the answer.
     answered = replace(pending, answered_at_s=event.now_s)
     pendings = own.pending.set(event.route, answered)
@@ -278,7 +309,7 @@
 
 
 def _report_heard(
-    own: MovesState, event: ReportHeard, core: CoreState
+    own: MovesState, event: ReportHeard, core: CoreState, rules: MoveRules
 ) -> tuple[MovesState, tuple[Effect, ...]]:
     before = own.reports.get(event.host)
     after = HeardReport(event.incarnation, event.taken_at_s, event.report)
@@ -288,8 +319,11 @@
     is_own = event.host == core.identity.host
     effects: list[Effect] = []
     for route, (version, value) in event.report.rows.items():
+        known = own.rows.get(route)
+        if is_own or (known is not None and version <= known.version):
+            continue
         move = parse_move(value)
-        if not is_own and move is not None:
+        if move is not None:
             own, changed = _adopt(own, route, version, move, event.now_s)
             effects.extend(changed)
     if not is_own:
@@ -313,7 +347,7 @@
         stop = (route, track.identity[0])
         if stop in own.stopped:
             continue
-        found = is_plainly_bad(added.own, added.fleet, hosts)
+        found = rules.stop(added.own, added.fleet, hosts)
         if found is not None:
             own = replace(own, stopped=own.stopped | {stop})
             effects.append(MoveStopped(*stop, found.reason))
@@ -362,14 +396,11 @@
 
 
 def _control(
-    own: MovesState,
-    controller: ControllerChanged,
-    now_s: float,
-    core: CoreState,
-    config: Config,
+    own: MovesState, now_s: float, core: CoreState, config: Config, rules: MoveRules
 ) -> tuple[MovesState, tuple[Effect, ...]]:
+    controller = own.controller
     # Rows from before this host became the controller may lack a step of another.
-    if own.read_started_s < controller.now_s:
+    if controller is None or own.read_started_s < controller.now_s:
         return own, ()
     expected = _expected_hosts(core, now_s)
     fresh = [
@@ -388,7 +419,7 @@
                 answered = replace(pending, answered_at_s=now_s)
                 own = replace(own, pending=own.pending.set(name, answered))
             continue
-        judgement, track = _judged(own, name, known)
+        judgement, track = _judged(own, name, known, rules)
         step = next_step(
             known.move,
             _route_of(name, known, config),
@@ -397,11 +428,11 @@
                 measured,
                 now_s - known.seen_at_s,
                 controller.fence,
-                figures_of(track, judgement),
             ),
         )
         if step is None:
             continue
+        step = replace(step, figures=figures_of(track, judgement))
         own = replace(own, pending=own.pending.set(name, Pending(step, now_s)))
         transaction = step_transaction(step, known.version, controller.row_version)
         effects.append(WriteMoveStep(name, transaction))
@@ -409,13 +440,13 @@
 
 
 def _judged(
-    own: MovesState, name: str, known: KnownRow
+    own: MovesState, name: str, known: KnownRow, rules: MoveRules
 ) -> tuple[Judgement, Track | None]:
     track = own.tracks.get(name)
     if track is None or known.move is None:
         return Judgement(Verdict.UNPROVEN), None
     stop = (name, known.move.move_id)
-    judgement = judge(track.fleet)
+    judgement = rules.judge(track.fleet)
     if judgement.verdict is not Verdict.BAD:
         if stop in own.stopped:
             return Judgement(Verdict.BAD, "stopped_by_controller"), track
--- a/packages/core/src/cardamomquay/moves/_rows.py
+++ b/packages/core/src/cardamomquay/moves/_rows.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from dataclasses import asdict
 from dataclasses import dataclass
 from dataclasses import field
 from enum import StrEnum
@@ -93,7 +92,20 @@
 
 def move_value(move: Move) -> dict[str, Any]:
     """Return the value of a move's row."""
-    return {**asdict(move), "state": move.state.value}
+    return {
+        "route": move.route,
+        "move_id": move.move_id,
+        "from_pool": move.from_pool,
+        "to_pool": move.to_pool,
+        "state": move.state.value,
+        "step": move.step,
+        "share_percent": move.share_percent,
+        "proved": move.proved,
+        "fence": move.fence,
+        "elapsed_s": move.elapsed_s,
+        "reason": move.reason,
+        "figures": dict(move.figures),
+    }
 
 
 def parse_move(value: Mapping[str, Any] | None) -> Move | None:
--- a/packages/core/src/cardamomquay/moves/_steps.py
+++ b/packages/core/src/cardamomquay/moves/_steps.py
@@ -41,15 +41,12 @@
     dwell_s : float
         Time since this host saw the row's version first.
     fence : int
-    figures : dict
-        Written beside the decision.
     """
 
     judgement: Judgement
     measured: bool
     dwell_s: float
     fence: int
-    figures: dict[str, Any]
 
 
 def next_step(move: Move | None, route: Route, now: Situation) -> Move | None:
@@ -145,6 +142,5 @@
         step=move.step + 1,
         fence=now.fence,
         elapsed_s=move.elapsed_s + now.dwell_s,
-        figures=now.figures,
         **changes,
     )
--- a/packages/core/src/cardamomquay/moves/_track.py
+++ b/packages/core/src/cardamomquay/moves/_track.py
@@ -11,6 +11,7 @@
 from cardamomquay.moves._evidence import Recent
 from cardamomquay.moves._evidence import WarmUp
 from cardamomquay.moves._windows import BUCKET_COUNT
+from cardamomquay.moves._windows import NOTHING
 from cardamomquay.moves._windows import HostReport
 from cardamomquay.moves._windows import Totals
 
@@ -121,6 +122,5 @@
 
 
 def _added(route: str, pool: str, before: HeardReport, after: HeardReport) -> Totals:
-    nothing = Totals()
-    newer = after.report.totals.get((route, pool), nothing)
-    return newer.since(before.report.totals.get((route, pool), nothing))
+    newer = after.report.totals.get((route, pool), NOTHING)
+    return newer.since(before.report.totals.get((route, pool), NOTHING))
--- a/packages/core/src/cardamomquay/moves/_windows.py
+++ b/packages/core/src/cardamomquay/moves/_windows.py
@@ -46,6 +46,8 @@
 
     def since(self, earlier: Totals) -> Totals:
         """Return what was added after `earlier`, at least zero in each figure."""
+        if self.count == earlier.count:
+            return NOTHING
         buckets = tuple(
             max(0, a - b) for a, b in zip(self.buckets, earlier.buckets, strict=True)
         )
@@ -53,6 +55,9 @@
         return Totals(count, max(0, self.errors - earlier.errors), buckets)
 
 
+NOTHING = Totals()
+
+
 class VersionWindows:
     """Thread-safe cumulative totals of one daemon.
 
--- /dev/null
+++ b/packages/core/tests/moves/test_moves.py
@@ -0,0 +1,397 @@
+from __future__ import annotations
+
+import unittest
+from dataclasses import replace
+from itertools import pairwise
+
+from moves.fleet import PLAN
+from moves.fleet import ROUTE
+from moves.fleet import Fleet
+from moves.fleet import with_plan
+
+from cardamomquay.moves import DRAIN_S
+from cardamomquay.moves import VIEW_VALID_S
+from cardamomquay.moves import HostReport
+from cardamomquay.moves import Move
+from cardamomquay.moves import MoveState
+from cardamomquay.moves import Totals
+from cardamomquay.moves import Verdict
+from cardamomquay.moves import VersionPicker
+from cardamomquay.moves import judge
+from cardamomquay.moves import move_row_key
+from cardamomquay.moves import parse_move
+from cardamomquay.moves._track import HeardReport
+from cardamomquay.moves._track import begin_track
+from cardamomquay.platform import Conflicted
+
+FOLLOWERS = {
+    MoveState.PLANNED: {MoveState.RAMPING, MoveState.TAKING_BACK},
+    MoveState.RAMPING: {
+        MoveState.RAMPING,
+        MoveState.HOLDING,
+        MoveState.COMPLETED,
+        MoveState.TAKING_BACK,
+    },
+    MoveState.HOLDING: {MoveState.RAMPING, MoveState.HOLDING, MoveState.TAKING_BACK},
+    MoveState.COMPLETED: {MoveState.TAKING_BACK},
+    MoveState.TAKING_BACK: {MoveState.TAKEN_BACK},
+    MoveState.TAKEN_BACK: set(),
+}
+
+
+def check_history(case: unittest.TestCase, history: list[Move]) -> None:
+    """Check that no step is skipped, repeated or reverted."""
+    for before, after in pairwise(history):
+        case.assertGreaterEqual(after.fence, before.fence)
+        if (before.move_id, before.to_pool) != (after.move_id, after.to_pool):
+            case.assertEqual((after.state, after.step), (MoveState.PLANNED, 0))
+            case.assertIn(before.state, (MoveState.COMPLETED, MoveState.TAKEN_BACK))
+            continue
+        case.assertEqual(after.step, before.step + 1)
+        case.assertIn(after.state, FOLLOWERS[before.state])
+        raised = after.share_percent - before.share_percent
+        case.assertLessEqual(raised, PLAN.step_cap_percent)
+        if not after.proved:
+            case.assertLessEqual(after.share_percent, PLAN.cap_percent)
+        if after.state is MoveState.TAKEN_BACK:
+            case.assertGreaterEqual(after.elapsed_s - before.elapsed_s, DRAIN_S)
+        if after.state is MoveState.HOLDING:
+            case.assertEqual(raised, 0)
+
+
+def ramping(share: float = 30.0) -> Fleet:
+    """Return a fleet whose move has just got to a share."""
+    fleet = Fleet()
+    fleet.elect(0)
+    assert fleet.run(
+        100.0, lambda: (m := fleet.move()) is not None and m.share_percent >= share
+    )
+    fleet.run(0.5)
+    return fleet
+
+
+class StepsTest(unittest.TestCase):
+    """Guards against steps that are skipped, repeated, reverted or never taken."""
+
+    def assert_completes(self, fleet: Fleet) -> None:
+        self.assertTrue(fleet.run_to(MoveState.COMPLETED), fleet.move())
+        check_history(self, fleet.tables.history)
+
+    def test_good_version(self) -> None:
+        fleet = ramping()
+        self.assert_completes(fleet)
+        fleet.edit(None, pool="new")
+        fleet.run(5.0)
+        self.assertTrue(fleet.is_in(MoveState.COMPLETED))
+
+    def test_controller_killed(self) -> None:
+        fleet = ramping()
+        fleet.hosts[0].paused = True
+        fleet.run(7.0)
+        fleet.elect(1)
+        self.assert_completes(fleet)
+
+    def test_controller_paused_past_its_lease(self) -> None:
+        """A host that resumes must not act on a lease that has expired."""
+        fleet = Fleet()
+        fleet.elect(0, seconds=5.0)
+        fleet.run(4.0)
+        steps = len(fleet.tables.history)
+        fleet.hosts[0].paused = True
+        fleet.run(20.0)
+        fleet.hosts[0].paused = False
+        fleet.error_rate["new"] = 1.0
+        fleet.run(10.0)
+        self.assertEqual(len(fleet.tables.history), steps)
+
+    def test_write_left_by_a_paused_controller(self) -> None:
+        """A transaction sent late must not follow the election of a successor."""
+        fleet = ramping(5.0)
+        old = fleet.hosts[0]
+        old.hold_writes = True
+        fleet.run(60.0, lambda: bool(old.held))
+        before = fleet.row()
+        fleet.elect(1)
+        old.release()
+        self.assertEqual(fleet.row(), before)
+        self.assert_completes(fleet)
+
+    def test_two_controllers(self) -> None:
+        """Two hosts that both take themselves for the controller take one step."""
+        fleet = ramping(5.0)
+        first, second = fleet.hosts[:2]
+        held = first.moves.controller
+        second.lease(fleet.fence, 1e9)
+        second.send(type(held)(second.now_s(), True, held.fence, held.row_version))
+        first.hold_writes = second.hold_writes = True
+        fleet.run(60.0, lambda: bool(first.held and second.held))
+        late = second.held[0].transaction
+        first.release()
+        second.release()
+        self.assertIsInstance(fleet.tables.transact(late), Conflicted)
+        self.assert_completes(fleet)
+
+    def test_lower_fence_does_not_act(self) -> None:
+        """A controller with an older token must leave a newer one's row alone."""
+        fleet = ramping(5.0)
+        controller = fleet.hosts[0]
+        held = controller.moves.controller
+        stale = type(held)(controller.now_s(), True, held.fence - 1, held.row_version)
+        controller.send(stale)
+        steps = len(fleet.tables.history)
+        fleet.run(60.0)
+        self.assertEqual(len(fleet.tables.history), steps)
+
+    def test_lost_answers(self) -> None:
+        """A step whose answer is lost is neither repeated nor followed blindly."""
+        fleet = Fleet()
+        fleet.elect(0)
+
+        def lose() -> bool:
+            fleet.tables.faults.lose_answers = 1
+            return fleet.is_in(MoveState.COMPLETED)
+
+        self.assertTrue(fleet.run(300.0, lose))
+        self.assertEqual(fleet.tables.conflicts, 0)
+        check_history(self, fleet.tables.history)
+
+    def test_outcome_never_reported(self) -> None:
+        """A step that the shell loses must not block its move."""
+        fleet = ramping(5.0)
+        controller = fleet.hosts[0]
+        controller.hold_writes = True
+        fleet.run(60.0, lambda: bool(controller.held))
+        controller.held.clear()
+        controller.hold_writes = False
+        self.assert_completes(fleet)
+
+    def test_new_controller_reads_first(self) -> None:
+        """Rows read before the election may lack the predecessor's last step."""
+        fleet = ramping(5.0)
+        fleet.tables.faults.down = True
+        fleet.run(5.0)
+        fleet.tables.faults.down = False
+        late = fleet.hosts[1]
+        late.paused = True
+        fleet.elect(1)
+        sent = []
+        late.perform = sent.append
+        fleet.error_rate["new"] = 1.0
+        late.paused = False
+        fleet.run(5.0)
+        self.assertEqual([e for e in sent if type(e).__name__ == "WriteMoveStep"], [])
+
+    def test_malformed_rows(self) -> None:
+        good = {"route": "r", "share_percent": 400.0}
+        for value in (None, {}, good, {"state": 3}):
+            self.assertIsNone(parse_move(value))
+
+
+class TakeBackTest(unittest.TestCase):
+    """Guards against a bad version that keeps getting requests."""
+
+    def shown_s(self, fleet: Fleet, seconds: float = 120.0) -> float:
+        """Run until the stated test shows a fault on some host's figures."""
+
+        def shown() -> bool:
+            for host in fleet.hosts:
+                track = host.moves.tracks.get(ROUTE)
+                if track and judge(track.fleet).verdict is Verdict.BAD:
+                    return True
+            return False
+
+        self.assertTrue(fleet.run(seconds, shown))
+        return fleet.now_s
+
+    def assert_stops(self, fleet: Fleet, within_s: float = 3.0) -> None:
+        shown_s = self.shown_s(fleet)
+        fleet.run(15.0)
+        last_s = max(at for at, _ in fleet.sent_new)
+        self.assertLessEqual(last_s - shown_s, within_s)
+
+    def test_faults(self) -> None:
+        cases = {
+            "fails at once": (0.0, {"error_rate": 0.3}),
+            "slow at once": (0.0, {"latency_s": 0.1}),
+            "fails later": (30.0, {"error_rate": 0.3}),
+            "slow later": (30.0, {"latency_s": 0.1}),
+            "fails after 100%": (45.0, {"error_rate": 0.3}),
+        }
+        for name, (at_s, fault) in cases.items():
+            with self.subTest(name):
+                fleet = Fleet()
+                fleet.elect(0)
+                fleet.run(at_s)
+                for field, value in fault.items():
+                    getattr(fleet, field)["new"] = value
+                self.assert_stops(fleet)
+                self.assertTrue(fleet.is_in(MoveState.TAKEN_BACK))
+                check_history(self, fleet.tables.history)
+
+    def test_store_down(self) -> None:
+        """No controller can act in an outage, so each host stops by itself."""
+        fleet = ramping()
+        self.assertEqual(fleet.hosts[2].share(), 30.0)
+        fleet.tables.faults.down = True
+        fleet.run(5.0)
+        self.assertEqual(fleet.hosts[2].share(), 30.0)
+        fleet.error_rate["new"] = 0.3
+        self.assert_stops(fleet)
+        fleet.tables.faults.down = False
+        self.assertTrue(fleet.run_to(MoveState.TAKEN_BACK, 15.0))
+
+    def test_no_answers_from_the_store(self) -> None:
+        """A host that cannot see a take-back sends to the old version."""
+        fleet = ramping()
+        fleet.tables.faults.unreachable = True
+        fleet.run(VIEW_VALID_S + 0.5)
+        self.assertEqual([host.share() for host in fleet.hosts], [0.0] * 3)
+
+    def test_one_host_sees_the_fault(self) -> None:
+        """A stop by one host reaches the controller and the other hosts."""
+        fleet = ramping()
+        host = fleet.hosts[2]
+        stops = host.moves.stopped | {(ROUTE, PLAN.move_id)}
+        fields = {f: getattr(host.moves, f) for f in host.moves.__dataclass_fields__}
+        state = type(host.moves)(**{**fields, "stopped": stops})
+        parts = host.core.parts.set(type(state), state)
+        host.core = type(host.core)(host.core.identity, parts)
+        self.assertTrue(fleet.run_to(MoveState.TAKEN_BACK, 6.0))
+        self.assertEqual(fleet.move().reason, "stopped_by_h2")
+
+    def test_deadline(self) -> None:
+        """A move that can no longer be done in time is taken back before the end."""
+        for name, plan, rate in (
+            ("no requests", with_plan(finish_within_s=60.0), 0),
+            ("too short", with_plan(finish_within_s=10.0), 10),
+        ):
+            with self.subTest(name):
+                fleet = Fleet(plan=plan)
+                fleet.per_step = rate
+                fleet.elect(0)
+                fleet.run(plan.finish_within_s)
+                self.assertTrue(fleet.is_in(MoveState.TAKEN_BACK))
+                self.assertEqual(fleet.move().reason, "deadline")
+
+
+class MeasurementsTest(unittest.TestCase):
+    """Guards against steps that no measurement supports."""
+
+    def test_missing_measurements_hold(self) -> None:
+        fleet = Fleet(plan=with_plan(finish_within_s=120.0))
+        fleet.elect(0)
+        fleet.run(6.0)
+        for host in fleet.hosts:
+            host.mute = host.name != "h0"
+        fleet.run(30.0)
+        self.assertTrue(fleet.is_in(MoveState.HOLDING))
+        self.assertEqual(fleet.move().share_percent, 5.0)
+        for host in fleet.hosts:
+            host.mute = False
+        self.assertTrue(fleet.run_to(MoveState.COMPLETED, 80.0))
+        check_history(self, fleet.tables.history)
+
+    def test_missing_until_the_deadline(self) -> None:
+        fleet = Fleet(plan=with_plan(finish_within_s=40.0))
+        fleet.elect(0)
+        fleet.run(6.0)
+        for host in fleet.hosts:
+            host.mute = True
+        self.assertTrue(fleet.run_to(MoveState.TAKEN_BACK, 40.0))
+
+    def test_each_step_needs_its_own_proof(self) -> None:
+        """Requests at a smaller share say nothing about a fault under load."""
+        track = begin_track(Move(ROUTE, "m1", "old", "new", share_percent=5.0), 0.0)
+        good = replace(track.fleet, log_good_errors=9.0, log_good_slow=9.0)
+        track = replace(track, fleet=good).with_share(30.0, 10.0)
+        self.assertIs(judge(track.fleet).verdict, Verdict.UNPROVEN)
+
+        def report(at_s: float, count: int) -> HeardReport:
+            fast = Totals(count, 0, (count, *(0,) * 19))
+            totals = {(ROUTE, "new"): fast, (ROUTE, "old"): fast}
+            return HeardReport("i", at_s, HostReport(totals))
+
+        known = track.add(ROUTE, report(8.0, 0), report(9.0, 200), is_own=False)
+        for began_s, is_proof in ((10.5, False), (11.5, True)):
+            after = report(12.0, 400)
+            added = known.add(ROUTE, report(began_s, 200), after, is_own=False)
+            self.assertEqual(added.fleet.log_good_errors > 0, is_proof)
+
+    def test_lagging_reports(self) -> None:
+        """Reports that lag by less than the bound do not stop a move."""
+        fleet = Fleet()
+        fleet.elect(0)
+        fleet.hosts[1].reports_lag_s = 1.2
+        self.assertTrue(fleet.run_to(MoveState.COMPLETED, 120.0))
+
+
+class EditTest(unittest.TestCase):
+    """Guards against a move that goes on although operators changed it."""
+
+    def moved(self, plan, seconds: float = 5.0) -> Fleet:
+        fleet = ramping()
+        self.assertEqual(fleet.move().share_percent, 30.0)
+        fleet.edit(plan)
+        self.assertEqual(fleet.hosts[1].share(), 0.0)
+        fleet.run(seconds)
+        check_history(self, fleet.tables.history)
+        return fleet
+
+    def test_removed(self) -> None:
+        fleet = self.moved(None)
+        self.assertTrue(fleet.is_in(MoveState.TAKEN_BACK))
+        self.assertEqual(fleet.move().reason, "move_removed")
+
+    def test_another_target(self) -> None:
+        fleet = self.moved(with_plan(to_pool="newer"), 6.0)
+        self.assertEqual(fleet.move().to_pool, "newer")
+        states = [m.state for m in fleet.tables.history if m.to_pool == "new"]
+        self.assertEqual(states[-1], MoveState.TAKEN_BACK)
+
+    def test_same_move_again(self) -> None:
+        """A move that was taken back needs a new id to start again."""
+        fleet = self.moved(None)
+        fleet.edit(PLAN)
+        fleet.run(10.0)
+        self.assertTrue(fleet.is_in(MoveState.TAKEN_BACK))
+        fleet.edit(with_plan(move_id="m2"))
+        fleet.run(2.0)
+        self.assertTrue(fleet.is_in(MoveState.RAMPING))
+
+    def test_cap_lowered_before_proof(self) -> None:
+        fleet = Fleet()
+        fleet.elect(0)
+        fleet.run(5.0)
+        fleet.edit(with_plan(cap_percent=1.0))
+        self.assertEqual([host.share() for host in fleet.hosts], [1.0] * 3)
+        fleet.run(1.0)
+        self.assertEqual(fleet.move().share_percent, 1.0)
+
+
+class ExposureTest(unittest.TestCase):
+    """Guards against more requests to an unproved version than the cap allows."""
+
+    def test_sum_over_hosts(self) -> None:
+        for share in (0.7, 5.0, 33.0, 100.0):
+            pickers = [VersionPicker() for _ in range(12)]
+            sent = 0
+            for index in range(2400):
+                sent += pickers[index % 12].pick_new("r", share)
+                self.assertLessEqual(sent, (index + 1) * share / 100 + 1e-6)
+            self.assertGreater(sent, 2400 * share / 100 - 12)
+
+    def test_fleet_before_proof(self) -> None:
+        fleet = Fleet()
+        fleet.elect(0)
+        while not (fleet.move() and fleet.move().proved):
+            fleet.step()
+            # The step that proves the version ends with requests at the old share.
+            allowed = fleet.requests * PLAN.cap_percent / 100
+            self.assertLessEqual(len(fleet.sent_new), allowed)
+
+    def test_key(self) -> None:
+        self.assertEqual(str(move_row_key("r")), "moves/r")
+
+
+if __name__ == "__main__":
+    unittest.main()
