Carry out version moves in the daemon

Cause: the decisions about moves had no shell, so the field move of a route did nothing. Change: MovePart in the reducer, fed by the reports that exchanges carry; the lender of the resource 'moves' is the controller; the relay asks for the pool of each request and records what upstreams ran.

--- a/packages/core/src/cardamomquay/moves/__init__.py
+++ b/packages/core/src/cardamomquay/moves/__init__.py
@@ -22,6 +22,7 @@
 from cardamomquay.moves._part import MovePart
 from cardamomquay.moves._part import MoveRules
 from cardamomquay.moves._part import MovesState
+from cardamomquay.moves._reports import MOVES_EXTRA
 from cardamomquay.moves._rows import Move
 from cardamomquay.moves._rows import MoveState
 from cardamomquay.moves._rows import move_row_key
@@ -50,6 +51,7 @@
     "FALSE_ALARM",
     "FALSE_PROOF",
     "FALSE_STOP",
+    "MOVES_EXTRA",
     "HostReport",
     "Judgement",
     "Move",
--- a/packages/core/src/cardamomquay/moves/_part.py
+++ b/packages/core/src/cardamomquay/moves/_part.py
@@ -17,6 +17,8 @@
 from cardamomquay.currency import is_outage_confirmed
 from cardamomquay.leases import LeaseState
 from cardamomquay.leases import is_lease_valid
+from cardamomquay.membership import ExchangeAnswered
+from cardamomquay.membership import ExchangeReceived
 from cardamomquay.membership import MembershipState
 from cardamomquay.membership import MemberState
 from cardamomquay.moves._events import ControllerChanged
@@ -32,6 +34,7 @@
 from cardamomquay.moves._judge import Verdict
 from cardamomquay.moves._judge import is_plainly_bad
 from cardamomquay.moves._judge import judge
+from cardamomquay.moves._reports import reports_of
 from cardamomquay.moves._rows import CONTROLLER_ROW
 from cardamomquay.moves._rows import ENDED
 from cardamomquay.moves._rows import Move
@@ -188,6 +191,12 @@
                 return _step_done(own, event, core)
             case ReportHeard():
                 return _report_heard(own, event, core, self._rules)
+            case ExchangeAnswered() | ExchangeReceived():
+                effects: tuple[Effect, ...] = ()
+                for heard in reports_of(event, core.identity.host):
+                    own, more = _report_heard(own, heard, core, self._rules)
+                    effects += more
+                return own, effects
             case ControllerChanged():
                 return replace(own, controller=event if event.held else None), ()
             case ConfigLoaded():
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -8,6 +8,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import ExitStack
 from contextlib import contextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cardamomquay.balancing import SlotChooser
@@ -23,6 +24,7 @@
 from cardamomquay.membership import LeaveRequested
 from cardamomquay.membership import MembershipPart
 from cardamomquay.membership import MembershipState
+from cardamomquay.moves import MovePart
 from cardamomquay.quota import LentQuotaAdmission
 from cardamomquay.quota import portions_of
 from cardamomquay.reducer import Identity
@@ -32,6 +34,9 @@
 from cardamomquay_daemon._effects import HostListEffects
 from cardamomquay_daemon._lease_effects import LeaseEffects
 from cardamomquay_daemon._member_watch import MemberWatch
+from cardamomquay_daemon._moves import CONTROLLER_RESOURCE
+from cardamomquay_daemon._moves import REPORT_INTERVAL_S
+from cardamomquay_daemon._moves import Moves
 from cardamomquay_daemon._operator_port import OperatorPort
 from cardamomquay_daemon._peer import PeerNode
 from cardamomquay_daemon._periodic import repeating
@@ -97,7 +102,8 @@
                 ConfigPart(),
                 UnsettledPart(),
                 LeasePart(),
-                LendersPart(_resources),
+                LendersPart(partial(_resources, settings.store_region)),
+                MovePart(),
             )
         )
         self._runtime = Runtime(
@@ -148,6 +154,10 @@
         self._admission = LentQuotaAdmission(self._clock, self._tokens, self.identity)
         self._runtime.listen(self._apply_config)
         self._runtime.listen(MemberWatch(self._clock, self._telemetry))
+        self._moves = Moves(
+            tables, self._clock, self._runtime, self.identity, self._telemetry
+        )
+        self._runtime.handle(self._moves.handlers())
         relay = Relay(
             self._runtime,
             self._clock,
@@ -156,6 +166,7 @@
             self._chooser,
             self._registry,
             UpstreamClient(settings.limits.answer_bytes),
+            self._moves,
             self._telemetry,
         )
         self._caller_port = CallerPort(
@@ -194,6 +205,9 @@
             stack.enter_context(
                 self._repeating("tokens", 0.1, self._admission.maintain)
             )
+            stack.enter_context(
+                self._repeating("moves", REPORT_INTERVAL_S, self._moves.publish)
+            )
             stack.enter_context(
                 self._repeating("claims", 1.0, self._registry.release_pending)
             )
@@ -221,12 +235,15 @@
         return repeating(name, interval_s, work, self._telemetry)
 
     def _start_lending(self, effect: LendingStarted) -> None:
-        lending = self._slots if is_slot_resource(effect.resource) else self._tokens
-        lending.start(effect)
+        self._lending_of(effect.resource).start(effect)
 
     def _stop_lending(self, effect: LendingStopped) -> None:
-        lending = self._slots if is_slot_resource(effect.resource) else self._tokens
-        lending.stop(effect)
+        self._lending_of(effect.resource).stop(effect)
+
+    def _lending_of(self, resource: str) -> SlotLending | TokenLending | Moves:
+        if resource == CONTROLLER_RESOURCE:
+            return self._moves
+        return self._slots if is_slot_resource(resource) else self._tokens
 
     def _give_back(self) -> None:
         """Complete the claims and release what hangs on the host lease."""
@@ -252,15 +269,20 @@
         weights = {o.name: o.rate_per_s for o in config.organisations.values()}
         self._chooser.apply(config.pools, weights)
         self._slots.apply(config)
+        self._moves.apply(config)
         reach = config.regions_in_reach(self.identity.region)
         for pool in config.pools.values():
             served = {upstream.region for upstream in pool.upstreams}
             self._chooser.set_regions(pool.name, [r for r in reach if r in served])
 
 
-def _resources(config: Config) -> dict[str, str]:
-    """Return the region of everything that hosts lend to each other."""
-    return {**slot_resources(config), **token_resources(config)}
+def _resources(store_region: str, config: Config) -> dict[str, str]:
+    """Return the region of everything that hosts lend, and of the controller."""
+    return {
+        **slot_resources(config),
+        **token_resources(config),
+        CONTROLLER_RESOURCE: store_region,
+    }
 
 
 def new_incarnation() -> str:
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_moves.py
@@ -0,0 +1,177 @@
+"""Carries out version moves: effects, reports, and the pool of each request."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.lenders import LendersState
+from cardamomquay.membership import ExtraPublished
+from cardamomquay.moves import MOVES_EXTRA
+from cardamomquay.moves import ControllerChanged
+from cardamomquay.moves import MoveChanged
+from cardamomquay.moves import MovesRead
+from cardamomquay.moves import MovesReadFailed
+from cardamomquay.moves import MovesState
+from cardamomquay.moves import MoveStepDone
+from cardamomquay.moves import MoveStopped
+from cardamomquay.moves import ReadMoves
+from cardamomquay.moves import ReportHeard
+from cardamomquay.moves import VersionPicker
+from cardamomquay.moves import VersionWindows
+from cardamomquay.moves import WriteMoveStep
+from cardamomquay.moves import encode_report
+from cardamomquay.platform import Unavailable
+from cardamomquay_daemon._telemetry import MOVE_CHANGED
+from cardamomquay_daemon._telemetry import MOVE_STOPPED
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Mapping
+
+    from cardamomquay.clock import Clock
+    from cardamomquay.config import Config
+    from cardamomquay.config import Pool
+    from cardamomquay.config import Route
+    from cardamomquay.lenders import LendingStarted
+    from cardamomquay.lenders import LendingStopped
+    from cardamomquay.platform import TableService
+    from cardamomquay.reducer import Effect
+    from cardamomquay.reducer import Identity
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+# The lender of this resource is the controller of all moves.
+CONTROLLER_RESOURCE = "moves"
+REPORT_INTERVAL_S = 0.5
+
+
+class Moves:
+    """Version moves on one host.
+
+    Parameters
+    ----------
+    tables : TableService
+    clock : Clock
+    runtime : Runtime
+    identity : Identity
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        clock: Clock,
+        runtime: Runtime,
+        identity: Identity,
+        telemetry: Telemetry,
+    ) -> None:
+        self._tables = tables
+        self._clock = clock
+        self._runtime = runtime
+        self._identity = identity
+        self._telemetry = telemetry
+        self._windows = VersionWindows()
+        self._picker = VersionPicker()
+        self._published = False
+
+    def handlers(self) -> Mapping[type[Effect], Callable[[Any], None]]:
+        """Return the handler of each effect type."""
+        return {
+            ReadMoves: self._read,
+            WriteMoveStep: self._write,
+            MoveChanged: self._changed,
+            MoveStopped: self._stopped,
+        }
+
+    def start(self, effect: LendingStarted) -> None:
+        """Become the controller."""
+        lenders = self._runtime.snapshot.core.part(LendersState)
+        row = lenders.lender_of(effect.resource)
+        if row is not None and row.fence == effect.fence:
+            now_s = self._clock.now_s()
+            self._runtime.post(ControllerChanged(now_s, True, row.fence, row.version))
+
+    def stop(self, effect: LendingStopped) -> None:
+        """Cease to be the controller."""
+        self._runtime.post(ControllerChanged(self._clock.now_s(), False))
+
+    def apply(self, config: Config) -> None:
+        """Forget the figures of routes that have no move."""
+        moving = {name for name, route in config.routes.items() if route.move}
+        self._windows.retain(moving)
+        self._picker.retain(moving)
+
+    def choose_pool(self, config: Config, route: Route) -> Pool:
+        """Return the pool for a new request of a route.
+
+        Parameters
+        ----------
+        config : Config
+        route : Route
+
+        Returns
+        -------
+        Pool
+        """
+        if route.move is None:
+            return config.pools[route.pool]
+        view = self._runtime.snapshot.core.part(MovesState).view
+        share_percent = view.share_for(route.name, self._clock.now_s())
+        is_new = self._picker.pick_new(route.name, share_percent)
+        return config.pools[route.move.to_pool if is_new else route.pool]
+
+    def record(self, route: Route, pool: str, failed: bool, latency_s: float) -> None:
+        """Count a request that an upstream ran."""
+        if route.move is not None:
+            self._windows.record(route.name, pool, failed, latency_s)
+
+    def publish(self) -> None:
+        """State this host's figures in its record; called every 0.5 s."""
+        state = self._runtime.snapshot.core.part(MovesState)
+        now_s = self._clock.now_s()
+        if not state.view.shares:
+            if self._published:
+                self._published = False
+                self._runtime.post(ExtraPublished(now_s, MOVES_EXTRA, None))
+            return
+        report = state.report(self._windows.totals())
+        identity = self._identity
+        self._runtime.post(
+            ReportHeard(now_s, identity.host, identity.incarnation, now_s, report)
+        )
+        self._published = True
+        self._runtime.post(ExtraPublished(now_s, MOVES_EXTRA, encode_report(report)))
+
+    def _read(self, effect: ReadMoves) -> None:
+        started_s = self._clock.now_s()
+        found = self._tables.read(effect.keys)
+        now_s = self._clock.now_s()
+        if isinstance(found, Unavailable):
+            self._runtime.post(MovesReadFailed(now_s))
+        else:
+            self._runtime.post(MovesRead(now_s, started_s, found.rows))
+
+    def _write(self, effect: WriteMoveStep) -> None:
+        outcome = self._tables.transact(effect.transaction)
+        self._runtime.post(MoveStepDone(self._clock.now_s(), effect.route, outcome))
+
+    def _changed(self, effect: MoveChanged) -> None:
+        move = effect.move
+        self._telemetry.log(
+            MOVE_CHANGED,
+            route=move.route,
+            move_id=move.move_id,
+            state=str(move.state),
+            step=move.step,
+            share_percent=move.share_percent,
+            reason=move.reason,
+        )
+
+    def _stopped(self, effect: MoveStopped) -> None:
+        self._telemetry.log(
+            MOVE_STOPPED,
+            route=effect.route,
+            move_id=effect.move_id,
+            reason=effect.reason,
+        )
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -38,10 +38,20 @@
     from cardamomquay.config import Route
     from cardamomquay.idempotency import OnceRegistry
     from cardamomquay.reducer import Identity
+    from cardamomquay_daemon._moves import Moves
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
 
 UNHEALTHY_STATUS = 500
+# Results that say something about the version that ran the request.
+RUN_RESULTS = frozenset(
+    {
+        ObservedResult.ANSWERED,
+        ObservedResult.FAILED,
+        ObservedResult.TIMED_OUT,
+        ObservedResult.UNREACHABLE,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +113,7 @@
     chooser : UpstreamChooser
     registry : OnceRegistry
     client : UpstreamClient
+    moves : Moves
     telemetry : Telemetry
     """
 
@@ -115,6 +126,7 @@
         chooser: UpstreamChooser,
         registry: OnceRegistry,
         client: UpstreamClient,
+        moves: Moves,
         telemetry: Telemetry,
     ) -> None:
         self._runtime = runtime
@@ -124,6 +136,7 @@
         self._chooser = chooser
         self._registry = registry
         self._client = client
+        self._moves = moves
         self._telemetry = telemetry
         self._retries: defaultdict[str, RetryPolicy] = defaultdict(RetryPolicy)
 
@@ -244,7 +257,7 @@
         deadline_s: float,
     ) -> RelayedAnswer | Refusal:
         route = authorised.route
-        pool = authorised.config.pools[route.pool]
+        pool = self._moves.choose_pool(authorised.config, route)
         policy = self._retries[pool.name]
         policy.fresh()
         excluded: set[str] = set()
@@ -322,6 +335,9 @@
             observed.latency_s,
             self._clock.now_s(),
         )
+        if observed.result in RUN_RESULTS:
+            failed = observed.result is not ObservedResult.ANSWERED
+            self._moves.record(authorised.route, pool.name, failed, observed.latency_s)
         if isinstance(result, UpstreamFailure):
             return result
         return RelayedAnswer(result.status, result.headers, result.body)
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -64,6 +64,10 @@
 LEASES_RECLAIMED = LogEvent(
     5003, "leases_reclaimed", "Expired leases of other hosts were deleted."
 )
+MOVE_CHANGED = LogEvent(6001, "move_changed", "A version move took a step.")
+MOVE_STOPPED = LogEvent(
+    6002, "move_stopped", "This host stopped a version move by itself."
+)
 EFFECT_FAILED = LogEvent(9001, "effect_failed", "An effect raised an exception.")
 REQUEST_FAILED = LogEvent(
     9002, "request_failed", "A request raised an exception and got a 500."
--- a/packages/daemon/tests/fakes.py
+++ b/packages/daemon/tests/fakes.py
@@ -139,6 +139,16 @@
         self.released.append(observation)
 
 
+class FakeMoves:
+    """No route has a move."""
+
+    def choose_pool(self, config: Config, route: Route) -> Pool:
+        return config.pools[route.pool]
+
+    def record(self, route: Route, pool: str, failed: bool, latency_s: float) -> None:
+        pass
+
+
 Scripted = UpstreamAnswer | UpstreamFailure
 
 
@@ -175,6 +185,7 @@
             self.chooser,
             TableOnceRegistry(self.tables),
             self.client,
+            FakeMoves(),
             Telemetry("host-a"),
         )
 
