Send the same requests with and without a flood when measuring fairness

Cause: one random stream served all organisations, so the others' requests differed between the two runs and the ratio of their p99 was partly chance. Change: a stream of arrivals and one of work for each organisation.

--- a/packages/dev/src/cardamomquay_dev/measure_limits.py
+++ b/packages/dev/src/cardamomquay_dev/measure_limits.py
@@ -171,7 +171,9 @@
 def _serve(seed: int, flood: float, queue_type: type[FairQueue]) -> dict[str, Any]:
     """Run one host whose organisations ask for 0.9 of their weights."""
     loop = EventLoop()
-    random = Random(seed)
+    # Own streams, so that the others send the same requests with and without a flood.
+    arrivals = {name: Random(f"{seed}:arrivals:{name}") for name in FAIR_WEIGHTS}
+    work = {name: Random(f"{seed}:work:{name}") for name in FAIR_WEIGHTS}
     queue = queue_type(loop.clock, SLOTS, QUEUE)
     queue.apply(FAIR_WEIGHTS)
     latencies: dict[str, list[float]] = {name: [] for name in FAIR_WEIGHTS}
@@ -183,7 +185,7 @@
         for ticket, asked_s in tuple(open_tickets):
             if ticket.is_running and ticket not in started:
                 started.add(ticket)
-                work_s = random.expovariate(1.0 / WORK_S)
+                work_s = work[ticket.organisation].expovariate(1.0 / WORK_S)
                 loop.after(work_s, partial(finish, ticket, asked_s))
 
     def finish(ticket: Ticket, asked_s: float) -> None:
@@ -210,7 +212,8 @@
     entitled = {n: w / sum(FAIR_WEIGHTS.values()) for n, w in FAIR_WEIGHTS.items()}
     for name, share in entitled.items():
         load = flood if name == "flooding" else 0.9
-        for at_s in _poisson(random, capacity * share * load, 0.0, FAIR_END_S):
+        rate = capacity * share * load
+        for at_s in _poisson(arrivals[name], rate, 0.0, FAIR_END_S):
             loop.at(at_s, partial(ask, name))
     loop.run_until(FAIR_END_S)
     others = [s for n, list_s in latencies.items() if n != "flooding" for s in list_s]
