Move two versions in the demo and follow them to their end

Cause: no run showed a version move over real processes. Change: a good new version of browse (operator's cap 50%) and a bad one of lookup that fails half of its requests (cap 5%); shares and times are counted at the upstreams, and spent token ages travel with token requests.

--- a/packages/daemon/src/cardamomquay_daemon/_token_lending.py
+++ b/packages/daemon/src/cardamomquay_daemon/_token_lending.py
@@ -159,6 +159,7 @@
         held=request.held,
         spent_total=request.spent_total,
         returned_total=request.returned_total,
+        spent_ages_s=request.spent_ages_s,
     )
 
 
@@ -173,6 +174,7 @@
         held=message.held,
         spent_total=message.spent_total,
         returned_total=message.returned_total,
+        spent_ages_s=tuple(message.spent_ages_s),
     )
 
 
--- a/packages/dev/src/cardamomquay_dev/_checks.py
+++ b/packages/dev/src/cardamomquay_dev/_checks.py
@@ -19,6 +19,7 @@
 # Non-repeatable requests during the store outage, and after a possible run. Refusals
 # by limit are needed only for organisations above their rate.
 NEEDED_REASONS = frozenset({"store_unavailable", "outcome_unknown"})
+PREFIX_MIN = 20
 LIMIT_REASONS = frozenset({"limit_exceeded", "quota_unavailable"})
 
 
@@ -136,6 +137,44 @@
     return rows
 
 
+def check_move(
+    runs: Sequence[RunRecord], old_pool: str, new_pool: str, started_s: float
+) -> dict[str, float]:
+    """Return what a new version received.
+
+    Parameters
+    ----------
+    runs : sequence of RunRecord
+    old_pool, new_pool : str
+    started_s : float
+        Wall time at which the move was asked for.
+
+    Returns
+    -------
+    dict
+        The largest share of the new version among the requests since `started_s`,
+        over all prefixes of at least 20, and the times of its first and last run.
+    """
+    ordered = sorted(
+        (run.started_s, run.pool == new_pool)
+        for run in runs
+        if run.pool in {old_pool, new_pool} and run.started_s >= started_s
+    )
+    new = 0
+    largest = 0.0
+    for count, (_, is_new) in enumerate(ordered, start=1):
+        new += is_new
+        if count >= PREFIX_MIN:
+            largest = max(largest, new / count)
+    times = [time_s for time_s, is_new in ordered if is_new]
+    return {
+        "largest_share": round(largest, 4),
+        "runs": len(times),
+        "first_run_s": min(times, default=-1.0),
+        "last_run_s": max(times, default=-1.0),
+    }
+
+
 def check_regions(
     runs: Sequence[RunRecord], regions: Mapping[str, str], capacity_per_s: float
 ) -> list[dict[str, Any]]:
--- a/packages/dev/src/cardamomquay_dev/_fleet.py
+++ b/packages/dev/src/cardamomquay_dev/_fleet.py
@@ -58,6 +58,14 @@
     Service(KURVEHAENG, "reconciliation", "/reconciliation", 16, 3, 390, True, 0.025),
 )
 
+# Versions that start beside the old ones: a good one, and one that fails at once.
+NEW_VERSIONS = (
+    Service(PARTENAIRES, "browse-v2", "/browse", 12, 4, 330, True, 0.004),
+    Service(KURVEHAENG, "lookup-v2", "/lookup", 16, 3, 390, True, 0.004),
+)
+BAD_VERSION = "lookup-v2"
+BAD_ERROR_SHARE = 0.5
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
@@ -188,7 +196,7 @@
     """Return the plan of the upstreams' stand-in."""
     entries = []
     port = fleet.base_port + 60
-    for service in SERVICES:
+    for service in (*SERVICES, *NEW_VERSIONS):
         for number in range(service.upstreams):
             regions = REGIONS[service.owner]
             region = regions[number % len(regions)]
@@ -201,7 +209,12 @@
                     "availability_zone": f"{region}-{'ab'[(number // 3) % 2]}",
                     "slots": service.slots,
                     "connections": service.connections,
-                    "behaviour": {"mean_s": service.mean_s},
+                    "behaviour": {
+                        "mean_s": service.mean_s,
+                        "error_share": (
+                            BAD_ERROR_SHARE if service.pool == BAD_VERSION else 0.0
+                        ),
+                    },
                 }
             )
             port += 1
@@ -256,7 +269,7 @@
 def _initial_rows(fleet: Fleet) -> list[tuple[tuple[str, str], dict[str, Any]]]:
     rows: list[tuple[tuple[str, str], dict[str, Any]]] = []
     entries = upstream_entries(fleet)
-    for service in SERVICES:
+    for service in (*SERVICES, *NEW_VERSIONS):
         upstreams = [
             {
                 key: entry[key]
@@ -278,6 +291,8 @@
                 {"owner": service.owner, "upstreams": upstreams},
             )
         )
+        if service in NEW_VERSIONS:
+            continue
         rows.append(
             (
                 ("routes", service.pool),
--- a/packages/dev/src/cardamomquay_dev/_scenario.py
+++ b/packages/dev/src/cardamomquay_dev/_scenario.py
@@ -19,6 +19,8 @@
 from cardamomquay_dev._http import call
 from cardamomquay_dev._http import get_json
 from cardamomquay_dev._http import post_json
+from cardamomquay_dev._move_watch import MoveWatch
+from cardamomquay_dev._move_watch import WatchedMove
 from cardamomquay_dev._processes import wait_ready
 
 if TYPE_CHECKING:
@@ -31,7 +33,7 @@
     from cardamomquay_dev._processes import Processes
 
 # Four hosts polled at this interval stay within the organisation's rate.
-KEY_POLL_S = 0.4
+POLL_S = 0.4
 DRAINED_POOL = "browse"
 DRAINED = "browse-5"
 KILLED_HOST = 2
@@ -40,6 +42,13 @@
 EXTRA_KEY = f"key-extra.{EXTRA_SECRET}"
 
 
+MOVES_END_S = 32.0
+MOVES = (
+    WatchedMove(PARTENAIRES, "browse", "browse-v2", 50.0, 50.0, 30.0),
+    WatchedMove(KURVEHAENG, "lookup", "lookup-v2", 5.0, 25.0, 60.0),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """An action at a time after the start of traffic."""
@@ -69,12 +78,18 @@
         self._gone: set[str] = set()
         self._finished = threading.Event()
         self.failures: list[str] = []
+        self.moves = MoveWatch(
+            MOVES, self._operator_servers, fleet.operator_keys[PARTENAIRES]
+        )
 
     def run(self) -> None:
         """Run all steps in order."""
         watcher = threading.Thread(target=self._watch_versions)
         watcher.start()
+        follower = threading.Thread(target=self.moves.run)
+        follower.start()
         steps = [
+            Step(0.5, self._start_moves),
             Step(2.0, self._grant_and_withdraw_key),
             Step(7.0, self._kill_daemon),
             Step(9.0, self._drain_upstream),
@@ -90,8 +105,12 @@
                 step.action()
             except Exception as exc:  # The report has to name a step that failed.
                 self.failures.append(f"{step.action.__name__}: {exc!r}")
+        while time.monotonic() - started < MOVES_END_S:
+            time.sleep(POLL_S)
+        self.moves.stop()
         self._finished.set()
         watcher.join()
+        follower.join()
 
     def results(
         self, sent: Sequence[Sent], runs: Sequence[RunRecord]
@@ -111,6 +130,7 @@
                 "requests_cut": self._requests_cut(sent),
                 "planned_stop_s": round(self._stop_s, 2),
             },
+            "version_moves": self.moves.results(runs),
             "scenario_failures": self.failures,
         }
 
@@ -150,7 +170,7 @@
                 if isinstance(answer, HttpAnswer) and answer.status == 200:
                     with lock:
                         last_accepted = max(last_accepted, started)
-                time.sleep(KEY_POLL_S)
+                time.sleep(POLL_S)
 
         withdrawn_at = float("inf")
         threads = [
@@ -168,6 +188,26 @@
             thread.join()
         self._key_withdrawn_s = round(max(0.0, last_accepted - withdrawn_at), 3)
 
+    def _start_moves(self) -> None:
+        for move in MOVES:
+            self._run_cli(
+                move.owner,
+                f"--cap_percent={move.cap_percent}",
+                f"--step_cap_percent={move.step_cap_percent}",
+                f"--finish_within_s={move.finish_within_s}",
+                "move",
+                move.route,
+                move.to_pool,
+            )
+            self.moves.started(move.route)
+
+    def _operator_servers(self) -> list[str]:
+        return [
+            f"http://{plan.operator_listen}"
+            for plan in self._fleet.hosts
+            if plan.host not in self._gone
+        ]
+
     def _kill_daemon(self) -> None:
         victim = self._fleet.hosts[KILLED_HOST]
         self._gone.add(victim.host)
@@ -246,11 +286,7 @@
     def _run_cli(
         self, owner: str, *arguments: str, stdin: str = ""
     ) -> subprocess.CompletedProcess[str]:
-        servers = [
-            f"http://{plan.operator_listen}"
-            for plan in self._fleet.hosts
-            if plan.host not in self._gone
-        ]
+        servers = self._operator_servers()
         environment = {
             **os.environ,
             "CARDAMOMQUAY_KEY": self._fleet.operator_keys[owner],
--- a/packages/dev/src/cardamomquay_dev/demo.py
+++ b/packages/dev/src/cardamomquay_dev/demo.py
@@ -31,11 +31,12 @@
 
 SEED = 20261204
 BASE_PORT = 21000
-TRAFFIC_S = 30.0
+TRAFFIC_S = 33.0
 BUILD = Path("build")
 KEY_BOUND_S = 3.0
 CONFIG_BOUND_S = 4.0
 DRAIN_BOUND_S = 3.0
+MOVE_BOUND_S = 3.0
 UNNEEDED_REFUSALS_MAX = 0.01
 
 
@@ -137,6 +138,22 @@
         "a link was overloaded": any(
             row["peak_bytes_per_s"] > row["cap_bytes_per_s"] for row in report["links"]
         ),
+        "a new version exceeded its cap before proof": any(
+            move["largest_share"] > move["cap"]
+            for move in report["version_moves"].values()
+            if move["state"] != "completed"
+        ),
+        "a good version was not completed in time": not report["version_moves"][
+            "browse-v2"
+        ]["finished_in_time"],
+        "a bad version was not taken back": report["version_moves"]["lookup-v2"][
+            "taken_back_s"
+        ]
+        is None,
+        "a bad version got requests after its faults showed": report["version_moves"][
+            "lookup-v2"
+        ]["last_run_after_shown_s"]
+        > MOVE_BOUND_S,
         "a step of the scenario failed": bool(report["scenario_failures"]),
         "a withdrawn key worked too long": report["key_withdrawn_s"] > KEY_BOUND_S,
         "a configuration was late": report["config_in_force_s"] > CONFIG_BOUND_S,
@@ -162,6 +179,10 @@
         ("configuration in force after", f"{report['config_in_force_s']} s"),
         ("configuration reverted", report["config_reverted"]),
         ("drain", report["drain"]),
+        *(
+            (f"move to {pool}", f"{move['state']} ({move['reason']})")
+            for pool, move in report["version_moves"].items()
+        ),
         ("wrongly refused", sum(r["wrongly_refused"] for r in report["limits"])),
         ("largest excess", max(r["largest_excess"] for r in report["limits"])),
         ("broken rules", ", ".join(report["broken"]) or "none"),
