Read and write connections without cheroot's buffers in Python

Cause: the border's deadlines set a time-out before each read and write, and cheroot's buffered reader and writer are written in Python. Change: the reader is io.BufferedReader, the writer sends without a buffer, and a time-out is set only where it changes by more than 5% of the idle time.

--- a/packages/daemon/src/cardamomquay_daemon/_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/_connections.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import socket
 import ssl
 import time
@@ -9,8 +10,6 @@
 from typing import TYPE_CHECKING
 from typing import Any
 
-from cheroot.makefile import StreamReader
-from cheroot.makefile import StreamWriter
 from cheroot.server import HTTPConnection
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
@@ -22,6 +21,8 @@
 # A sender that delivers single bytes never lets a socket time-out pass. The time
 # for a request therefore grows with the bytes received, at this rate.
 MIN_RATE_BYTES_PER_S = 16_384
+# Share of the idle time by which a wait may be longer than the time that is left.
+TIMEOUT_TOLERANCE = 0.05
 # Closing a socket with unread data resets the connection, and the reset can
 # overtake the answer. What still arrives is read and dropped for this long.
 DRAIN_S = 0.5
@@ -35,6 +36,8 @@
         super().__init__(sock, mode)
         self._socket = sock
         self._idle_timeout_s = idle_timeout_s
+        self._tolerance_s = TIMEOUT_TOLERANCE * idle_timeout_s
+        self.probing = False
         self.restart()
 
     def restart(self) -> None:
@@ -42,6 +45,8 @@
         self._deadline_s = time.monotonic() + self._idle_timeout_s
 
     def readinto(self, buffer: Any) -> int | None:
+        if self.probing:
+            return None
         self._limit_wait()
         count = super().readinto(buffer)
         self._deadline_s += (count or 0) / MIN_RATE_BYTES_PER_S
@@ -57,25 +62,48 @@
         left_s = self._deadline_s - time.monotonic()
         if left_s <= 0:
             raise TimeoutError("timed out")
-        self._socket.settimeout(min(left_s, self._idle_timeout_s))
+        wait_s = min(left_s, self._idle_timeout_s)
+        # Setting a time-out is a system call, and it rarely changes by much.
+        set_s = self._socket.gettimeout()
+        if set_s is None or abs(set_s - wait_s) > self._tolerance_s:
+            self._socket.settimeout(wait_s)
 
 
-class _Reader(StreamReader):
+class _Reader(io.BufferedReader):
+    """Buffered input; cheroot's own reader is a slower one in Python."""
+
+    bytes_read = 0
+
     def __init__(self, raw: _DeadlineSocket, size: int, sock: Any) -> None:
-        super(StreamReader, self).__init__(raw, size)
-        self.bytes_read = 0
+        super().__init__(raw, size)
+        self._input = raw
         self._socket = sock
 
     def has_data(self) -> bool:
-        # Decrypted data that waits inside OpenSSL does not wake the selector.
-        held = isinstance(self._socket, ssl.SSLSocket) and self._socket.pending() > 0
-        return held or bool(super().has_data())  # type: ignore[no-untyped-call]
+        """Whether data waits that does not wake the selector."""
+        if isinstance(self._socket, ssl.SSLSocket) and self._socket.pending() > 0:
+            return True
+        self._input.probing = True
+        try:
+            return bool(self.peek(1))
+        finally:
+            self._input.probing = False
+
+
+class _Writer:
+    """Unbuffered output."""
+
+    bytes_written = 0
 
+    def __init__(self, raw: _DeadlineSocket) -> None:
+        self._output = raw
 
-class _Writer(StreamWriter):
-    def __init__(self, raw: _DeadlineSocket, size: int) -> None:
-        super(StreamWriter, self).__init__(raw, size)
-        self.bytes_written = 0
+    def write(self, data: bytes) -> int:
+        """Send all data."""
+        left = memoryview(data)
+        while left:
+            left = left[self._output.write(left) or 0 :]
+        return len(data)
 
 
 class DeadlineConnection(HTTPConnection):
@@ -91,7 +119,7 @@
         self._input = _DeadlineSocket(sock, "rb", timeout_s)
         self._output = _DeadlineSocket(sock, "wb", timeout_s)
         self.rfile = _Reader(self._input, self.rbufsize, sock)
-        self.wfile = _Writer(self._output, self.wbufsize)
+        self.wfile = _Writer(self._output)
 
     def communicate(self) -> bool:
         self._input.restart()
