Let the fake of the moves tests hear its peers

Cause: test_missing_measurements_hold failed after the merge of the exchange: hosts that are only listed count as suspect after 1.5 s, so the controller stopped waiting for their reports, and the fake only listed them. Change: the fake feeds an answered exchange for each peer that runs. No check changed. Measured: 26 tests of test_moves and the state machine pass; 1 failed before.

--- a/packages/core/tests/moves/fleet.py
+++ b/packages/core/tests/moves/fleet.py
@@ -15,8 +15,12 @@
 from cardamomquay.currency import HeadReadFailed
 from cardamomquay.currency import ReadHead
 from cardamomquay.leases import LeaseState
+from cardamomquay.membership import ExchangeAnswered
 from cardamomquay.membership import HostsListed
+from cardamomquay.membership import MemberRecord
 from cardamomquay.membership import MembershipPart
+from cardamomquay.membership import PeerRecord
+from cardamomquay.membership import PeerTarget
 from cardamomquay.moves import ControllerChanged
 from cardamomquay.moves import Move
 from cardamomquay.moves import MovePart
@@ -212,6 +216,19 @@
                 seconds = self.rng.uniform(0.5, 1.5) * self.latency_s[pool]
                 host.windows.record(ROUTE, pool, failed, seconds)
 
+    def hear_peers(self, host: Host) -> None:
+        """Let a host hear of every peer that runs; a listed one alone is suspect."""
+        now_s = host.now_s()
+        for peer in self.hosts:
+            if peer is host or peer.paused:
+                continue
+            record = MemberRecord(
+                peer.name, peer.name, int(self.now_s * 4), "y", "y1", "a", "a"
+            )
+            target = PeerTarget(peer.name, "")
+            records = (PeerRecord(record, 0.0, 1e9),)
+            host.send(ExchangeAnswered(now_s, now_s, target, peer.name, records))
+
     def step(self) -> None:
         """Advance by 0.25 s."""
         self.now_s = round(self.now_s + 0.25, 6)
@@ -224,6 +241,7 @@
         for host in self.hosts:
             if not host.paused:
                 host.send(HostsListed(host.now_s(), listed))
+                self.hear_peers(host)
                 host.send(Tick(host.now_s()))
         for host in self.hosts:
             if not host.paused and not host.mute and self.now_s % 0.5 == 0:
