Add a limit on the growth of the share that a host sends abroad

Cause: plan_shift needs one planner that knows the shares of all hosts.

The relay does not use it yet.

--- a/packages/core/src/cardamomquay/steering/__init__.py
+++ b/packages/core/src/cardamomquay/steering/__init__.py
@@ -15,6 +15,7 @@
 from cardamomquay.steering._shift import ShiftPlan
 from cardamomquay.steering._shift import ShiftView
 from cardamomquay.steering._shift import plan_shift
+from cardamomquay.steering._shift_limit import ShiftLimit
 
 __all__ = [
     "BUDGET_PREFIXES",
@@ -24,6 +25,7 @@
     "HeadroomAccount",
     "HeadroomReservation",
     "RegionState",
+    "ShiftLimit",
     "ShiftPlan",
     "ShiftView",
     "TrafficBudgets",
