Measure failover with shared budgets, and save no credit while idle

Cause: nothing showed the peaks of regions and links when a region is lost during a drain. The first runs showed steps above the cap, since ShiftLimit saved up to four requests while nothing had to move.

Change: measure_steering(seed) compares shared budgets with no budgets and an equal static split. Three regions of three hosts; region a (hosts and upstreams) is drained at 10 s, the upstreams of b and the lenders there are lost at 15 s, the store is down from 13 s to 30 s, callers keep lists for 6 s. ShiftLimit grants credit only while requests ask to go abroad.

Callers that leave drained hosts as their lists expire are not capped by any host.

--- a/packages/core/src/cardamomquay/steering/_shift_limit.py
+++ b/packages/core/src/cardamomquay/steering/_shift_limit.py
@@ -14,6 +14,7 @@
 WINDOW_S = 1.0
 # Requests that may go at once beyond the share; above half of them anyone may go.
 CREDIT_MAX = 4.0
+IDLE_S = 0.2
 WEIGHT_MIN = 1e-6
 
 
@@ -40,6 +41,7 @@
         self._share = 0.0
         self._updated_s = float("-inf")
         self._credit = 0.0
+        self._wanted_s = float("-inf")
         self._weights: Mapping[str, float] = {}
         # Requests and those sent abroad, in the window.
         self._seen: deque[float] = deque()
@@ -57,7 +59,11 @@
         with self._lock:
             self._update(now_s)
             self._seen.append(now_s)
-            self._credit = min(CREDIT_MAX, self._credit + self._share)
+            # Credit saved up while nothing is to move would come on top of the cap.
+            wanted = now_s - self._wanted_s <= IDLE_S
+            self._credit = (
+                min(CREDIT_MAX, self._credit + self._share) if wanted else 0.0
+            )
 
     def allow(self, organisation: str, now_s: float) -> bool:
         """Decide whether a request may go abroad, and count it if it may.
@@ -72,6 +78,7 @@
         bool
         """
         with self._lock:
+            self._wanted_s = now_s
             lowest = self._lowest_tag(organisation, now_s)
             tag = max(self._tags.get(organisation, lowest), lowest)
             self._tags[organisation] = tag
--- a/packages/core/tests/steering/test_shift_limit.py
+++ b/packages/core/tests/steering/test_shift_limit.py
@@ -51,6 +51,11 @@
                     sent, _ = run(limits, wanted)
                     self.assert_steps(sent, 200, hosts)
 
+    def test_no_credit_is_saved_up(self) -> None:
+        """Guards against a first step that idle time makes larger (G1)."""
+        sent, _ = run([ShiftLimit(CAP)], [False] * 3 + [True] * 2, 20)
+        self.assertLessEqual(sent[3], CAP * 20 + 1)
+
     def test_all_traffic_moves_in_the_end(self) -> None:
         """Guards against a limit that never lets the whole traffic move."""
         for hosts, rate in ((1, 200), (4, 200), (1, 20)):
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/measure_steering.py
@@ -0,0 +1,347 @@
+"""Measures failover between regions with shared budgets, in paused time."""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections import defaultdict
+from concurrent.futures import Future
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.admission import TokenBucket
+from cardamomquay.config import Config
+from cardamomquay.config import Link
+from cardamomquay.config import RegionCapacity
+from cardamomquay.leases import LeaseState
+from cardamomquay.outcomes import Refusal
+from cardamomquay.quota import Grant
+from cardamomquay.quota import GrantRequest
+from cardamomquay.quota import Lender
+from cardamomquay.quota import LenderDirectory
+from cardamomquay.reducer import Identity
+from cardamomquay.steering import ShiftLimit
+from cardamomquay.steering import TrafficBudgets
+from cardamomquay.steering import budgets_of
+from cardamomquay_dev.paused_time import EventLoop
+
+if TYPE_CHECKING:
+    from cardamomquay.steering import BudgetReservation
+
+REGIONS = ("a", "b", "c")
+HOSTS_PER_REGION = 3
+CAPACITY_PER_S = 100.0
+# 4 Gbit/s and 280 Mbit/s, scaled by 1/1000.
+WIDE_BYTES_PER_S = 500_000.0
+NARROW_BYTES_PER_S = 35_000.0
+REQUEST_BYTES = 200
+ANSWER_BYTES = (400, 1600)
+LATENCY_S = 0.1
+LOCAL_DELAY_S = 0.0005
+REMOTE_DELAY_S = 0.035
+LOOKUP_TTL_S = 2.0
+KEPT_S = 3 * LOOKUP_TTL_S
+START_S = 5.0
+DRAIN_S = 10.0
+LOSS_S = 15.0
+OUTAGE_S = (13.0, 30.0)
+TAKEOVER_S = 8.0
+END_S = 40.0
+BIN_S = 0.1
+# Requests a second in each region.
+ORGANISATIONS = {"small": 6.0, "middle": 18.0, "large": 36.0}
+WEIGHTS = {"small": 10.0, "middle": 20.0, "large": 30.0}
+# The last one keeps the lenders of region b alive, the others lose them.
+DESIGNS = ("shared", "no_budgets", "static_split", "shared_lenders_kept")
+
+
+def make_config() -> Config:
+    """Return three regions, one wide link between the first two."""
+    links = {}
+    for one in REGIONS:
+        for two in REGIONS:
+            if one != two:
+                wide = {one, two} == {"a", "b"}
+                rate = WIDE_BYTES_PER_S if wide else NARROW_BYTES_PER_S
+                links[f"{one}-{two}"] = Link(f"{one}-{two}", "x", one, two, rate)
+    regions = {name: RegionCapacity(name, "x", CAPACITY_PER_S) for name in REGIONS}
+    return Config(1, regions=regions, links=links)
+
+
+@dataclass
+class _Host:
+    name: str
+    region: str
+    budgets: TrafficBudgets
+    limit: ShiftLimit
+    buckets: dict[str, TokenBucket]
+
+
+class _Directory(LenderDirectory):
+    def __init__(self, fleet: _Fleet, region: str) -> None:
+        self._fleet = fleet
+        self._region = region
+
+    def borrow(self, request: GrantRequest) -> Future[Grant]:
+        return self._fleet.carry(self._region, request)
+
+
+class _Fleet:
+    """Hosts with real budgets, and what they sent by tenth of a second."""
+
+    def __init__(self, design: str, seed: int) -> None:
+        self.design = design
+        self.random = Random(seed)
+        self.loop = EventLoop()
+        self.config = make_config()
+        self.budgets = budgets_of(self.config)
+        self.lenders = {r: self._lender(r, 1) for r in self.budgets}
+        self.load: defaultdict[str, defaultdict[int, float]] = defaultdict(
+            lambda: defaultdict(float)
+        )
+        self.offered: defaultdict[tuple[str, int], int] = defaultdict(int)
+        self.abroad: defaultdict[tuple[str, int], int] = defaultdict(int)
+        self.asked: defaultdict[str, int] = defaultdict(int)
+        self.served: defaultdict[str, int] = defaultdict(int)
+        self.refused: defaultdict[str, int] = defaultdict(int)
+        self.hosts = [
+            self._host(f"{region}{number}", region)
+            for region in REGIONS
+            for number in range(HOSTS_PER_REGION)
+        ]
+        for region in REGIONS:
+            for organisation, rate_per_s in ORGANISATIONS.items():
+                # One caller sends about 3 requests a second.
+                for _ in range(round(rate_per_s / 3)):
+                    caller = _Caller(self, region, organisation)
+                    self.loop.at(START_S + self.random.random(), caller.send)
+        self._maintain()
+
+    def _lender(self, resource: str, fence: int) -> Lender:
+        return Lender(
+            resource,
+            fence,
+            self.budgets[resource].limit,
+            lease=lambda: LeaseState(1, float("inf")),
+            lease_fence=1,
+            now_s=self.loop.now_s(),
+        )
+
+    def _host(self, name: str, region: str) -> _Host:
+        identity = Identity(name, "run", region, "z", "a")
+        directory = _Directory(self, region)
+        budgets = TrafficBudgets(self.loop.clock, directory, identity, max_wait_s=0.0)
+        budgets.apply(self.budgets)
+        hosts = len(REGIONS) * HOSTS_PER_REGION
+        buckets = {
+            resource: TokenBucket(
+                budget.limit.rate_per_s * max(1, budget.token_bytes) / hosts,
+                max(1.0, budget.limit.burst * max(1, budget.token_bytes) / hosts),
+                0.0,
+            )
+            for resource, budget in self.budgets.items()
+        }
+        limit = ShiftLimit()
+        limit.set_weights(WEIGHTS)
+        return _Host(name, region, budgets, limit, buckets)
+
+    def lose_lenders(self, region: str) -> None:
+        """Lose the hosts that lend the budgets of a region and of links to it.
+
+        Another host takes over when the store has returned and the lease is reclaimed.
+        """
+        gone = [r for r, b in self.budgets.items() if b.region == region]
+        for resource in gone:
+            del self.lenders[resource]
+
+        def take_over() -> None:
+            for resource in gone:
+                self.lenders[resource] = self._lender(resource, 2)
+
+        self.loop.at(OUTAGE_S[1] + TAKEOVER_S, take_over)
+
+    def carry(self, region: str, request: GrantRequest) -> Future[Grant]:
+        fut: Future[Grant] = Future()
+        local = self.budgets[request.resource].region == region
+        delay_s = LOCAL_DELAY_S if local else REMOTE_DELAY_S
+
+        def arrive() -> None:
+            lender = self.lenders.get(request.resource)
+            if lender is not None:
+                grant = lender.lend(request, self.loop.now_s())
+                self.loop.after(delay_s, partial(fut.set_result, grant))
+
+        self.loop.after(delay_s, arrive)
+        return fut
+
+    def _maintain(self) -> None:
+        for host in self.hosts:
+            host.budgets.maintain()
+        self.loop.after(0.1, self._maintain)
+
+    def request(self, host: _Host, organisation: str, caller: str) -> None:
+        """Let a caller of a region ask a host."""
+        now_s = self.loop.now_s()
+        second = int(now_s)
+        self.offered[f"caller {caller}", second] += 1
+        self.asked[organisation] += 1
+        self.offered[host.region, second] += 1
+        host.limit.note_request(now_s)
+        region = self._place(host, organisation, now_s)
+        if region is None:
+            self.refused[organisation] += 1
+            return
+        self.served[organisation] += 1
+        self.abroad[host.region, second] += region != host.region
+        self.abroad[f"caller {caller}", second] += region != caller
+
+    def _place(self, host: _Host, organisation: str, now_s: float) -> str | None:
+        home = host.region
+        lost = home == "b" and now_s >= LOSS_S
+        draining = home == "a" and now_s >= DRAIN_S
+        if not lost and not draining and self._try(host, home, now_s):
+            return home
+        others = [r for r in self.config.regions_in_reach(home) if r != home]
+        # A draining region is not a place for others, and a lost one serves nobody.
+        if now_s >= DRAIN_S:
+            others = [r for r in others if r != "a"]
+        if now_s >= LOSS_S:
+            others = [r for r in others if r != "b"]
+        capped = self.design != "no_budgets"
+        if not capped or host.limit.allow(organisation, now_s):
+            for region in others:
+                if self._try(host, region, now_s):
+                    return region
+            if capped:
+                host.limit.cancel(organisation)
+        # What has not moved yet is served by a draining region.
+        return home if draining and self._try(host, home, now_s) else None
+
+    def _try(self, host: _Host, region: str, now_s: float) -> bool:
+        size = self.random.randint(*ANSWER_BYTES)
+        links = {}
+        if region != host.region:
+            links[f"link.{host.region}.{region}"] = REQUEST_BYTES
+            links[f"link.{region}.{host.region}"] = size
+        if self.design.startswith("shared"):
+            taken = host.budgets.reserve("r", region, REQUEST_BYTES, now_s + 1.0)
+            if isinstance(taken, Refusal):
+                return False
+            host.budgets.mark_sent(taken)
+            self.loop.after(LATENCY_S, partial(self._settle, host, taken, size))
+        elif self.design == "static_split":
+            needs = {f"region.{region}": 1, **links}
+            buckets = [(host.buckets[name], amount) for name, amount in needs.items()]
+            for bucket, _ in buckets:
+                bucket.refill(now_s)
+            if any(bucket.level < amount for bucket, amount in buckets):
+                return False
+            for bucket, amount in buckets:
+                bucket.level -= amount
+        tenth = int(now_s / BIN_S)
+        self.load[f"region.{region}"][tenth] += 1
+        for link, amount in links.items():
+            late = link.endswith(f".{host.region}")
+            self.load[link][tenth + late * round(LATENCY_S / BIN_S)] += amount
+        return True
+
+    @staticmethod
+    def _settle(host: _Host, taken: BudgetReservation, size: int) -> None:
+        host.budgets.settle(taken, size)
+
+    def result(self) -> dict[str, Any]:
+        peaks = {}
+        for resource, budget in sorted(self.budgets.items()):
+            capacity = CAPACITY_PER_S
+            if budget.token_bytes:
+                link = "-".join(resource.split(".")[1:])
+                capacity = self.config.links[link].cap_bytes_per_s
+            bins = self.load[resource]
+            width = round(1.0 / BIN_S)
+            sums = (sum(bins[n + k] for k in range(width)) for n in tuple(bins))
+            peaks[resource] = round(max(sums, default=0.0) / capacity, 3)
+        share = {name: self.served[name] / self.asked[name] for name in self.asked}
+        return {
+            "peak_of_capacity": peaks,
+            "worst_region": max(v for k, v in peaks.items() if k[0] == "r"),
+            "worst_link": max(v for k, v in peaks.items() if k[0] == "l"),
+            "largest_step": max(self._step(region) for region in REGIONS),
+            "largest_caller_step": max(self._step(f"caller {r}") for r in REGIONS),
+            "served_share": {name: round(share[name], 3) for name in sorted(share)},
+            "worst_served_share": round(min(share.values()), 3),
+            "served": sum(self.served.values()),
+            "refused": dict(sorted(self.refused.items())),
+        }
+
+    def _step(self, origin: str) -> float:
+        """Largest growth of the share abroad between two seconds, from 20 requests."""
+        shares = {
+            second: self.abroad[origin, second] / count
+            for (name, second), count in tuple(self.offered.items())
+            if name == origin and count >= 20
+        }
+        steps = [shares[s] - shares.get(s - 1, shares[s]) for s in shares]
+        return round(max(steps, default=0.0), 3)
+
+
+class _Caller:
+    """Asks a host of its list; keeps the list for three times its time to live."""
+
+    def __init__(self, fleet: _Fleet, region: str, organisation: str) -> None:
+        self._fleet = fleet
+        self._region = region
+        self._organisation = organisation
+        self._hosts: list[_Host] = []
+        # Callers do not all ask for a new list at the same time.
+        self._ends_s = START_S + fleet.random.uniform(0.0, KEPT_S)
+
+    def send(self) -> None:
+        fleet = self._fleet
+        now_s = fleet.loop.now_s()
+        if now_s >= self._ends_s or not self._hosts:
+            # Look-ups leave out drained hosts and name those of the next region.
+            drained = self._region == "a" and now_s >= DRAIN_S
+            region = "b" if drained else self._region
+            self._hosts = [h for h in fleet.hosts if h.region == region]
+            if now_s >= self._ends_s:
+                self._ends_s = now_s + KEPT_S
+            # A list names one host first, so a host can have most of the callers.
+            skew = fleet.random.random() ** 2
+            self._hosts = self._hosts[int(skew * len(self._hosts)) :]
+        fleet.request(self._hosts[0], self._organisation, self._region)
+        fleet.loop.after(fleet.random.expovariate(3.0), self.send)
+
+
+def measure_steering(seed: int) -> dict[str, Any]:
+    """Compare shared budgets with no budgets and with an equal static split.
+
+    Region ``a`` is drained at 10 s; the upstreams of region ``b`` and the hosts that
+    lend its budgets are lost at 15 s, while the store is down from 13 s to 30 s.
+
+    Parameters
+    ----------
+    seed : int
+
+    Returns
+    -------
+    dict
+        By design: peak of each region and link in any second over its capacity,
+        largest growth of the share served abroad between two seconds, by the region
+        of the hosts and by that of the callers, and the share of requests served, by
+        organisation.
+    """
+    results = {}
+    for design in DESIGNS:
+        fleet = _Fleet(design, seed)
+        if design != "shared_lenders_kept":
+            fleet.loop.at(LOSS_S, partial(fleet.lose_lenders, "b"))
+        fleet.loop.run_until(END_S)
+        results[design] = fleet.result()
+    return results
+
+
+if __name__ == "__main__":
+    print(json.dumps(measure_steering(int((sys.argv[1:] or ["1"])[0])), indent=1))
