--- a/packages/dev/src/cardamomquay_dev/_callers.py
+++ b/packages/dev/src/cardamomquay_dev/_callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import random
 import threading
@@ -26,6 +27,7 @@
 CACHE_STRETCH = 3.0
 CALLER_THREADS = 8
 REFUSED_HEADER = "x-cardamomquay-reason"
+REPLAYED_HEADER = "x-cardamomquay-replayed"
 RETRY_PAUSE_S = 0.05
 
 
@@ -42,6 +44,8 @@
     not_run: bool = False
     answered: bool = False
     mismatched: bool = False
+    replayed: bool = False
+    answer_digest: str | None = None
 
 
 @dataclass(slots=True)
@@ -172,6 +176,8 @@
         attempt.not_run = answer.headers["x-cardamomquay-not-run"] == "true"
         return attempt
     attempt.answered = True
+    attempt.replayed = answer.headers.get(REPLAYED_HEADER) == "true"
+    attempt.answer_digest = hashlib.sha256(answer.body).hexdigest()
     try:
         document = json.loads(answer.body)
         answered_id = str(document["request_id"]).rpartition(".")[0]
--- a/packages/dev/src/cardamomquay_dev/_checks.py
+++ b/packages/dev/src/cardamomquay_dev/_checks.py
@@ -33,6 +33,7 @@
     started_s: float
     key_seen: bool
     answer_bytes: int
+    answer_digest: str
 
     @property
     def base_id(self) -> str:
@@ -43,7 +44,7 @@
 def read_runs(document: Any) -> list[RunRecord]:
     """Return the runs of an upstreams' stand-in."""
     return [
-        RunRecord(run[0], run[1], run[2], run[3], run[5], run[7], run[8])
+        RunRecord(run[0], run[1], run[2], run[3], run[5], run[7], run[8], run[9])
         for run in document["runs"]
     ]
 
--- a/packages/dev/src/cardamomquay_dev/standins/upstreams.py
+++ b/packages/dev/src/cardamomquay_dev/standins/upstreams.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import random
 import threading
@@ -50,6 +51,7 @@
     finished_s: float
     key_seen: bool
     answer_bytes: int = 0
+    answer_digest: str = ""
 
 
 @dataclass(slots=True)
@@ -142,6 +144,7 @@
         }
         response = json_response(document, 500 if failed else 200)
         run.answer_bytes = len(response.get_data())
+        run.answer_digest = hashlib.sha256(response.get_data()).hexdigest()
         with self._journal.lock:
             self._journal.runs.append(run)
         return response
@@ -174,6 +177,7 @@
                         run.finished_s,
                         run.key_seen,
                         run.answer_bytes,
+                        run.answer_digest,
                     ]
                     for run in self._journal.runs
                 ]
