Scan leases again soon after a scan that failed in an outage

Cause: a host that starts during a store outage watches no lease before its first scan. When that scan failed, the next one came 10 s later, so the 6 s of unchanged reads began up to 10 s late. The log of kill_all_store_down showed the store up at 15.1 s and the leases reclaimed at 29.3 s. Change: with nothing watched, a failed scan is repeated after 1 s. Reads still carry the proof, so no reclaim comes earlier than its 6 s allow. The new test fails without the change. Conclusion: what remains is the lease (6 s) and the slots' own wait of 2 s, the longest deadline (5 s) and a margin.

--- a/packages/core/src/cardamomquay/leases/_part.py
+++ b/packages/core/src/cardamomquay/leases/_part.py
@@ -87,6 +87,10 @@
                 return _write_answered(own, own.write, event, core.identity)
             case LeaseRowsWritten() if own.reclaim and event.call == own.reclaim.call:
                 return reclaim_answered(own, own.reclaim, event)
+            case LeasesScanned(result=Unavailable()) if not own.watched:
+                # A host that starts during an outage watches nobody yet. With the
+                # interval between scans, its wait would begin up to 10 s late.
+                return replace(own, scan_due_s=event.now_s + LEASE_WATCH_S), ()
             case LeasesScanned(result=Unavailable()) | HeadReadFailed():
                 # Holders elsewhere extend their leases on this host's report of a
                 # failed head read, so that read restarts the wait as well.
--- a/packages/core/tests/leases/test_leases.py
+++ b/packages/core/tests/leases/test_leases.py
@@ -238,6 +238,18 @@
         run(hosts, 6.0)
         self.assertFalse(any(host.valid for host in hosts))
 
+    def test_start_during_an_outage(self) -> None:
+        """Guards against a reclaimer that starts its wait late after an outage."""
+        self.host("a").tick()
+        self.tables.faults.down = True
+        reclaimer = self.host("r", STORE_REGION)
+        run([reclaimer], 4.0)
+        self.tables.faults.down = False
+        run([reclaimer], 6.0)
+        self.assertFalse(reclaimer.told_of(LeasesReclaimed))
+        run([reclaimer], 2.5)
+        self.assertTrue(reclaimer.told_of(LeasesReclaimed))
+
     def test_a_lease_that_has_run_out_is_not_extended(self) -> None:
         """Guards against an outage that revives a lease after its reclaim."""
         hosts = [self.host("m1", "mtl"), self.host("m2", "mtl")]
