Name hosts of the callers' regions when no peer was heard

Cause: a host that resumes after a pause holds all peers for dead for about half a second and answered look-ups with itself alone, as a complete answer. Change: a host that knows no live host in the caller's regions names the hosts it last knew there, marked as incomplete, before any other host. The new test fails without the change.

--- a/packages/daemon/src/cardamomquay_daemon/_lookups.py
+++ b/packages/daemon/src/cardamomquay_daemon/_lookups.py
@@ -7,19 +7,21 @@
 
 from cardamomquay.membership import MembershipState
 from cardamomquay.routing import LookupRequest
+from cardamomquay.routing import RankedHost
 from cardamomquay.routing import RankingView
 from cardamomquay.routing import rank_hosts
 
 if TYPE_CHECKING:
     from cardamomquay.clock import Clock
     from cardamomquay.config import Config
-    from cardamomquay.routing import RankedHost
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._runtime import Snapshot
 
 # Callers keep answers for 2 s, so this adds little.
 CACHE_S = 0.2
 CACHE_MAX = 1024
+# As many as a ranked answer has.
+UNHEARD_MAX = 24
 
 
 class Lookups:
@@ -65,8 +67,19 @@
         view = RankingView(region_order={request.region: reach})
         members = snapshot.core.part(MembershipState)
         answer = rank_hosts(members, request, now_s, view)
+        hosts = _not_drained(answer.hosts, snapshot)
+        complete = answer.complete and config is not None
+        if reach:
+            near = _near(hosts, reach)
+            if not near:
+                # A host that resumes after a pause, or is cut off, has heard no peer.
+                # Its callers are better served by hosts that may be gone than by one
+                # that cannot reach their pools.
+                near = _not_drained(_not_heard(members, reach), snapshot)
+                complete = False
+            hosts = near or hosts
         # Without a better host, one that is drained or far still serves its callers.
-        hosts = _near(_not_drained(answer.hosts, snapshot), reach) or answer.hosts
+        hosts = hosts or answer.hosts
         document = {
             "hosts": [
                 {
@@ -78,7 +91,7 @@
                 for host in hosts
             ],
             "ttl_s": answer.ttl_s,
-            "complete": answer.complete and config is not None,
+            "complete": complete,
             "config_version": 0 if config is None else config.version,
         }
         return json.dumps(document).encode()
@@ -122,6 +135,16 @@
 def _near(
     hosts: tuple[RankedHost, ...], reach: tuple[str, ...]
 ) -> tuple[RankedHost, ...]:
-    if not reach:
-        return hosts
-    return tuple(host for host in hosts if host.region in reach) or hosts
+    return tuple(host for host in hosts if host.region in reach)
+
+
+def _not_heard(
+    members: MembershipState, reach: tuple[str, ...]
+) -> tuple[RankedHost, ...]:
+    """Return the hosts of some regions whether or not they were heard of late."""
+    records = (member.record for member in members.members.values())
+    return tuple(
+        RankedHost(record.host, record.address, record.region, 1)
+        for record in records
+        if record.region in reach and not record.leaving
+    )[:UNHEARD_MAX]
--- /dev/null
+++ b/packages/daemon/tests/test_resumed_host.py
@@ -0,0 +1,73 @@
+from __future__ import annotations
+
+import unittest
+from types import SimpleNamespace
+from typing import Any
+
+import immutables
+from werkzeug.test import Client
+
+from cardamomquay.clock import ManualClock
+from cardamomquay.config import parse_config
+from cardamomquay.membership import Member
+from cardamomquay.membership import MemberRecord
+from cardamomquay.membership import MembershipState
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.reducer import CoreState
+from cardamomquay.reducer import Identity
+from cardamomquay_daemon._caller_port import CallerPort
+from cardamomquay_daemon._telemetry import Telemetry
+
+NOW_S = 100.0
+PAUSE_S = 8.0
+
+
+def look_up(region: str, heard_at_s: float, *, leaving: bool = False) -> Any:
+    """Ask host-0 in mtl, which heard the other owner's host-1 in fyn."""
+    owners = {"mtl": "a", "fyn": "b"}
+    rows = [
+        Row(RowKey("regions", name), 1, {"owner": owner, "capacity_per_s": 1.0})
+        for name, owner in owners.items()
+    ]
+    members = {
+        host: Member(
+            MemberRecord(
+                host, "i1", 1, place, f"{place}-a", f"{host}:80", "", leaving=gone
+            ),
+            heard_at_s,
+        )
+        for host, place, gone in (("host-0", "mtl", False), ("host-1", "fyn", leaving))
+    }
+    identity = Identity("host-0", "i1", "mtl", "mtl-a", "mtl")
+    state = MembershipState(immutables.Map(members), own_host="host-0")
+    core = CoreState(identity, immutables.Map({MembershipState: state}))
+    snapshot = SimpleNamespace(config=parse_config(1, "e1", rows), core=core)
+    runtime: Any = SimpleNamespace(snapshot=snapshot)
+    relay: Any = None
+    port = CallerPort(runtime, ManualClock(NOW_S), relay, Telemetry("host-0"), 1)
+    answer = Client(port).get(f"/.cardamomquay/v1/hosts?region={region}").get_json()
+    return [host["host"] for host in answer["hosts"]], answer["complete"]
+
+
+class ResumedHostTest(unittest.TestCase):
+    """Guards against callers sent to a host that has no upstream for them."""
+
+    def test_peers_heard(self) -> None:
+        self.assertEqual(look_up("fyn", NOW_S), (["host-1"], True))
+
+    def test_no_peer_heard_since_a_pause(self) -> None:
+        paused_at_s = NOW_S - PAUSE_S
+        self.assertEqual(look_up("fyn", paused_at_s), (["host-1"], False))
+
+    def test_own_region_after_a_pause(self) -> None:
+        self.assertEqual(look_up("mtl", NOW_S - PAUSE_S), (["host-0"], True))
+
+    def test_peer_has_left(self) -> None:
+        # An answer without hosts would stop all traffic.
+        found = look_up("fyn", NOW_S - PAUSE_S, leaving=True)
+        self.assertEqual(found, (["host-0"], False))
+
+
+if __name__ == "__main__":
+    unittest.main()
