--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: setup format test unit demo bench capacity report
+.PHONY: setup format test unit demo bench capacity playground
 PYTHON ?= python3
 BIN := .venv/bin
 
@@ -30,3 +30,9 @@
 bench: setup
 	$(BIN)/python -m cardamomquay_dev.bench
 
+
+capacity: setup
+	$(BIN)/python -m cardamomquay_dev.capacity
+
+playground: setup
+	$(BIN)/python -m cardamomquay_dev.playground
--- a/packages/dev/src/cardamomquay_dev/_scenario.py
+++ b/packages/dev/src/cardamomquay_dev/_scenario.py
@@ -34,8 +34,8 @@
 
 # Four hosts polled at this interval stay within the organisation's rate.
 POLL_S = 0.4
-DRAINED_POOL = "browse"
-DRAINED = "browse-5"
+DRAINED_POOL = "schedule"
+DRAINED = "schedule-5"
 KILLED_HOST = 2
 STOPPED_HOST = 3
 EXTRA_SECRET = "canary-0123456789abcdef"
