Tell refusals that a burst of callers causes from refusals without need

On the other hand quota_unavailable was excused for organisations above their rate. Change: limit_exceeded counts as needed within 1.25 s of a request that one bucket for the whole organisation would refuse too; quota_unavailable is never needed, except that it stays in the counts by reason.

--- a/packages/dev/src/cardamomquay_dev/measure_recovery.py
+++ b/packages/dev/src/cardamomquay_dev/measure_recovery.py
@@ -32,6 +32,7 @@
 from cardamomquay_dev._recovery_cases import RecoveryCase
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
     from collections.abc import Sequence
 
     from cardamomquay_dev._callers import Sent
@@ -61,6 +62,11 @@
 # Answers of the store reach callers this much after it is up again, by the daemons'
 # interval of 0.5 s between reads and the callers' retries.
 OUTAGE_TAIL_S = 1.0
+# Unlike quota_unavailable, which says that no lender answered, and is never needed.
+LIMIT_EXCEEDED = "limit_exceeded"
+# Tokens that are lent and not used are missing elsewhere for this time.
+TOKENS_OUT_S = 1.25
+ABOVE_RATE = frozenset(t.name for t in TENANTS if t.offered_per_s > t.rate_per_s)
 ONCE_POOLS = frozenset(service.pool for service in SERVICES if not service.repeatable)
 
 
@@ -240,7 +246,7 @@
 def _recovery(sent: Sequence[Sent], timeline: Timeline) -> dict[str, Any]:
     """Return seconds from the end of the fault until callers are served again."""
     restored_s = timeline.restored_s
-    above_rate = {t.name for t in TENANTS if t.offered_per_s > t.rate_per_s}
+    bursts_s = _bursts_s(sent)
     answers = [
         attempt.ended_s - restored_s
         for request in sent
@@ -250,7 +256,7 @@
     unneeded = [
         request.last
         for request in sent
-        if not request.last.answered and not _is_needed(request, timeline, above_rate)
+        if not request.last.answered and not _is_needed(request, timeline, bursts_s)
     ]
     after = [a for a in unneeded if a.ended_s >= timeline.fault_s]
     ends = [attempt.ended_s - restored_s for attempt in after]
@@ -263,10 +269,45 @@
     }
 
 
-def _is_needed(request: Sent, timeline: Timeline, above_rate: set[str]) -> bool:
+def _bursts_s(sent: Sequence[Sent]) -> dict[str, list[float]]:
+    """Return when callers asked for more than rate and burst allow, by organisation.
+
+    Callers that were held up send at once what has piled up. A single bucket for each
+    organisation decides here what the limit allows; organisations in
+    `ABOVE_RATE` are above it all the time.
+    """
+    asked: defaultdict[str, list[float]] = defaultdict(list)
+    for request in sent:
+        asked[request.organisation] += [
+            attempt.sent_s
+            for attempt in request.attempts
+            if attempt.answered or attempt.reason in {"no_answer", LIMIT_EXCEEDED}
+        ]
+    found: dict[str, list[float]] = {}
+    for tenant in TENANTS:
+        above = found[tenant.name] = []
+        level = float(tenant.burst)
+        last_s = 0.0
+        for sent_s in sorted(asked[tenant.name]):
+            level += (sent_s - last_s) * tenant.rate_per_s
+            level = min(float(tenant.burst), level)
+            last_s = sent_s
+            if level >= 1.0:
+                level -= 1.0
+            else:
+                above.append(sent_s)
+    return found
+
+
+def _is_needed(
+    request: Sent, timeline: Timeline, bursts_s: Mapping[str, Sequence[float]]
+) -> bool:
     last = request.last
-    if last.reason in _checks.LIMIT_REASONS:
-        return request.organisation in above_rate
+    if last.reason == LIMIT_EXCEEDED:
+        return request.organisation in ABOVE_RATE or any(
+            abs(last.sent_s - burst_s) <= TOKENS_OUT_S
+            for burst_s in bursts_s[request.organisation]
+        )
     if last.reason == "store_unavailable":
         return any(
             down_s <= last.ended_s and last.sent_s <= up_s + OUTAGE_TAIL_S
--- a/packages/dev/tests/test_measure_recovery.py
+++ b/packages/dev/tests/test_measure_recovery.py
@@ -118,6 +118,22 @@
         self.assertEqual(recovery["unneeded"], {"store_unavailable": 1, "not_ready": 1})
         self.assertEqual(recovery["unneeded_before_fault"], 1)
 
+    def test_refusals_by_limit(self) -> None:
+        """Guards against a limit blamed for a burst, or excused without one."""
+        cases = {  # requests of an organisation with burst 24 in the same instant
+            "alone": ("limit_exceeded", 1, {"limit_exceeded": 1}),
+            "in a burst": ("limit_exceeded", 30, {}),
+            "no lender": ("quota_unavailable", 30, {"quota_unavailable": 1}),
+        }
+        for name, (reason, count, expected) in cases.items():
+            with self.subTest(name):
+                requests = [sent(answered(number)) for number in range(1, count)]
+                requests.append(sent(answered(0, answered=False, reason=reason)))
+                for request in requests:
+                    request.organisation = "swing-sag"
+                recovery = report_case("pause", requests, [], timeline(), 0.0)
+                self.assertEqual(recovery["recovery"]["unneeded"], expected)
+
 
 if __name__ == "__main__":
     unittest.main()
