Settle a lender's reports without going through all clipped spans

Cause: a request waited up to 16 ms behind the settling of a report in the local lender: each spent token rebuilt the list of clipped spans, which grows by one with each refill of a full bucket. Ruled out: the polling thread of the slot chooser, which woke at each release (16.3 ms at one connection before and after that change; kept, as it wakes for waiting requests only). Change: adjacent spans are joined, and a bisection finds the spans that are touched. Measured: relay at one connection, p99 16.3 ms before, 3.7 ms after (bare relay 2.4 to 3.5 ms in the same runs); the old and the new code give the same figures on 400 random histories (largest difference 9e-14, trial). 78 tests of quota and balancing pass. Processor time a request is still 1.4 ms against 0.8 to 1.0 bare.

--- a/packages/core/src/cardamomquay/balancing/_slots.py
+++ b/packages/core/src/cardamomquay/balancing/_slots.py
@@ -58,7 +58,11 @@
         self._host = host
         self._incarnation = incarnation
         self._home = region
-        self._changed = threading.Condition()
+        lock = threading.RLock()
+        self._changed = threading.Condition(lock)
+        # A condition of its own, so that the polling thread does not wake, and take
+        # the processor from request threads, at each release of a slot.
+        self._demand = threading.Condition(lock)
         self._tables: dict[tuple[str, str], SlotTable] = {}
         self._regions: dict[str, tuple[str, ...]] = {}
         self._weights: Mapping[str, float] = {}
@@ -111,7 +115,7 @@
                     until_s = min(deadline_s, now_s + REGION_WAIT_S)
                 ticket = table.submit(organisation, excluded, until_s, now_s)
                 if ticket.result is None:
-                    self._changed.notify_all()
+                    self._demand.notify_all()
                     self._wait(table, ticket)
                 assert ticket.result is not None
                 if not isinstance(ticket.result, Refusal):
@@ -125,8 +129,10 @@
             key = (reservation.pool, reservation.upstream.region)
             table = self._tables.get(key)
             if table is not None:
+                waiting = table.waiting
                 table.release(reservation, observation, self._clock.now_s())
-            self._changed.notify_all()
+                if waiting:
+                    self._changed.notify_all()
 
     def connections_allowed(self, pool: str, upstream: str, region: str) -> int:
         """Return how many connections this host may keep open to an upstream."""
@@ -163,7 +169,7 @@
         """Wait until a request waits for a slot, for the thread that calls `poll`."""
         with self._changed:
             if not any(table.waiting for table in self._tables.values()):
-                self._clock.wait(self._changed, timeout_s)
+                self._clock.wait(self._demand, timeout_s)
 
     def _table(self, pool: Pool, region: str) -> SlotTable:
         table = self._tables.get((pool.name, region))
--- a/packages/core/src/cardamomquay/quota/_clipped.py
+++ b/packages/core/src/cardamomquay/quota/_clipped.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -22,13 +22,20 @@
     """
 
     def __init__(self) -> None:
-        self._spans: deque[tuple[float, float]] = deque()
+        self._spans: list[tuple[float, float]] = []
 
     def add(self, from_s: float, to_s: float) -> None:
         """Note that everything that accrued in a span was clipped."""
-        self._spans.append((from_s, to_s))
-        while self._spans[0][1] < to_s - REMEMBERED_S:
-            self._spans.popleft()
+        spans = self._spans
+        if spans and spans[-1][1] >= from_s:
+            # A bucket that stays full adds one span after the other; kept apart, they
+            # made the settling of a report slow.
+            from_s, _ = spans.pop()
+        spans.append((from_s, to_s))
+        forget_before_s = to_s - REMEMBERED_S
+        while spans[0][1] < forget_before_s:
+            spans.pop(0)
+        spans[0] = (max(spans[0][0], forget_before_s), spans[0][1])
 
     def clear(self) -> None:
         """Forget all spans, because the rate changes."""
@@ -55,18 +62,22 @@
 
     def _take(self, after_s: float, seconds: float) -> float:
         """Remove up to `seconds` of the spans after a time, the earliest first."""
-        kept: deque[tuple[float, float]] = deque()
         taken_s = 0.0
-        for from_s, to_s in self._spans:
+        spans = self._spans
+        # Only the spans that are touched are replaced: there can be hundreds.
+        index = bisect_right(spans, after_s, key=_end)
+        while index < len(spans) and taken_s < seconds:
+            from_s, to_s = spans[index]
             start_s = max(from_s, after_s)
             end_s = min(to_s, start_s + seconds - taken_s)
             if end_s <= start_s:
-                kept.append((from_s, to_s))
-                continue
+                break
             taken_s += end_s - start_s
-            if from_s < start_s:
-                kept.append((from_s, start_s))
-            if end_s < to_s:
-                kept.append((end_s, to_s))
-        self._spans = kept
+            kept = [(a, b) for a, b in ((from_s, start_s), (end_s, to_s)) if a < b]
+            spans[index : index + 1] = kept
+            index += int(from_s < start_s)
         return taken_s
+
+
+def _end(span: tuple[float, float]) -> float:
+    return span[1]
