Remove the lending call that tokens and slots replaced

Cause: Borrow, its messages and codec had no user besides their tests since BorrowTokens and BorrowSlots exist. Change: they go; the tests of answers, failures and a paused lender use BorrowTokens and are as strict as before.

--- a/packages/daemon/src/cardamomquay_daemon/_peer.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer.py
@@ -48,18 +48,12 @@
     from cardamomquay.membership import PeerTarget
     from cardamomquay.reducer import Effect
     from cardamomquay.reducer import Identity
-    from cardamomquay_daemon._peer_codec import BorrowAnswer
-    from cardamomquay_daemon._peer_codec import BorrowItem
-    from cardamomquay_daemon._peer_codec import GrantItem
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._settings import TlsFiles
     from cardamomquay_daemon._telemetry import Telemetry
 
-    Lend = Callable[[str, str, Sequence[BorrowItem]], Sequence[GrantItem]]
-
 EXCHANGE_DEADLINE_S = 1.0
 FETCH_DEADLINE_S = 1.0
-BORROW_DEADLINE_S = 0.5
 # A connection whose peer vanished without closing it never fails by itself.
 FAILURES_BEFORE_RECONNECT = 2
 CALL_ERRORS = (
@@ -111,9 +105,6 @@
 
     Attributes
     ----------
-    lend : callable or None
-        Answers `Borrow`: takes borrower, its incarnation and the items, and returns
-        the grants. Runs in the asyncio thread and must not block.
     lend_tokens, lend_slots : callable or None
         Answer a request for tokens or slots by a grant; both are messages. They run
         in the asyncio thread and must not block.
@@ -141,7 +132,6 @@
         self._loop = asyncio.new_event_loop()
         self._stop = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
-        self.lend: Lend | None = None
         self.lend_tokens: Callable[[Any], Any] | None = None
         self.lend_slots: Callable[[Any], Any] | None = None
         self.load: Callable[[], float] = lambda: 0.0
@@ -171,43 +161,6 @@
             self._loop.call_soon_threadsafe(self._stop.set)
             thread.join(timeout=STOP_TIMEOUT_S)
 
-    def borrow(
-        self, host: str, items: Sequence[BorrowItem]
-    ) -> BorrowAnswer | PeerFailure:
-        """Ask a host for tokens or slots; blocks until its answer or the deadline.
-
-        Parameters
-        ----------
-        host : str
-        items : sequence of BorrowItem
-
-        Returns
-        -------
-        BorrowAnswer or PeerFailure
-            After a failure the peer may still have lent what was asked.
-        """
-        member = self._runtime.snapshot.core.part(MembershipState).members.get(host)
-        if member is None:
-            return PeerFailure("unknown host")
-        request = _peer_codec.borrow_to_wire(
-            self._identity.host, self._identity.incarnation, items
-        )
-        address = member.record.peer_address
-        call = self._call(address, "Borrow", request, BORROW_DEADLINE_S)
-        try:
-            fut = asyncio.run_coroutine_threadsafe(call, self._loop)
-            reply = fut.result(2 * BORROW_DEADLINE_S)
-        except RuntimeError:
-            call.close()
-            return PeerFailure("this daemon stops")
-        except TimeoutError:
-            return PeerFailure("no answer")
-        except concurrent.futures.CancelledError:
-            return PeerFailure("this daemon stops")
-        if isinstance(reply, PeerFailure):
-            return reply
-        return _peer_codec.borrow_answer_from_wire(reply)
-
     async def Exchange(self, stream: Any) -> None:  # noqa: N802
         message = await stream.recv_message()
         assert message is not None
@@ -274,18 +227,6 @@
             raise GRPCError(Status.UNIMPLEMENTED, "this host lends nothing")
         await stream.send_message(lend(request))
 
-    async def Borrow(self, stream: Any) -> None:  # noqa: N802
-        request = await stream.recv_message()
-        assert request is not None
-        if self.lend is None:
-            raise GRPCError(Status.UNIMPLEMENTED, "this host lends nothing")
-        items = _peer_codec.borrow_items_from_wire(request)
-        grants = self.lend(request.borrower, request.incarnation, items)
-        identity = self._identity
-        await stream.send_message(
-            _peer_codec.grants_to_wire(grants, identity.host, identity.incarnation)
-        )
-
     def _run(self, started: concurrent.futures.Future[None]) -> None:
         asyncio.set_event_loop(self._loop)
         try:
--- a/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
+++ b/packages/daemon/src/cardamomquay_daemon/_peer_codec.py
@@ -4,7 +4,6 @@
 
 import json
 import math
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -33,55 +32,6 @@
 LONGEST_AGE_S = 1e9
 
 
-@dataclass(frozen=True, slots=True)
-class BorrowItem:
-    """What a borrower asks for.
-
-    Parameters
-    ----------
-    resource : str
-    wanted : float
-    spent_total, returned_total : float
-        Cumulative counters of the borrower's incarnation.
-    """
-
-    resource: str
-    wanted: float
-    spent_total: float = 0.0
-    returned_total: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class GrantItem:
-    """What a lender gives.
-
-    Parameters
-    ----------
-    resource : str
-    granted : float
-    valid_s : float
-        Counts from the start of the borrower's call.
-    refusal : str
-        Empty unless the answering host does not lend the resource.
-    retry_after_s : float
-    """
-
-    resource: str
-    granted: float = 0.0
-    valid_s: float = 0.0
-    refusal: str = ""
-    retry_after_s: float = 0.0
-
-
-@dataclass(frozen=True, slots=True)
-class BorrowAnswer:
-    """A lender's answer, and who gave it."""
-
-    items: tuple[GrantItem, ...]
-    lender: str
-    incarnation: str
-
-
 def record_to_wire(stated: PeerRecord) -> Any:
     """Return the message of a record."""
     record = stated.record
@@ -203,63 +153,5 @@
     return parse_config(message.version, message.edit_id, rows)
 
 
-def borrow_to_wire(borrower: str, incarnation: str, items: Sequence[BorrowItem]) -> Any:
-    """Return the request of a loan."""
-    return peer_pb2.BorrowRequest(
-        borrower=borrower,
-        incarnation=incarnation,
-        items=[
-            peer_pb2.BorrowItem(
-                resource=item.resource,
-                wanted=item.wanted,
-                spent_total=item.spent_total,
-                returned_total=item.returned_total,
-            )
-            for item in items
-        ],
-    )
-
-
-def borrow_items_from_wire(message: Any) -> tuple[BorrowItem, ...]:
-    """Return the items of a request for a loan."""
-    return tuple(
-        BorrowItem(item.resource, item.wanted, item.spent_total, item.returned_total)
-        for item in message.items
-    )
-
-
-def grants_to_wire(grants: Sequence[GrantItem], lender: str, incarnation: str) -> Any:
-    """Return the reply of a loan."""
-    return peer_pb2.BorrowReply(
-        items=[
-            peer_pb2.GrantItem(
-                resource=grant.resource,
-                granted=grant.granted,
-                valid_s=grant.valid_s,
-                refusal=grant.refusal,
-                retry_after_s=grant.retry_after_s,
-            )
-            for grant in grants
-        ],
-        lender=lender,
-        incarnation=incarnation,
-    )
-
-
-def borrow_answer_from_wire(message: Any) -> BorrowAnswer:
-    """Return the answer of a loan."""
-    items = tuple(
-        GrantItem(
-            item.resource,
-            item.granted,
-            item.valid_s,
-            item.refusal,
-            item.retry_after_s,
-        )
-        for item in message.items
-    )
-    return BorrowAnswer(items, message.lender, message.incarnation)
-
-
 def _age(age_s: float) -> float:
     return min(max(0.0, age_s), LONGEST_AGE_S)
--- a/packages/daemon/src/cardamomquay_daemon/wire/peer_grpc.py
+++ b/packages/daemon/src/cardamomquay_daemon/wire/peer_grpc.py
@@ -22,10 +22,6 @@
     async def FetchConfig(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.ConfigRequest, cardamomquay_daemon.wire.peer_pb2.ConfigReply]') -> None:
         pass
 
-    @abc.abstractmethod
-    async def Borrow(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.BorrowRequest, cardamomquay_daemon.wire.peer_pb2.BorrowReply]') -> None:
-        pass
-
     @abc.abstractmethod
     async def BorrowTokens(self, stream: 'grpclib.server.Stream[cardamomquay_daemon.wire.peer_pb2.TokenRequest, cardamomquay_daemon.wire.peer_pb2.TokenGrant]') -> None:
         pass
@@ -48,12 +44,6 @@
                 cardamomquay_daemon.wire.peer_pb2.ConfigRequest,
                 cardamomquay_daemon.wire.peer_pb2.ConfigReply,
             ),
-            '/cardamomquay.peer.v1.Peer/Borrow': grpclib.const.Handler(
-                self.Borrow,
-                grpclib.const.Cardinality.UNARY_UNARY,
-                cardamomquay_daemon.wire.peer_pb2.BorrowRequest,
-                cardamomquay_daemon.wire.peer_pb2.BorrowReply,
-            ),
             '/cardamomquay.peer.v1.Peer/BorrowTokens': grpclib.const.Handler(
                 self.BorrowTokens,
                 grpclib.const.Cardinality.UNARY_UNARY,
@@ -84,12 +74,6 @@
             cardamomquay_daemon.wire.peer_pb2.ConfigRequest,
             cardamomquay_daemon.wire.peer_pb2.ConfigReply,
         )
-        self.Borrow = grpclib.client.UnaryUnaryMethod(
-            channel,
-            '/cardamomquay.peer.v1.Peer/Borrow',
-            cardamomquay_daemon.wire.peer_pb2.BorrowRequest,
-            cardamomquay_daemon.wire.peer_pb2.BorrowReply,
-        )
         self.BorrowTokens = grpclib.client.UnaryUnaryMethod(
             channel,
             '/cardamomquay.peer.v1.Peer/BorrowTokens',
--- a/packages/daemon/tests/peer/test_peer.py
+++ b/packages/daemon/tests/peer/test_peer.py
@@ -33,15 +33,12 @@
 from cardamomquay.reducer import Identity
 from cardamomquay.reducer import Reducer
 from cardamomquay_daemon import _peer_codec
-from cardamomquay_daemon._peer import BORROW_DEADLINE_S
 from cardamomquay_daemon._peer import PeerFailure
 from cardamomquay_daemon._peer import PeerNode
-from cardamomquay_daemon._peer_codec import BorrowAnswer
-from cardamomquay_daemon._peer_codec import BorrowItem
-from cardamomquay_daemon._peer_codec import GrantItem
 from cardamomquay_daemon._runtime import Runtime
 from cardamomquay_daemon._settings import TlsFiles
 from cardamomquay_daemon._telemetry import Telemetry
+from cardamomquay_daemon.wire import peer_pb2
 
 CONFIG = Config(
     version=7,
@@ -224,6 +221,9 @@
             Node("one", TlsFiles("a", "b", None))
 
 
+DEADLINE_S = 0.5
+
+
 class BorrowTest(PeerCase):
     """Guards against a borrower that waits for ever or takes a failure for a grant."""
 
@@ -234,47 +234,48 @@
         self.borrower.list_hosts(self.lender)
         self.wait(lambda: self.borrower.hears("lender"))
 
+    def borrow(self, host: str) -> object:
+        request = peer_pb2.TokenRequest(resource="quota.o.mtl", wanted=8, held=3)
+        call = self.borrower.peers.call_host(host, "BorrowTokens", request, DEADLINE_S)
+        return call.result(10 * DEADLINE_S)
+
     def test_answer(self) -> None:
         asked = []
 
-        def lend(host: str, incarnation: str, items: object) -> list[GrantItem]:
-            asked.append((host, incarnation, items))
-            return [GrantItem("quota/o/mtl", 5.0, 1.0), GrantItem("x", refusal="no")]
+        def lend(request: object) -> object:
+            asked.append((request.resource, request.wanted, request.held))
+            return peer_pb2.TokenGrant(status="lent", granted=5, valid_s=1.0)
 
-        self.lender.peers.lend = lend
-        item = BorrowItem("quota/o/mtl", 8.0, 3.0, 1.0)
-        answer = self.borrower.peers.borrow("lender", [item])
-        self.assertEqual(asked, [("borrower", "1", (item,))])
+        self.lender.peers.lend_tokens = lend
+        answer = self.borrow("lender")
+        self.assertEqual(asked, [("quota.o.mtl", 8, 3)])
         self.assertEqual(
-            answer,
-            BorrowAnswer(
-                (GrantItem("quota/o/mtl", 5.0, 1.0), GrantItem("x", refusal="no")),
-                "lender",
-                "1",
-            ),
+            (answer.status, answer.granted, answer.valid_s), ("lent", 5, 1.0)
         )
 
     def test_failures(self) -> None:
-        item = BorrowItem("r", 1.0)
-        self.assertIsInstance(
-            self.borrower.peers.borrow("unknown", [item]), PeerFailure
-        )
-        self.assertIsInstance(self.borrower.peers.borrow("lender", [item]), PeerFailure)
+        self.assertIsInstance(self.borrow("unknown"), PeerFailure)
+        self.assertIsInstance(self.borrow("lender"), PeerFailure)
 
-        def fail(host: str, incarnation: str, items: object) -> list[GrantItem]:
+        def fail(request: object) -> object:
             raise ValueError("a fault of the lender")
 
-        self.lender.peers.lend = fail
-        self.assertIsInstance(self.borrower.peers.borrow("lender", [item]), PeerFailure)
+        self.lender.peers.lend_tokens = fail
+        self.assertIsInstance(self.borrow("lender"), PeerFailure)
 
     def test_lender_that_is_paused(self) -> None:
         paused = threading.Event()
-        self.lender.peers.lend = lambda *_: paused.wait(2.0) and [] or []
+
+        def lend(request: object) -> object:
+            paused.wait(2.0)
+            return peer_pb2.TokenGrant()
+
+        self.lender.peers.lend_tokens = lend
         started = time.monotonic()
-        result = self.borrower.peers.borrow("lender", [BorrowItem("r", 1.0)])
+        result = self.borrow("lender")
         paused.set()
         self.assertIsInstance(result, PeerFailure)
-        self.assertLess(time.monotonic() - started, 3 * BORROW_DEADLINE_S)
+        self.assertLess(time.monotonic() - started, 3 * DEADLINE_S)
 
 
 class CodecTest(unittest.TestCase):
