Send upstream answers without a response object and read headers once

Cause: processor time a relayed request was 1.4 ms against 0.8 to 1.0 ms bare. Change: the answer goes to the server as it came, the headers that stay here are one constant set, and single headers are read from the environment.

--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -7,6 +7,7 @@
 
 from werkzeug import Request
 from werkzeug import Response
+from werkzeug.http import HTTP_STATUS_CODES
 
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
@@ -14,6 +15,7 @@
 from cardamomquay_daemon._lookups import Lookups
 from cardamomquay_daemon._refusal_form import refusal_body
 from cardamomquay_daemon._refusal_form import refusal_headers
+from cardamomquay_daemon._relay import RelayedAnswer
 from cardamomquay_daemon._requests import KEY_HEADER
 from cardamomquay_daemon._requests import read_request
 from cardamomquay_daemon._telemetry import REQUEST_FAILED
@@ -71,6 +73,8 @@
         request = Request(environ, populate_request=False)
         try:
             response = self._respond(request)
+            if isinstance(response, RelayedAnswer):
+                return self._send(response, start_response)
         except Exception as exc:
             self._telemetry.refused(RefusalReason.INTERNAL_ERROR)
             self._telemetry.log(REQUEST_FAILED, error=type(exc).__name__)
@@ -79,7 +83,20 @@
             response.headers["Connection"] = "close"
         return response(environ, start_response)
 
-    def _respond(self, request: Request) -> Response:
+    def _send(
+        self, answer: RelayedAnswer, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Send an upstream's answer as it is, without a response object."""
+        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        if answer.replayed:
+            headers.append(("X-Cardamomquay-Replayed", "true"))
+        if self.leaving or self._is_draining():
+            headers.append(("Connection", "close"))
+        reason = HTTP_STATUS_CODES.get(answer.status, "Unknown")
+        start_response(f"{answer.status} {reason}", headers)
+        return (answer.body,)
+
+    def _respond(self, request: Request) -> Response | RelayedAnswer:
         path = request.path
         if path.startswith(RESERVED_PREFIX) and request.method not in READ_METHODS:
             self._telemetry.refused(RefusalReason.METHOD_NOT_ALLOWED)
@@ -106,14 +123,7 @@
         self._telemetry.count("requests.answered")
         if result.replayed:
             self._telemetry.count("requests.replayed")
-        response = Response(result.body, result.status)
-        response.headers.clear()
-        for name, value in result.headers:
-            response.headers.add(name, value)
-        response.headers["Content-Length"] = str(len(result.body))
-        if result.replayed:
-            response.headers["X-Cardamomquay-Replayed"] = "true"
-        return response
+        return result
 
     def _is_draining(self) -> bool:
         """Whether operators want callers to leave this host."""
--- a/packages/daemon/src/cardamomquay_daemon/_requests.py
+++ b/packages/daemon/src/cardamomquay_daemon/_requests.py
@@ -18,12 +18,14 @@
     from werkzeug import Request
 
 KEY_HEADER = "X-Api-Key"
+KEY_VARIABLE = "HTTP_X_API_KEY"
 # Headers that carry a caller's credentials never go to an upstream.
 CREDENTIAL_HEADERS = frozenset({"x-api-key", "authorization", "cookie"})
 # The daemon sets these itself, so a caller's own are dropped.
 OWN_HEADERS = frozenset(
     {"host", "request-timeout-ms", "x-organisation", "expect", "proxy-connection"}
 )
+NOT_FORWARDED = HOP_BY_HOP | CREDENTIAL_HEADERS | OWN_HEADERS
 METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
 BAD_PATH = re.compile(r"[\x00-\x1f\x7f\\]")
 ENCODED_SEPARATOR = re.compile(r"%(2f|5c|00)", re.IGNORECASE)
@@ -55,7 +57,7 @@
     timeout_s = _timeout_s(request)
     if isinstance(timeout_s, Refusal):
         return timeout_s
-    idempotency_key = request.headers.get("Idempotency-Key", "")
+    idempotency_key = request.environ.get("HTTP_IDEMPOTENCY_KEY", "")
     if idempotency_key and not IDEMPOTENCY_KEY.fullmatch(idempotency_key):
         return Refusal(
             RefusalReason.BAD_REQUEST,
@@ -72,7 +74,7 @@
         target=f"{target}?{query}" if query else target,
         headers=_forwarded_headers(request),
         body=body,
-        key=request.headers.get(KEY_HEADER, ""),
+        key=request.environ.get(KEY_VARIABLE, ""),
         idempotency_key=idempotency_key,
         timeout_s=timeout_s,
     )
@@ -117,7 +119,7 @@
 
 
 def _timeout_s(request: Request) -> float | Refusal | None:
-    text = request.headers.get("Request-Timeout-Ms")
+    text = request.environ.get("HTTP_REQUEST_TIMEOUT_MS")
     if text is None:
         return None
     if not MILLISECONDS.fullmatch(text) or not 0 < int(text) <= TIMEOUT_MAX_MS:
@@ -126,14 +128,10 @@
 
 
 def _forwarded_headers(request: Request) -> tuple[tuple[str, str], ...]:
-    named = {
-        name.strip().lower()
-        for name in request.headers.get("Connection", "").split(",")
-        if name.strip()
-    }
-    dropped = HOP_BY_HOP | CREDENTIAL_HEADERS | OWN_HEADERS | named
+    connection = request.environ.get("HTTP_CONNECTION", "")
+    # A header that Connection names is for this hop only.
+    named = {name.strip().lower() for name in connection.split(",") if name.strip()}
+    dropped = NOT_FORWARDED | named if named else NOT_FORWARDED
     return tuple(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in dropped
+        (name, value) for name, value in request.headers if name.lower() not in dropped
     )
