Send purses' requests to lenders by one class

Cause: admission and budgets had the same code for sending and for late answers. Change: LenderCalls in the quota package serves both.

--- a/packages/core/src/cardamomquay/quota/__init__.py
+++ b/packages/core/src/cardamomquay/quota/__init__.py
@@ -5,6 +5,7 @@
 from cardamomquay.quota._admission import MAX_GRANT_WAIT_S
 from cardamomquay.quota._admission import LentAdmitted
 from cardamomquay.quota._admission import LentQuotaAdmission
+from cardamomquay.quota._calls import LenderCalls
 from cardamomquay.quota._lender import Lender
 from cardamomquay.quota._messages import CONFIG_IN_FORCE_S
 from cardamomquay.quota._messages import GRANT_MARGIN_S
@@ -32,6 +33,7 @@
     "GrantRequest",
     "GrantStatus",
     "Lender",
+    "LenderCalls",
     "LenderDirectory",
     "LentAdmitted",
     "LentQuotaAdmission",
--- a/packages/core/src/cardamomquay/quota/_admission.py
+++ b/packages/core/src/cardamomquay/quota/_admission.py
@@ -4,16 +4,13 @@
 
 import itertools
 from dataclasses import dataclass
-from functools import partial
 from typing import TYPE_CHECKING
 
 from cardamomquay.admission import Admission
 from cardamomquay.admission import Admitted
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
-from cardamomquay.quota._messages import Grant
-from cardamomquay.quota._messages import GrantRequest
-from cardamomquay.quota._messages import GrantStatus
+from cardamomquay.quota._calls import LenderCalls
 from cardamomquay.quota._messages import LenderDirectory
 from cardamomquay.quota._messages import Limit
 from cardamomquay.quota._purse import Purse
@@ -22,7 +19,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
-    from concurrent.futures import Future
 
     from cardamomquay.clock import Clock
     from cardamomquay.quota._portions import Portion
@@ -60,7 +56,7 @@
         max_wait_s: float = MAX_GRANT_WAIT_S,
     ) -> None:
         self._clock = clock
-        self._directory = directory
+        self._calls = LenderCalls(clock, directory)
         self._identity = identity
         self.max_wait_s = max_wait_s
         self._numbers = itertools.count(1)
@@ -128,7 +124,7 @@
             purse.note_demand(now_s)
         token = purse.take(now_s)
         if token is not None:
-            self._send(purse, purse.plan(now_s))
+            self._calls.send(purse, purse.plan(now_s))
             return LentAdmitted(token.valid_until_s, token)
         if first and purse.is_crowded(now_s):
             return self.refuse(organisation)
@@ -174,12 +170,12 @@
         """Return, report and renew; to be called every 100 ms."""
         now_s = self._clock.now_s()
         for purse in self._purses.values():
-            self._send(purse, purse.maintain(now_s))
+            self._calls.send(purse, purse.maintain(now_s))
 
     def _ask_and_take(
         self, organisation: str, purse: Purse, now_s: float
     ) -> Admitted | Refusal | None:
-        self._send(purse, purse.plan(now_s))
+        self._calls.send(purse, purse.plan(now_s))
         token = purse.take(self._clock.now_s())
         if token is not None:
             return LentAdmitted(token.valid_until_s, token)
@@ -209,20 +205,3 @@
             with purse.condition:
                 if purse.changes == changes:
                     self._clock.wait(purse.condition, remaining_s)
-
-    def _send(self, purse: Purse, requests: Sequence[GrantRequest]) -> None:
-        for request in requests:
-            fut = self._directory.borrow(request)
-            fut.add_done_callback(partial(self._answered, purse, request))
-
-    def _answered(
-        self, purse: Purse, request: GrantRequest, fut: Future[Grant]
-    ) -> None:
-        grant = Grant(GrantStatus.NO_ANSWER)
-        if not fut.cancelled() and fut.exception() is None:
-            grant = fut.result()
-        now_s = self._clock.now_s()
-        purse.complete(request, grant, now_s)
-        if grant.granted < request.wanted:
-            # The lender was short or absent; what is still needed comes from others.
-            self._send(purse, purse.plan(now_s))
--- a/packages/core/src/cardamomquay/steering/_budgets.py
+++ b/packages/core/src/cardamomquay/steering/_budgets.py
@@ -6,14 +6,11 @@
 import math
 import threading
 from dataclasses import dataclass
-from functools import partial
 from typing import TYPE_CHECKING
 
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
-from cardamomquay.quota import Grant
-from cardamomquay.quota import GrantRequest
-from cardamomquay.quota import GrantStatus
+from cardamomquay.quota import LenderCalls
 from cardamomquay.quota import LenderDirectory
 from cardamomquay.quota import Purse
 from cardamomquay.quota import Token
@@ -24,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
     from collections.abc import Sequence
-    from concurrent.futures import Future
 
     from cardamomquay.clock import Clock
     from cardamomquay.reducer import Identity
@@ -158,7 +154,7 @@
     ) -> None:
         self.max_wait_s = max_wait_s
         self._clock = clock
-        self._directory = directory
+        self._calls = LenderCalls(clock, directory)
         self._identity = identity
         self._numbers = itertools.count(1)
         # Both are replaced or extended as a whole, so readers need no lock.
@@ -260,7 +256,7 @@
         """Return, report and renew; to be called every 100 ms."""
         now_s = self._clock.now_s()
         for budget in self._budgets.values():
-            self._send(budget.purse, budget.purse.maintain(now_s))
+            self._calls.send(budget.purse, budget.purse.maintain(now_s))
 
     def _take(
         self, need: _Need, deadline_s: float, *, local: bool
@@ -284,7 +280,7 @@
             finally:
                 purse.end_wait(count)
         else:
-            self._send(purse, purse.plan(now_s))
+            self._calls.send(purse, purse.plan(now_s))
         if tokens is not None:
             budget.granted(tokens)
             return _Taken(budget, tokens, need.amount)
@@ -303,7 +299,7 @@
             now_s = self._clock.now_s()
             with purse.condition:
                 changes = purse.changes
-            self._send(purse, purse.plan(now_s))
+            self._calls.send(purse, purse.plan(now_s))
             tokens = purse.take_many(count, now_s)
             if tokens is not None or now_s >= until_s:
                 return tokens
@@ -319,16 +315,3 @@
             with purse.condition:
                 if purse.changes == changes:
                     self._clock.wait(purse.condition, wait_s)
-
-    def _send(self, purse: Purse, requests: Sequence[GrantRequest]) -> None:
-        for request in requests:
-            fut = self._directory.borrow(request)
-            fut.add_done_callback(partial(self._answered, purse, request))
-
-    def _answered(
-        self, purse: Purse, request: GrantRequest, fut: Future[Grant]
-    ) -> None:
-        grant = Grant(GrantStatus.NO_ANSWER)
-        if not fut.cancelled() and fut.exception() is None:
-            grant = fut.result()
-        purse.complete(request, grant, self._clock.now_s())
