Lend slots by availability zone, and drain a busy upstream in the demo

Cause: the loss of a region's slot lender leaves a gap of its silence, and the demo drained an upstream that had no work, so its check could not fail; the withdrawal of a key was dated from the end of the command. Change: each availability zone's slots have a lender of their own; the demo drains the upstream that ran most requests in the last 3 s and breaks if it had none; both times count from the edit's accepted_at, which is stated before the commit.

--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -148,6 +148,7 @@
             settings.host,
             self.identity.incarnation,
             settings.region,
+            by_zone=True,
         )
         self._claims_executor = ThreadPoolExecutor(CLAIM_THREADS, "claims")
         self._registry = GroupedOnceRegistry(
--- a/packages/daemon/src/cardamomquay_daemon/_slot_codec.py
+++ b/packages/daemon/src/cardamomquay_daemon/_slot_codec.py
@@ -28,6 +28,7 @@
         demand=request.demand,
         wanted=request.wanted,
         avoid=request.avoid,
+        zone=request.zone,
         reports=[
             peer_pb2.UpstreamReport(
                 upstream=report.upstream,
@@ -54,6 +55,7 @@
         demand=message.demand,
         wanted=message.wanted,
         avoid=tuple(message.avoid),
+        zone=message.zone,
         reports=tuple(
             UpstreamReport(
                 report.upstream,
--- a/packages/daemon/src/cardamomquay_daemon/_slot_lending.py
+++ b/packages/daemon/src/cardamomquay_daemon/_slot_lending.py
@@ -36,20 +36,22 @@
 POLL_INTERVAL_S = 0.02
 
 
-def slot_resource(pool: str, region: str) -> str:
-    """Return the name of the slots of a pool in a region."""
-    return f"{SLOTS_PREFIX}{pool}:{region}"
+def slot_resource(pool: str, region: str, zone: str) -> str:
+    """Return the name of the slots of a pool in an availability zone."""
+    return f"{SLOTS_PREFIX}{pool}:{region}:{zone}"
 
 
 def is_slot_resource(resource: str) -> bool:
-    """Whether a resource is the slots of a pool in a region."""
+    """Whether a resource is the slots of a pool in an availability zone."""
     return resource.startswith(SLOTS_PREFIX)
 
 
 def slot_resources(config: Config) -> Mapping[str, str]:
     """Return the region of each slot resource of a configuration."""
     return {
-        slot_resource(pool.name, upstream.region): upstream.region
+        slot_resource(
+            pool.name, upstream.region, upstream.availability_zone
+        ): upstream.region
         for pool in config.pools.values()
         for upstream in pool.upstreams
     }
@@ -84,11 +86,11 @@
 
     def start(self, effect: LendingStarted) -> None:
         """Begin to lend a resource, with nothing but what borrowers still hold."""
-        _, pool, region = effect.resource.split(":")
+        _, pool, region, zone = effect.resource.split(":")
         config = self._runtime.snapshot.config
         assert config is not None
         lender = SlotLender(
-            _upstreams(config, pool, region),
+            _upstreams(config, pool, region, zone),
             _longest_deadline_s(config, pool),
             self._clock.now_s(),
             first=effect.fence == 1,
@@ -106,9 +108,9 @@
         now_s = self._clock.now_s()
         with self._lock:
             for resource, lent in self._lenders.items():
-                _, pool, region = resource.split(":")
+                _, pool, region, zone = resource.split(":")
                 lent.lender.apply_upstreams(
-                    _upstreams(config, pool, region),
+                    _upstreams(config, pool, region, zone),
                     _longest_deadline_s(config, pool),
                     now_s,
                 )
@@ -118,7 +120,9 @@
         now_s = self._clock.now_s()
         lease = self._runtime.snapshot.core.part(LeaseState)
         with self._lock:
-            lent = self._lenders.get(slot_resource(request.pool, request.region))
+            lent = self._lenders.get(
+                slot_resource(request.pool, request.region, request.zone)
+            )
             if lent is None or lease.fence != lent.lease_fence:
                 return None
             if not is_lease_valid(lease, now_s):
@@ -133,7 +137,9 @@
 
     def borrow(self, request: SlotRequest) -> SlotGrant | None:
         lenders = self._runtime.snapshot.core.part(LendersState)
-        row = lenders.lender_of(slot_resource(request.pool, request.region))
+        row = lenders.lender_of(
+            slot_resource(request.pool, request.region, request.zone)
+        )
         if row is None:
             return None
         if row.host == self._host:
@@ -168,10 +174,14 @@
         thread.join(timeout=2.0)
 
 
-def _upstreams(config: Config, pool: str, region: str) -> list[Upstream]:
+def _upstreams(config: Config, pool: str, region: str, zone: str) -> list[Upstream]:
     found = config.pools.get(pool)
     upstreams = () if found is None else found.upstreams
-    return [upstream for upstream in upstreams if upstream.region == region]
+    return [
+        upstream
+        for upstream in upstreams
+        if (upstream.region, upstream.availability_zone) == (region, zone)
+    ]
 
 
 def _longest_deadline_s(config: Config, pool: str) -> float:
--- a/packages/dev/src/cardamomquay_dev/_scenario.py
+++ b/packages/dev/src/cardamomquay_dev/_scenario.py
@@ -8,10 +8,13 @@
 import sys
 import threading
 import time
+from collections import Counter
 from dataclasses import dataclass
+from datetime import datetime
 from typing import TYPE_CHECKING
 from typing import Any
 
+from cardamomquay_dev._checks import read_runs
 from cardamomquay_dev._fleet import KURVEHAENG
 from cardamomquay_dev._fleet import PARTENAIRES
 from cardamomquay_dev._fleet import REGIONS
@@ -35,7 +38,8 @@
 # Four hosts polled at this interval stay within the organisation's rate.
 POLL_S = 0.4
 DRAINED_POOL = "schedule"
-DRAINED = "schedule-5"
+# Runs in this time show which upstream a drain makes a difference for.
+BUSY_WINDOW_S = 3.0
 KILLED_HOST = 2
 STOPPED_HOST = 3
 EXTRA_SECRET = "canary-0123456789abcdef"
@@ -71,6 +75,7 @@
         self._processes = processes
         self._in_force_s: list[float] = []
         self._key_withdrawn_s = -1.0
+        self._drained = ""
         self._drained_at_s = 0.0
         self._stop_s = -1.0
         self._stopping_at_s = float("inf")
@@ -119,13 +124,15 @@
         late = [
             run.started_s - self._drained_at_s
             for run in runs
-            if run.pool == DRAINED_POOL and run.upstream == DRAINED
+            if run.pool == DRAINED_POOL and run.upstream == self._drained
         ]
         return {
             "key_withdrawn_s": self._key_withdrawn_s,
             "config_in_force_s": round(max(self._in_force_s, default=-1.0), 3),
             "config_reverted": self._reverted,
             "drain": {
+                "upstream": self._drained,
+                "runs_before": sum(time_s <= 0 for time_s in late),
                 "new_work_after_s": round(max(late, default=0.0), 3),
                 "requests_cut": self._requests_cut(sent),
                 "planned_stop_s": round(self._stop_s, 2),
@@ -186,6 +193,7 @@
         withdrawn.set()
         for thread in threads:
             thread.join()
+        withdrawn_at = self._accepted_at_s(PARTENAIRES)
         self._key_withdrawn_s = round(max(0.0, last_accepted - withdrawn_at), 3)
 
     def _start_moves(self) -> None:
@@ -221,15 +229,33 @@
 
     def _drain_upstream(self) -> None:
         shown = self._show(PARTENAIRES, "pools", DRAINED_POOL)
+        self._drained = self._busiest_upstream(DRAINED_POOL)
         for upstream in shown["upstreams"]:
-            if upstream["name"] == DRAINED:
+            if upstream["name"] == self._drained:
                 upstream["draining"] = True
         version = self._command(
             PARTENAIRES, "set", "pools", DRAINED_POOL, json.dumps(shown)
         )
-        self._drained_at_s = time.time()
+        self._drained_at_s = self._accepted_at_s(PARTENAIRES)
         self._wait_in_force(version)
 
+    def _busiest_upstream(self, pool: str) -> str:
+        """Return the upstream that ran most requests of a pool lately."""
+        url = f"http://{self._fleet.upstream_control}/control/runs"
+        since_s = time.time() - BUSY_WINDOW_S
+        counts = Counter(
+            run.upstream
+            for run in read_runs(get_json(url))
+            if run.pool == pool and run.started_s >= since_s
+        )
+        return counts.most_common(1)[0][0]
+
+    def _accepted_at_s(self, owner: str) -> float:
+        """Return the wall time of the newest edit, stated before its commit."""
+        history = json.loads(self._run_cli(owner, "history").stdout)
+        accepted = datetime.fromisoformat(history["edits"][0]["accepted_at"])
+        return accepted.timestamp()
+
     def _edit_with_lost_answer(self) -> None:
         route = self._show(KURVEHAENG, "routes", "lookup")
         route["timeout_s"] = 4.0
--- a/packages/dev/src/cardamomquay_dev/demo.py
+++ b/packages/dev/src/cardamomquay_dev/demo.py
@@ -160,6 +160,7 @@
         "a configuration reverted": report["config_reverted"] > 0,
         "a drained upstream got new work": report["drain"]["new_work_after_s"]
         > DRAIN_BOUND_S,
+        "the drained upstream had no work before": report["drain"]["runs_before"] == 0,
         "a planned stop cut requests": report["drain"]["requests_cut"] > 0,
     }
     return [rule for rule, broken in rules.items() if broken]
