Cap failover between regions in the relay

Change: Reserver asks ShiftLimit before a request leaves its region. A request above the cap waits up to 0.5 s for a slot at home, then gets region_full. A pool without upstreams at home is not limited.

--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -41,6 +41,7 @@
 from cardamomquay_daemon._platform_client import HttpTableService
 from cardamomquay_daemon._platform_client import PlatformConnection
 from cardamomquay_daemon._relay import Relay
+from cardamomquay_daemon._reserving import Reserver
 from cardamomquay_daemon._runtime import Runtime
 from cardamomquay_daemon._runtime import Snapshot
 from cardamomquay_daemon._server import make_server
@@ -149,6 +150,9 @@
         )
         self._admission = LentQuotaAdmission(self._clock, self._tokens, self.identity)
         self._budgets = TrafficBudgets(self._clock, self._tokens, self.identity)
+        self._reserver = Reserver(
+            self._clock, settings.region, self._chooser, self._budgets
+        )
         self._runtime.listen(self._apply_config)
         self._runtime.listen(MemberWatch(self._clock, self._telemetry))
         relay = Relay(
@@ -161,6 +165,7 @@
             UpstreamClient(settings.limits.answer_bytes),
             self._telemetry,
             self._budgets,
+            self._reserver,
         )
         self._caller_port = CallerPort(
             self._runtime,
@@ -257,6 +262,7 @@
         self._budgets.apply(budgets_of(config))
         weights = {o.name: o.rate_per_s for o in config.organisations.values()}
         self._chooser.apply(config.pools, weights)
+        self._reserver.set_weights(weights)
         self._slots.apply(config)
         reach = config.regions_in_reach(self.identity.region)
         for pool in config.pools.values():
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -23,6 +23,7 @@
 from cardamomquay.retries import NOT_RUN_REASONS
 from cardamomquay.retries import FailedAttempt
 from cardamomquay.retries import RetryPolicy
+from cardamomquay_daemon._reserving import Wanted
 from cardamomquay_daemon._upstream_client import UpstreamAnswer
 from cardamomquay_daemon._upstream_client import UpstreamClient
 from cardamomquay_daemon._upstream_client import UpstreamFailure
@@ -40,6 +41,7 @@
     from cardamomquay.reducer import Identity
     from cardamomquay.steering import BudgetReservation
     from cardamomquay.steering import TrafficBudgets
+    from cardamomquay_daemon._reserving import Reserver
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
 
@@ -107,6 +109,7 @@
     client : UpstreamClient
     telemetry : Telemetry
     budgets : TrafficBudgets
+    reserver : Reserver
     """
 
     def __init__(
@@ -120,6 +123,7 @@
         client: UpstreamClient,
         telemetry: Telemetry,
         budgets: TrafficBudgets,
+        reserver: Reserver,
     ) -> None:
         self._runtime = runtime
         self._clock = clock
@@ -130,6 +134,7 @@
         self._client = client
         self._telemetry = telemetry
         self._budgets = budgets
+        self._reserver = reserver
         self._retries: defaultdict[str, RetryPolicy] = defaultdict(RetryPolicy)
 
     def relay(self, req: CallerRequest) -> RelayedAnswer | Refusal:
@@ -346,30 +351,12 @@
         deadline_s: float,
         excluded: set[str],
     ) -> tuple[Reservation, BudgetReservation] | Refusal:
-        """Reserve a slot, and what the request needs of its region and links.
-
-        A region whose budgets are empty is left out, and the next in reach is tried.
-        """
-        full: Refusal | None = None
-        while True:
-            reservation = self._chooser.reserve(
-                pool, authorised.organisation, excluded, deadline_s
-            )
-            if isinstance(reservation, Refusal):
-                return full or reservation
-            region = reservation.upstream.region
-            size = len(req.target) + len(req.body)
-            size += sum(len(name) + len(value) for name, value in req.headers)
-            budget = self._budgets.reserve(
-                authorised.route.name, region, size, deadline_s
-            )
-            if not isinstance(budget, Refusal):
-                return reservation, budget
-            self._chooser.release(
-                reservation, Observation(ObservedResult.NOT_SENT, 0.0)
-            )
-            full = full or budget
-            excluded.update(u.name for u in pool.upstreams if u.region == region)
+        size = len(req.target) + len(req.body)
+        size += sum(len(name) + len(value) for name, value in req.headers)
+        wanted = Wanted(
+            pool, authorised.route.name, authorised.organisation, size, deadline_s
+        )
+        return self._reserver.reserve(wanted, excluded)
 
     def _check_before_sending(
         self,
--- a/packages/daemon/tests/fakes.py
+++ b/packages/daemon/tests/fakes.py
@@ -31,6 +31,7 @@
 from cardamomquay.steering import BudgetReservation
 from cardamomquay_daemon._relay import CallerRequest
 from cardamomquay_daemon._relay import Relay
+from cardamomquay_daemon._reserving import Reserver
 from cardamomquay_daemon._runtime import Snapshot
 from cardamomquay_daemon._runtime import build_snapshot
 from cardamomquay_daemon._telemetry import Telemetry
@@ -208,6 +209,7 @@
             self.client,
             Telemetry("host-a"),
             self.budgets,
+            Reserver(self.clock, IDENTITY.region, self.chooser, self.budgets),
         )
 
     def get(self, path: str = "/browse/x", key: str = KEY) -> object:
