Split messages and attempt results out of the relay's module

Cause: _relay.py had grown to 481 lines and held three jobs. Change: the caller's messages and the meaning of attempt results have modules of their own; no behaviour changes.

--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_attempt_results.py
@@ -0,0 +1,59 @@
+"""What the result of an attempt means for the upstream and for the caller."""
+
+from __future__ import annotations
+
+from cardamomquay.balancing import Observation
+from cardamomquay.balancing import ObservedResult
+from cardamomquay.outcomes import Refusal
+from cardamomquay.outcomes import RefusalReason
+from cardamomquay.outcomes import RetryReason
+from cardamomquay_daemon._upstream_client import UpstreamAnswer
+from cardamomquay_daemon._upstream_client import UpstreamFailure
+
+UNHEALTHY_STATUS = 500
+# Results that say something about the version that ran the request.
+RUN_RESULTS = frozenset(
+    {
+        ObservedResult.ANSWERED,
+        ObservedResult.FAILED,
+        ObservedResult.TIMED_OUT,
+        ObservedResult.UNREACHABLE,
+    }
+)
+
+
+def answer_bytes(answer: UpstreamAnswer) -> int:
+    """Return the bytes of an answer that a link carries."""
+    headers = sum(len(name) + len(value) for name, value in answer.headers)
+    return len(answer.body) + headers
+
+
+def observe(result: UpstreamAnswer | UpstreamFailure) -> Observation:
+    """Return what an attempt showed about its upstream."""
+    if isinstance(result, UpstreamAnswer):
+        failed = result.status >= UNHEALTHY_STATUS
+        kind = ObservedResult.FAILED if failed else ObservedResult.ANSWERED
+        return Observation(kind, result.latency_s)
+    kinds = {
+        RetryReason.CONNECTION_REFUSED: ObservedResult.UNREACHABLE,
+        RetryReason.NOTHING_SENT: ObservedResult.UNREACHABLE,
+        RetryReason.SHED_NOT_RUN: ObservedResult.SHED,
+        RetryReason.REPEATABLE_TIMEOUT: ObservedResult.TIMED_OUT,
+    }
+    kind = kinds.get(result.reason, ObservedResult.FAILED)
+    return Observation(kind, result.latency_s)
+
+
+def refusal_of(failure: UpstreamFailure) -> Refusal:
+    """Return the refusal that tells a caller of a failed attempt."""
+    if failure.cut:
+        return Refusal(RefusalReason.ANSWER_CUT)
+    match failure.reason:
+        case RetryReason.CONNECTION_REFUSED | RetryReason.NOTHING_SENT:
+            return Refusal(RefusalReason.UPSTREAM_UNREACHABLE)
+        case RetryReason.SHED_NOT_RUN:
+            return Refusal(RefusalReason.POOL_BUSY, "upstreams shed load")
+        case RetryReason.REPEATABLE_TIMEOUT:
+            return Refusal(RefusalReason.UPSTREAM_TIMEOUT)
+        case _:
+            return Refusal(RefusalReason.UPSTREAM_FAILED)
--- a/packages/daemon/src/cardamomquay_daemon/_caller_port.py
+++ b/packages/daemon/src/cardamomquay_daemon/_caller_port.py
@@ -12,10 +12,10 @@
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.routing import LookupRequest
+from cardamomquay_daemon._caller_messages import RelayedAnswer
 from cardamomquay_daemon._lookups import Lookups
 from cardamomquay_daemon._refusal_form import refusal_body
 from cardamomquay_daemon._refusal_form import refusal_headers
-from cardamomquay_daemon._relay import RelayedAnswer
 from cardamomquay_daemon._requests import KEY_HEADER
 from cardamomquay_daemon._requests import read_request
 from cardamomquay_daemon._telemetry import REQUEST_FAILED
--- a/packages/daemon/src/cardamomquay_daemon/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/_relay.py
@@ -6,7 +6,6 @@
 import uuid
 from collections import defaultdict
 from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 
 from cardamomquay.balancing import Observation
@@ -19,10 +18,15 @@
 from cardamomquay.idempotency import digest_request
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
-from cardamomquay.outcomes import RetryReason
 from cardamomquay.retries import NOT_RUN_REASONS
 from cardamomquay.retries import FailedAttempt
 from cardamomquay.retries import RetryPolicy
+from cardamomquay_daemon._attempt_results import RUN_RESULTS
+from cardamomquay_daemon._attempt_results import answer_bytes
+from cardamomquay_daemon._attempt_results import observe
+from cardamomquay_daemon._attempt_results import refusal_of
+from cardamomquay_daemon._caller_messages import CallerRequest
+from cardamomquay_daemon._caller_messages import RelayedAnswer
 from cardamomquay_daemon._upstream_client import UpstreamAnswer
 from cardamomquay_daemon._upstream_client import UpstreamClient
 from cardamomquay_daemon._upstream_client import UpstreamFailure
@@ -44,57 +48,6 @@
     from cardamomquay_daemon._runtime import Runtime
     from cardamomquay_daemon._telemetry import Telemetry
 
-UNHEALTHY_STATUS = 500
-# Results that say something about the version that ran the request.
-RUN_RESULTS = frozenset(
-    {
-        ObservedResult.ANSWERED,
-        ObservedResult.FAILED,
-        ObservedResult.TIMED_OUT,
-        ObservedResult.UNREACHABLE,
-    }
-)
-
-
-@dataclass(frozen=True, slots=True)
-class CallerRequest:
-    """A request as the caller port read it.
-
-    Parameters
-    ----------
-    method : str
-    path : str
-        Decoded and normalised.
-    target : str
-        Path and query as they go to the upstream.
-    headers : tuple of (str, str)
-        Without hop-by-hop headers and without the key.
-    body : bytes
-    key : str
-        The presented key; empty if there is none.
-    idempotency_key : str
-    timeout_s : float or None
-    """
-
-    method: str
-    path: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    key: str = field(default="", repr=False)
-    idempotency_key: str = ""
-    timeout_s: float | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class RelayedAnswer:
-    """The answer that goes back to the caller."""
-
-    status: int
-    headers: tuple[tuple[str, str], ...]
-    body: bytes
-    replayed: bool = False
-
 
 @dataclass(frozen=True, slots=True)
 class _Authorised:
@@ -279,7 +232,7 @@
                 return result
             if isinstance(result, Refusal):
                 if may_have_run is not None:
-                    return _refusal_of(may_have_run)
+                    return refusal_of(may_have_run)
                 self._return_token(authorised, admitted)
                 return result
             if result.reason not in NOT_RUN_REASONS:
@@ -295,11 +248,11 @@
             if not_run:
                 self._return_token(authorised, admitted)
             if not policy.retry(failed, self._clock.now_s()):
-                return _refusal_of(may_have_run or result)
+                return refusal_of(may_have_run or result)
             # An attempt that was sent has spent its token.
             again = self._admit(authorised, self._clock.now_s())
             if isinstance(again, Refusal):
-                return _refusal_of(may_have_run or result)
+                return refusal_of(may_have_run or result)
             admitted = again
             self._telemetry.retried(result.reason)
 
@@ -333,10 +286,10 @@
                 reservation.upstream,
                 self._upstream_request(req, authorised, deadline_s),
             )
-            observed = _observe(result)
+            observed = observe(result)
             if isinstance(result, UpstreamAnswer):
                 # After a failure the estimate stays charged: bytes may have arrived.
-                self._budgets.settle(budget, _answer_bytes(result))
+                self._budgets.settle(budget, answer_bytes(result))
         finally:
             # Without effect on what was sent.
             self._budgets.cancel(budget)
@@ -445,37 +398,3 @@
     if route.organisations:
         return organisation in route.organisations
     return owner == route.owner
-
-
-def _answer_bytes(answer: UpstreamAnswer) -> int:
-    headers = sum(len(name) + len(value) for name, value in answer.headers)
-    return len(answer.body) + headers
-
-
-def _observe(result: UpstreamAnswer | UpstreamFailure) -> Observation:
-    if isinstance(result, UpstreamAnswer):
-        failed = result.status >= UNHEALTHY_STATUS
-        kind = ObservedResult.FAILED if failed else ObservedResult.ANSWERED
-        return Observation(kind, result.latency_s)
-    kinds = {
-        RetryReason.CONNECTION_REFUSED: ObservedResult.UNREACHABLE,
-        RetryReason.NOTHING_SENT: ObservedResult.UNREACHABLE,
-        RetryReason.SHED_NOT_RUN: ObservedResult.SHED,
-        RetryReason.REPEATABLE_TIMEOUT: ObservedResult.TIMED_OUT,
-    }
-    kind = kinds.get(result.reason, ObservedResult.FAILED)
-    return Observation(kind, result.latency_s)
-
-
-def _refusal_of(failure: UpstreamFailure) -> Refusal:
-    if failure.cut:
-        return Refusal(RefusalReason.ANSWER_CUT)
-    match failure.reason:
-        case RetryReason.CONNECTION_REFUSED | RetryReason.NOTHING_SENT:
-            return Refusal(RefusalReason.UPSTREAM_UNREACHABLE)
-        case RetryReason.SHED_NOT_RUN:
-            return Refusal(RefusalReason.POOL_BUSY, "upstreams shed load")
-        case RetryReason.REPEATABLE_TIMEOUT:
-            return Refusal(RefusalReason.UPSTREAM_TIMEOUT)
-        case _:
-            return Refusal(RefusalReason.UPSTREAM_FAILED)
--- a/packages/daemon/src/cardamomquay_daemon/_requests.py
+++ b/packages/daemon/src/cardamomquay_daemon/_requests.py
@@ -10,8 +10,8 @@
 
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay_daemon._caller_messages import CallerRequest
 from cardamomquay_daemon._http_parser import MalformedRequestError
-from cardamomquay_daemon._relay import CallerRequest
 from cardamomquay_daemon._upstream_client import HOP_BY_HOP
 
 if TYPE_CHECKING:
--- a/packages/daemon/tests/caller_port_fixture.py
+++ b/packages/daemon/tests/caller_port_fixture.py
@@ -13,9 +13,9 @@
 from cardamomquay.config import parse_config
 from cardamomquay.platform import Row
 from cardamomquay.platform import RowKey
+from cardamomquay_daemon._caller_messages import CallerRequest
+from cardamomquay_daemon._caller_messages import RelayedAnswer
 from cardamomquay_daemon._caller_port import CallerPort
-from cardamomquay_daemon._relay import CallerRequest
-from cardamomquay_daemon._relay import RelayedAnswer
 from cardamomquay_daemon._server import make_server
 from cardamomquay_daemon._settings import Limits
 from cardamomquay_daemon._settings import TlsFiles
--- a/packages/daemon/tests/edits/test_lost_answer.py
+++ b/packages/daemon/tests/edits/test_lost_answer.py
@@ -23,10 +23,10 @@
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Write
+from cardamomquay_daemon._caller_messages import CallerRequest
 from cardamomquay_daemon._editor import EditUnsettled
 from cardamomquay_daemon._editor import commit_edit
 from cardamomquay_daemon._effects import ConfigEffects
-from cardamomquay_daemon._relay import CallerRequest
 from cardamomquay_daemon._relay import Relay
 from cardamomquay_daemon._runtime import Snapshot
 
--- a/packages/daemon/tests/fakes.py
+++ b/packages/daemon/tests/fakes.py
@@ -29,7 +29,7 @@
 from cardamomquay.reducer import Identity
 from cardamomquay.reducer import Reducer
 from cardamomquay.steering import BudgetReservation
-from cardamomquay_daemon._relay import CallerRequest
+from cardamomquay_daemon._caller_messages import CallerRequest
 from cardamomquay_daemon._relay import Relay
 from cardamomquay_daemon._runtime import Snapshot
 from cardamomquay_daemon._runtime import build_snapshot
--- a/packages/daemon/tests/test_relay.py
+++ b/packages/daemon/tests/test_relay.py
@@ -8,7 +8,7 @@
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.outcomes import RetryReason
-from cardamomquay_daemon._relay import RelayedAnswer
+from cardamomquay_daemon._caller_messages import RelayedAnswer
 from cardamomquay_daemon._upstream_client import UpstreamFailure
 
 TIMEOUT = UpstreamFailure(RetryReason.REPEATABLE_TIMEOUT, False, 1.0)
--- a/packages/daemon/tests/test_relay_budgets.py
+++ b/packages/daemon/tests/test_relay_budgets.py
@@ -9,7 +9,7 @@
 from cardamomquay.config import Upstream
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.outcomes import RetryReason
-from cardamomquay_daemon._relay import RelayedAnswer
+from cardamomquay_daemon._caller_messages import RelayedAnswer
 from cardamomquay_daemon._upstream_client import UpstreamFailure
 
 RESET = UpstreamFailure(RetryReason.REPEATABLE_FAILURE, False, 0.1)
--- a/packages/daemon/tests/test_request_limits.py
+++ b/packages/daemon/tests/test_request_limits.py
@@ -270,7 +270,7 @@
 
 
 def _large_answer() -> object:
-    from cardamomquay_daemon._relay import RelayedAnswer
+    from cardamomquay_daemon._caller_messages import RelayedAnswer
 
     return RelayedAnswer(200, (), b"x" * 32_000_000)
 
