--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/_claim_sweep.py
@@ -0,0 +1,58 @@
+"""Deletes expired records of non-repeatable requests, on the controller only."""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING
+
+from cardamomquay.idempotency import sweep_claims
+from cardamomquay.lenders import LendersState
+from cardamomquay.lenders import lender_row_key
+from cardamomquay.platform import Condition
+from cardamomquay_daemon._moves import CONTROLLER_RESOURCE
+
+if TYPE_CHECKING:
+    from cardamomquay.platform import TableService
+    from cardamomquay.reducer import Identity
+    from cardamomquay_daemon._runtime import Runtime
+    from cardamomquay_daemon._telemetry import Telemetry
+
+SWEEP_INTERVAL_S = 3600.0
+
+
+class ClaimSweep:
+    """Sweeps the claims while this host is the controller.
+
+    Parameters
+    ----------
+    tables : TableService
+    runtime : Runtime
+    identity : Identity
+    telemetry : Telemetry
+    """
+
+    def __init__(
+        self,
+        tables: TableService,
+        runtime: Runtime,
+        identity: Identity,
+        telemetry: Telemetry,
+    ) -> None:
+        self._tables = tables
+        self._runtime = runtime
+        self._identity = identity
+        self._telemetry = telemetry
+
+    def run(self) -> None:
+        """Sweep once; a host that is not the controller does nothing.
+
+        Each deletion depends on the controller's row, so a former controller that
+        still believes in its row deletes nothing.
+        """
+        lenders = self._runtime.snapshot.core.part(LendersState)
+        row = lenders.lender_of(CONTROLLER_RESOURCE)
+        if row is None or row.incarnation != self._identity.incarnation:
+            return
+        fence = Condition(lender_row_key(CONTROLLER_RESOURCE), row.version)
+        swept = sweep_claims(self._tables, time.time(), fence)
+        self._telemetry.count("claims.expired", swept.expired)
--- a/packages/daemon/src/cardamomquay_daemon/_daemon.py
+++ b/packages/daemon/src/cardamomquay_daemon/_daemon.py
@@ -32,6 +32,8 @@
 from cardamomquay.steering import TrafficBudgets
 from cardamomquay.steering import budgets_of
 from cardamomquay_daemon._caller_port import CallerPort
+from cardamomquay_daemon._claim_sweep import SWEEP_INTERVAL_S
+from cardamomquay_daemon._claim_sweep import ClaimSweep
 from cardamomquay_daemon._effects import ConfigEffects
 from cardamomquay_daemon._effects import HostListEffects
 from cardamomquay_daemon._lease_effects import LeaseEffects
@@ -162,6 +164,7 @@
             tables, self._clock, self._runtime, self.identity, self._telemetry
         )
         self._runtime.handle(self._moves.handlers())
+        self._sweep = ClaimSweep(tables, self._runtime, self.identity, self._telemetry)
         relay = Relay(
             self._runtime,
             self._clock,
@@ -214,6 +217,9 @@
             stack.enter_context(
                 self._repeating("moves", REPORT_INTERVAL_S, self._moves.publish)
             )
+            stack.enter_context(
+                self._repeating("claim sweep", SWEEP_INTERVAL_S, self._sweep.run)
+            )
             stack.enter_context(
                 self._repeating("claims", 1.0, self._registry.release_pending)
             )
--- a/packages/daemon/src/cardamomquay_daemon/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/_telemetry.py
@@ -78,6 +78,7 @@
 )
 # Counters other than refusals and retries, as `docs/counters.md` lists them.
 COUNTERS = {
+    "claims.expired": "Records of non-repeatable requests deleted after 72 hours.",
     "claims.not_recorded": "Outcomes of non-repeatable requests that were not stored.",
     "config.older_ignored": "Configurations that were not newer than the one in force.",
     "edits.accepted": "Operators' edits that this daemon committed.",
--- /dev/null
+++ b/packages/daemon/tests/test_claim_sweep.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+import time
+import unittest
+from types import SimpleNamespace
+
+import immutables
+from fakes import IDENTITY
+
+from cardamomquay.idempotency import Claim
+from cardamomquay.idempotency import TableOnceRegistry
+from cardamomquay.lenders import LenderRow
+from cardamomquay.lenders import LendersState
+from cardamomquay.lenders import lender_row_key
+from cardamomquay.platform import Committed
+from cardamomquay.platform import MemoryTableService
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Write
+from cardamomquay_daemon._claim_sweep import ClaimSweep
+from cardamomquay_daemon._telemetry import Telemetry
+
+DAY_S = 86_400.0
+
+
+class ClaimSweepTest(unittest.TestCase):
+    """Guards against records that stay for ever, and against a former controller."""
+
+    def setUp(self) -> None:
+        self.tables = MemoryTableService()
+        registry = TableOnceRegistry(self.tables)
+        for name, age_s in (("old", 4 * DAY_S), ("new", DAY_S)):
+            claimed_at_s = time.time() - age_s
+            registry.begin(
+                Claim(name, "salsa", name, "d", "host-a", "run-1", claimed_at_s)
+            )
+        self.telemetry = Telemetry("host-a")
+
+    def controller_row(self) -> int:
+        outcome = self.tables.transact(
+            Transaction((), (Write(lender_row_key("moves"), {"host": "host-a"}),))
+        )
+        assert isinstance(outcome, Committed)
+        return outcome.revision
+
+    def sweep(self, version: int, incarnation: str = IDENTITY.incarnation) -> int:
+        row = LenderRow("moves", "host-a", incarnation, 1, version)
+        state = LendersState(rows=immutables.Map({"moves": row}))
+        core = SimpleNamespace(part=lambda _: state)
+        runtime = SimpleNamespace(snapshot=SimpleNamespace(core=core))
+        ClaimSweep(self.tables, runtime, IDENTITY, self.telemetry).run()
+        return len(self.tables.scan("claims").rows)
+
+    def test_controller_deletes_expired_records_only(self) -> None:
+        self.assertEqual(self.sweep(self.controller_row()), 1)
+        self.assertEqual(self.telemetry.counts()["claims.expired"], 1)
+
+    def test_former_controller_deletes_nothing(self) -> None:
+        version = self.controller_row()
+        self.controller_row()
+        self.assertEqual(self.sweep(version), 2)
+
+    def test_other_hosts_delete_nothing(self) -> None:
+        self.assertEqual(self.sweep(self.controller_row(), "another-run"), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
