Take a refused connection as a proof only when nothing was sent

Ruled out: non-repeatable requests, which always get a new connection. Change: the upstream client, and the callers of the load tool, count a connection as refused only if no byte of the request was sent. Measured: test_refused_connection_after_a_sent_request_proves_nothing fails without the change (CONNECTION_REFUSED is not REPEATABLE_FAILURE) and passes with it.

--- a/packages/daemon/src/cardamomquay_daemon/_upstream_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/_upstream_client.py
@@ -195,7 +195,10 @@
     latency_s: float,
 ) -> UpstreamFailure:
     sent_bytes = int(curl.getinfo(pycurl.REQUEST_SIZE))
-    if code == pycurl.E_COULDNT_CONNECT:
+    # libcurl sends a request again when a reused connection closes without an answer.
+    # A refused connection then follows a request that may have run, so only a transfer
+    # that never sent a byte proves anything.
+    if sent_bytes == 0 and code == pycurl.E_COULDNT_CONNECT:
         reason = RetryReason.CONNECTION_REFUSED
     elif sent_bytes == 0:
         reason = RetryReason.NOTHING_SENT
--- a/packages/daemon/tests/test_upstream_client.py
+++ b/packages/daemon/tests/test_upstream_client.py
@@ -4,6 +4,7 @@
 import threading
 import unittest
 from contextlib import contextmanager
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cardamomquay.config import Upstream
@@ -30,14 +31,14 @@
     def __init__(self, script: list[bytes | None]) -> None:
         self._script = script
         self._socket = socket.create_server(("127.0.0.1", 0))
+        self._port = self._socket.getsockname()[1]
         self._ended = threading.Event()
         self.requests: list[bytes] = []
         self.connections = 0
 
     @property
     def upstream(self) -> Upstream:
-        port = self._socket.getsockname()[1]
-        return Upstream("u", f"127.0.0.1:{port}", "mtl", "mtl-a", 1, 1)
+        return Upstream("u", f"127.0.0.1:{self._port}", "mtl", "mtl-a", 1, 1)
 
     @contextmanager
     def serving(self) -> Iterator[ScriptedServer]:
@@ -46,9 +47,14 @@
             yield self
         finally:
             self._ended.set()
+            self.stop_listening()
+
+    def stop_listening(self) -> None:
+        """Refuse new connections; open ones go on."""
+        with suppress(OSError):
             # Wakes the thread in accept(), which would keep the socket open.
             self._socket.shutdown(socket.SHUT_RDWR)
-            self._socket.close()
+        self._socket.close()
 
     def _accept(self) -> None:
         while True:
@@ -136,6 +142,18 @@
         self.assertIsInstance(result, UpstreamFailure)
         self.assertIs(result.reason, RetryReason.CONNECTION_REFUSED)
 
+    def test_refused_connection_after_a_sent_request_proves_nothing(self) -> None:
+        with ScriptedServer([OK, CLOSE]).serving() as server:
+            client = UpstreamClient(1000)
+            client.send(server.upstream, request())
+            # The second request goes over the open connection; the repetition that
+            # libcurl makes by itself meets a closed port.
+            server.stop_listening()
+            result = client.send(server.upstream, request())
+            self.assertIsInstance(result, UpstreamFailure)
+            self.assertEqual(len(server.requests), 2)
+            self.assertIs(result.reason, RetryReason.REPEATABLE_FAILURE)
+
     def test_shed_answer_proves_not_run(self) -> None:
         shed = b"HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\nContent-Length: 2\r\n\r\nok"
         with ScriptedServer([shed]).serving() as server:
--- a/packages/dev/src/cardamomquay_dev/_http.py
+++ b/packages/dev/src/cardamomquay_dev/_http.py
@@ -66,9 +66,13 @@
     try:
         curl.perform()
     except pycurl.error as exc:
+        # After a request on a reused connection that closed, libcurl tries again, and
+        # a refused connection then proves nothing.
+        unsent = int(curl.getinfo(pycurl.REQUEST_SIZE)) == 0
         _local.curl = None
         curl.close()
-        return NoAnswer(int(exc.args[0]), exc.args[0] == pycurl.E_COULDNT_CONNECT)
+        refused = unsent and exc.args[0] == pycurl.E_COULDNT_CONNECT
+        return NoAnswer(int(exc.args[0]), refused)
     answer_headers = {}
     for line in lines:
         name, separator, value = line.decode("latin-1").partition(":")
