--- a/packages/daemon/tests/peer/test_peer.py
+++ b/packages/daemon/tests/peer/test_peer.py
@@ -106,6 +106,7 @@
         end = time.monotonic() + seconds
         while not condition():
             self.assertLess(time.monotonic(), end, "condition not met in time")
+            # Real sockets and threads: polls, with a bound on the whole wait.
             time.sleep(0.02)
 
 
@@ -150,6 +151,7 @@
         ]
         one.runtime.post(HostsListed(one.clock.now_s(), tuple(listed)))
         self.wait(lambda: one.hears("other"))
+        # Real daemons' threads keep time here; a listed host is suspect after 1.5 s.
         time.sleep(2.5)
         members = one.runtime.snapshot.core.part(MembershipState)
         age_s = one.clock.now_s() - members.members["other"].heard_at_s
@@ -211,6 +213,7 @@
             node.list_hosts(one)
         one.list_hosts(other, foreign, plain)
         self.wait(lambda: one.hears("other") and other.hears("one"))
+        # Four rounds of the exchange, in which a foreign host could have been heard.
         time.sleep(2.0)
         for node in (one, other):
             self.assertFalse(node.hears("foreign") or node.hears("plain"))
--- a/packages/daemon/tests/test_request_limits.py
+++ b/packages/daemon/tests/test_request_limits.py
@@ -240,6 +240,7 @@
         conn = self.connect()
         conn.sendall(b"G")
         started = time.monotonic()
+        # The sender is slow on a real socket, whose time-outs the kernel keeps.
         time.sleep(IDLE_TIMEOUT_S * 0.8)
         conn.sendall(b"E")
         self.assertIn(b"408", conn.recv(100))
@@ -259,6 +260,7 @@
         stalled = [self.connect() for _ in range(LIMITS.request_threads)]
         for conn in stalled:
             conn.sendall(SECOND)
+        # Lets the request threads take the stalled connections first.
         time.sleep(0.1)
         started = time.monotonic()
         conn = self.connect()
--- a/packages/dev/tests/test_canary_key.py
+++ b/packages/dev/tests/test_canary_key.py
@@ -51,6 +51,7 @@
             self.answers.append(answer)
             if answer.status not in NO_QUOTA_YET or time.monotonic() > end:
                 return answer.status
+            # Real processes: polls until their lenders have started.
             time.sleep(0.05)
 
     def test_keys_stay_inside(self) -> None:
