Refuse for lack of time only where work times were measured

Change: the least time of an answer counts the queue and the way, and the work only once ten samples exist; log lines lose eliot's action fields.

--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -29,6 +29,8 @@
 # Cost of a failure as a multiple of the objective: the time until it shows, and the
 # repeated request.
 FAULT_COST_OBJECTIVES = 2.0
+# Work varies by about 15%; an answer rarely takes less than this part of the mean.
+LEAST_WORK_SHARE = 0.8
 # Costs closer than this are equal; the rank decides between them.
 TIE_S = 0.02
 
@@ -64,6 +66,9 @@
     upstream : Upstream
     finish_s : float
         Expected seconds until the answer arrives.
+    least_s : float
+        Seconds that an answer takes at least; more than there is left means that the
+        request cannot be served in time.
     cost_s : float
         The same with faults and crossings weighed in; the least cost is chosen.
     is_warm : bool
@@ -71,6 +76,7 @@
 
     upstream: Upstream
     finish_s: float
+    least_s: float
     cost_s: float
     is_warm: bool
 
@@ -165,10 +171,13 @@
         waiting = max(0.0, record.occupied(now_s) + 1.0 - record.slots)
         queue_s = math.ceil(waiting) / record.slots * work.warm_s * slowness
         work_s = work.expected_s(is_warm) * slowness
-        finish_s = queue_s + work_s + self._distances.round_trip_s(upstream.zone)
+        round_trip_s = self._distances.round_trip_s(upstream.zone)
+        finish_s = queue_s + work_s + round_trip_s
+        least_work_s = LEAST_WORK_SHARE * work_s if work.is_measured else 0.0
+        least_s = queue_s + least_work_s + round_trip_s
         fault_s = (
             record.current_fault_rate(now_s) * FAULT_COST_OBJECTIVES * req.objective_s
         )
         crossing_s = self._distances.cost_s(upstream.zone)
         cost_s = queue_s + work_s + crossing_s + fault_s
-        return Candidate(upstream, finish_s, cost_s, is_warm)
+        return Candidate(upstream, finish_s, least_s, cost_s, is_warm)
--- a/packages/core/src/cardamomquay/placement/_work_times.py
+++ b/packages/core/src/cardamomquay/placement/_work_times.py
@@ -9,6 +9,8 @@
 COLD_TO_OBJECTIVE = 1.4
 WARM_TO_OBJECTIVE = 0.45
 LEARNING_RATE = 0.05
+# With fewer samples the times are too uncertain to refuse a request for them.
+SAMPLES_MIN = 10
 # A sample far outside the usual says something of the upstream, not of the work.
 OUTLIER = 3.0
 
@@ -19,6 +21,7 @@
 
     warm_s: float
     cold_s: float
+    samples: int = 0
 
     @classmethod
     def from_objective(cls, objective_s: float) -> WorkTimes:
@@ -34,12 +37,18 @@
         expected = self.expected_s(is_warm)
         if not expected / OUTLIER <= work_s <= expected * OUTLIER:
             return
+        self.samples += 1
         step = LEARNING_RATE * (work_s - expected)
         if is_warm:
             self.warm_s += step
         else:
             self.cold_s += step
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether there are enough samples to rely on."""
+        return self.samples >= SAMPLES_MIN
+
     def looks_warm(self, work_s: float) -> bool:
         """Tell whether the work fits a warm object better than a cold one."""
         return work_s < (self.warm_s + self.cold_s) / 2
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -80,8 +80,8 @@
         candidate = self._placement.choose(wanted, upstreams, tried, now_s)
         if candidate is None:
             return Refusal(RefusalReason.POOL_EMPTY, retry_after_s=RETRY_ROOM_MAX_S)
-        if candidate.finish_s > left_s:
-            late_s = candidate.finish_s - left_s
+        if candidate.least_s > left_s:
+            late_s = candidate.least_s - left_s
             hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, late_s))
             return Refusal(RefusalReason.POOL_BUSY, retry_after_s=hint_s)
         return candidate
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -212,7 +212,7 @@
         if not is_proven and route.kind is not RouteKind.IDEMPOTENT:
             return False
         left_s = context.final_at_s - asyncio.get_running_loop().time()
-        if candidate.finish_s > left_s:
+        if candidate.least_s > left_s:
             return False
         return self._eligibility.take_retry(context.service, self._clock.now_s())
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
@@ -22,6 +22,7 @@
     from cardamomquay.events import LogEvent
 
 STDOUT = 1
+ACTION_FIELDS = ("task_uuid", "task_level")
 # Lines that wait for a slow reader; more are dropped and counted.
 WAITING_LINES_MAX = 2000
 # Upper bounds of the latency histogram's buckets in seconds.
@@ -40,6 +41,9 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Write one message; an eliot destination."""
+        # Messages stand alone here; eliot's fields for nested actions say nothing.
+        for name in ACTION_FIELDS:
+            message.pop(name, None)
         if len(self._waiting) >= WAITING_LINES_MAX:
             self.dropped += 1
             return
