Keep quotas, roll-outs, retry budgets and warm-ups over all hosts

Change: hosts report running totals by datagrams; a token bucket for each organisation simulated by every host (allowances), a retry allowance and a warm-up pace divided among hosts, roll-outs by a part of the objects with outcomes under a condition in the store (rollouts), and a final failure that says 503 only if no attempt may have run.

--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -61,6 +61,10 @@
         """Whether the host was heard lately."""
         return now_s - self.heard_s < SILENT_S
 
+    def is_gone(self, now_s: float) -> bool:
+        """Whether the host was silent for so long that it is no longer at work."""
+        return now_s - self.heard_s >= GONE_S
+
 
 class FleetView:
     """The hosts of the fleet.
@@ -99,7 +103,7 @@
 
     def counted(self, now_s: float) -> int:
         """Return the hosts that may be at work though they are not heard."""
-        return 1 + sum(now_s - peer.heard_s < GONE_S for peer in self.peers.values())
+        return 1 + sum(not peer.is_gone(now_s) for peer in self.peers.values())
 
     def addresses_for(self, zone: str, region: str, now_s: float) -> list[str]:
         """Return the addresses that a caller should use.
--- a/packages/core/src/cardamomquay/placement/__init__.py
+++ b/packages/core/src/cardamomquay/placement/__init__.py
@@ -8,6 +8,7 @@
 from cardamomquay.placement._placement import Candidate
 from cardamomquay.placement._placement import Placement
 from cardamomquay.placement._placement import PlacementRequest
+from cardamomquay.placement._ranking import rank_of
 from cardamomquay.placement._work_times import WorkTimes
 
 __all__ = [
@@ -18,4 +19,5 @@
     "PlacementRequest",
     "UpstreamRecord",
     "WorkTimes",
+    "rank_of",
 ]
--- a/packages/core/src/cardamomquay/traffic/_config.py
+++ b/packages/core/src/cardamomquay/traffic/_config.py
@@ -138,11 +138,14 @@
     organisations: dict[str, Organisation] = field(default_factory=dict)
     keys: dict[str, str] = field(default_factory=dict, repr=False)
     limits: RequestLimits = RequestLimits()
+    _organisation_names: tuple[str, ...] = field(init=False, repr=False, default=())
     _by_host: dict[str, tuple[Route, ...]] = field(
         init=False, repr=False, default_factory=dict
     )
 
     def __post_init__(self) -> None:
+        names = tuple(sorted(self.organisations))
+        object.__setattr__(self, "_organisation_names", names)
         grouped: dict[str, list[Route]] = {}
         for route in self.routes:
             grouped.setdefault(route.hostname.lower(), []).append(route)
@@ -150,6 +153,11 @@
             routes.sort(key=lambda route: -len(route.prefix))
             self._by_host[hostname] = tuple(routes)
 
+    @property
+    def organisation_names(self) -> tuple[str, ...]:
+        """Names of the organisations in their order of reports between hosts."""
+        return self._organisation_names
+
     def match(self, hostname: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -21,14 +21,18 @@
     from cardamomquay.placement import Distances
     from cardamomquay.placement import Placement
     from cardamomquay.placement import UpstreamRecord
+    from cardamomquay_daemon.edge._eligibility import Eligibility
     from cardamomquay_daemon.edge._names import HeaderNames
     from cardamomquay_daemon.edge._relay import RequestContext
+    from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._upstream_pool import UpstreamPool
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
 # Pause before callers come back after an upstream was full.
 RETRY_FULL_S = 0.3
+# Answers that take this many times as long as expected count against a version.
+SLOW_FACTOR = 3.0
 # After a request was turned away, the upstream counts as full for this long.
 FULL_S = 0.25
 
@@ -55,10 +59,15 @@
     occupied: float
     began_s: float
     arrived: bool = False
-    outcome: str = "cancelled"
+    outcome: Outcome | None = None
     detail: str = ""
     took_s: float = 0.0
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the upstream may have run the request."""
+        return self.arrived and self.outcome is not Outcome.NOT_RUN
+
     def as_fields(self) -> dict[str, Any]:
         """Return the attempt as fields of a log line."""
         return {
@@ -67,7 +76,7 @@
             "warm": self.is_warm,
             "expected_s": round(self.expected_s, 3),
             "occupied": round(self.occupied, 1),
-            "outcome": self.outcome,
+            "outcome": self.outcome.value if self.outcome else "cancelled",
             "detail": self.detail,
             "took_s": round(self.took_s, 4),
         }
@@ -92,6 +101,8 @@
     distances : Distances
     names : HeaderNames
     clock : Clock
+    eligibility : Eligibility
+    state : HostState
     """
 
     def __init__(
@@ -101,7 +112,11 @@
         distances: Distances,
         names: HeaderNames,
         clock: Clock,
+        eligibility: Eligibility,
+        state: HostState,
     ) -> None:
+        self._eligibility = eligibility
+        self._state = state
         self._pool = pool
         self._placement = placement
         self._distances = distances
@@ -109,7 +124,7 @@
         self._clock = clock
 
     async def send(
-        self, candidate: Candidate, context: RequestContext, is_current: bool
+        self, candidate: Candidate, context: RequestContext
     ) -> AttemptResult:
         """Send a request to an upstream once.
 
@@ -117,7 +132,6 @@
         ----------
         candidate : Candidate
         context : RequestContext
-        is_current : bool
 
         Returns
         -------
@@ -152,7 +166,7 @@
         finally:
             record.in_flight -= 1
             attempt.took_s = loop.time() - attempt.began_s
-        attempt.outcome = result.outcome.value
+        attempt.outcome = result.outcome
         self._learn(candidate, context, record, attempt, result)
         return result
 
@@ -174,6 +188,7 @@
                 headers=headers,
             )
             attempt.arrived = True
+            self._eligibility.note_sent(upstream, self._clock.now_s())
             request_id = context.request_id.encode("latin-1")
             marked = (self._names.request_id, request_id) if request_id else None
             answer = await conn.exchange(request, context.request.body, marked)
@@ -204,6 +219,7 @@
         result: AttemptResult,
     ) -> None:
         now_s = self._clock.now_s()
+        self._tally(candidate, attempt, result)
         if result.answer is not None:
             report = load_report(result.answer.header(self._names.load))
             if report is not None:
@@ -213,6 +229,7 @@
             self._learn_speed(candidate, context, record, attempt, now_s)
         elif result.outcome is Outcome.NOT_SENT or attempt.detail == "other_instance":
             record.note_unreachable(now_s)
+            self._eligibility.note_unreachable(candidate.upstream, now_s)
         elif result.outcome is Outcome.NOT_RUN:
             record.full_until_s = now_s + FULL_S
             record.note_fault(now_s)
@@ -221,6 +238,23 @@
         else:
             record.note_fault(now_s)
 
+    def _tally(
+        self, candidate: Candidate, attempt: Attempt, result: AttemptResult
+    ) -> None:
+        upstream = candidate.upstream
+        rollout = self._state.rollouts.get(upstream.service)
+        if rollout is None or not attempt.may_have_run:
+            return
+        is_new = upstream.version == rollout.order.to_version
+        tally = rollout.own.new if is_new else rollout.own.old
+        tally.answers += 1
+        if result.outcome in (Outcome.FAILED, Outcome.BROKEN):
+            tally.errors += 1
+            return
+        is_late = attempt.took_s > SLOW_FACTOR * candidate.finish_s
+        if is_late or result.outcome is Outcome.TIMED_OUT:
+            tally.slow += 1
+
     def _learn_speed(
         self,
         candidate: Candidate,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -2,25 +2,38 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from cardamomquay.allowances import FleetQuota
+from cardamomquay.allowances import RetryAllowance
+from cardamomquay.allowances import WarmUpPace
+from cardamomquay.allowances import WarmUpRate
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from cardamomquay.fleet import FleetView
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
     from cardamomquay.traffic import Organisation
     from cardamomquay.traffic import Upstream
+    from cardamomquay_daemon.edge._settings import Bounds
     from cardamomquay_daemon.edge._state import HostState
 
 # Least and most time after which callers that found no room are asked to come back.
 RETRY_ROOM_MIN_S = 0.2
 RETRY_ROOM_MAX_S = 2.0
+# An entry states the rest of a warm-up; it is that of its last heartbeat.
+WARM_UP_MARGIN_S = 0.5
+# After this time without an answer or an entry, an upstream may have been replaced by
+# a cold one whose entry is still on its way.
+ENTRY_DELAY_S = 2.5
 
 
 class Eligibility:
@@ -30,25 +43,107 @@
     ----------
     state : HostState
     placement : Placement
+    fleet : FleetView
+    bounds : Bounds
+    now_s : float
     """
 
-    def __init__(self, state: HostState, placement: Placement) -> None:
+    def __init__(
+        self,
+        state: HostState,
+        placement: Placement,
+        fleet: FleetView,
+        bounds: Bounds,
+        now_s: float,
+    ) -> None:
         self._state = state
         self._placement = placement
+        self._fleet = fleet
+        self._bounds = bounds
+        self._started_s = now_s
+        self.quotas: dict[str, FleetQuota] = {}
+        self._retries: dict[str, RetryAllowance] = {}
+        self._pace = WarmUpPace(fleet.own.name)
+        self._cold_until_s: dict[str, float] = {}
+        self._known_versions: dict[str, set[str]] = {}
 
     def admit(self, organisation: Organisation | None, now_s: float) -> Refusal | None:
         """Count a request against its organisation's quota.
 
+        Parameters
+        ----------
+        organisation : Organisation or None
+        now_s : float
+
         Returns
         -------
         Refusal or None
             None if the request may run.
         """
-        return None
+        if organisation is None or organisation.rate_per_s <= 0.0:
+            return None
+        quota = self.quotas.get(organisation.name)
+        if quota is None:
+            quota = FleetQuota(organisation.rate_per_s, organisation.burst, now_s)
+            self.quotas[organisation.name] = quota
+        if quota.admit(now_s, self._fleet.counted(now_s)):
+            return None
+        hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, quota.retry_after_s()))
+        return Refusal(RefusalReason.LIMIT_EXCEEDED, retry_after_s=hint_s)
+
+    def note_config(self, now_s: float) -> None:
+        """Take over the limits of a new configuration."""
+        config = self._state.config
+        if config is None:
+            return
+        for organisation in config.organisations.values():
+            if organisation.rate_per_s <= 0.0:
+                self.quotas.pop(organisation.name, None)
+                continue
+            quota = self.quotas.get(organisation.name)
+            if quota is None:
+                quota = FleetQuota(organisation.rate_per_s, organisation.burst, now_s)
+                self.quotas[organisation.name] = quota
+            quota.set_limit(organisation.rate_per_s, organisation.burst, now_s)
+
+    def note_request(self, service: str, now_s: float) -> None:
+        """Count a caller's request to a service."""
+        self._retry_allowance(service).note_request(now_s)
 
     def take_retry(self, service: str, now_s: float) -> bool:
         """Take a second attempt at a service from the budget."""
-        return True
+        hosts = self._fleet.counted(now_s)
+        return self._retry_allowance(service).take(now_s, hosts)
+
+    def note_sent(self, upstream: Upstream, now_s: float) -> None:
+        """Count a request that is sent to an upstream."""
+        if self._is_cold(upstream, now_s):
+            self._pace.note_sent(upstream.instance, self._rate_of(upstream), now_s)
+
+    def note_unreachable(self, upstream: Upstream, now_s: float) -> None:
+        """Take an upstream as cold for when it comes back."""
+        self._suspect(upstream, now_s)
+
+    def note_zone_returned(self, zone: str, now_s: float) -> None:
+        """Take the upstreams of a zone that was empty as cold."""
+        for upstream in self._state.upstreams.by_instance.values():
+            if upstream.zone == zone:
+                self._suspect(upstream, now_s)
+
+    def note_upstream(
+        self, before: Upstream | None, after: Upstream | None, now_s: float
+    ) -> None:
+        """Learn from a change of an upstream's entry."""
+        if after is None:
+            if before is not None:
+                self._cold_until_s.pop(before.instance, None)
+                self._pace.forget(before.instance)
+            return
+        if after.warm_up_left_s > 0.0:
+            until_s = now_s + after.warm_up_left_s + WARM_UP_MARGIN_S
+            self._cold_until_s[after.instance] = until_s
+        if after.service not in self._state.rollouts:
+            self._learn_versions(after)
 
     def choose(
         self,
@@ -72,22 +167,85 @@
         -------
         Candidate or Refusal
         """
-        upstreams = [
+        allowed = [
             upstream
-            for upstream in self._state.upstreams.of_service(wanted.service)
-            if self._may_get_work(upstream)
+            for upstream in self._of_version(wanted, bool(tried))
+            if upstream.state is UpstreamState.READY
+            and upstream.zone not in self._state.evacuated_zones
         ]
+        upstreams = [u for u in allowed if self._may_send(u, now_s)]
         candidate = self._placement.choose(wanted, upstreams, tried, now_s)
         if candidate is None:
-            return Refusal(RefusalReason.POOL_EMPTY, retry_after_s=RETRY_ROOM_MAX_S)
+            reason = RefusalReason.POOL_BUSY if allowed else RefusalReason.POOL_EMPTY
+            return Refusal(reason, retry_after_s=RETRY_ROOM_MAX_S / 2)
         if candidate.least_s > left_s:
             late_s = candidate.least_s - left_s
             hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, late_s))
             return Refusal(RefusalReason.POOL_BUSY, retry_after_s=hint_s)
         return candidate
 
-    def _may_get_work(self, upstream: Upstream) -> bool:
-        return (
-            upstream.state is UpstreamState.READY
-            and upstream.zone not in self._state.evacuated_zones
+    def _of_version(
+        self, wanted: PlacementRequest, is_repeat: bool
+    ) -> tuple[Upstream, ...]:
+        upstreams = self._state.upstreams.of_service(wanted.service)
+        rollout = self._state.rollouts.get(wanted.service)
+        if rollout is None:
+            known = self._known_versions.get(wanted.service, set())
+            # A version that came without an order waits until it is the only one.
+            return tuple(u for u in upstreams if u.version in known) or upstreams
+        target = rollout.order.to_version
+        new = tuple(u for u in upstreams if u.version == target)
+        old = tuple(u for u in upstreams if u.version != target)
+        if rollout.outcome is RolloutOutcome.COMPLETED:
+            return new or old
+        if rollout.outcome is RolloutOutcome.ROLLED_BACK:
+            return old
+        # What failed at the new version is repeated at the old one.
+        if new and not (is_repeat and old) and rollout.gets_new(wanted.object_key):
+            return new
+        return old or new
+
+    def _may_send(self, upstream: Upstream, now_s: float) -> bool:
+        if not self._is_cold(upstream, now_s):
+            return True
+        live = [peer.record.name for peer in self._fleet.live(now_s)]
+        return self._pace.may_send(upstream.instance, live, now_s)
+
+    def _is_cold(self, upstream: Upstream, now_s: float) -> bool:
+        return now_s < self._cold_until_s.get(upstream.instance, -math.inf)
+
+    def _suspect(self, upstream: Upstream, now_s: float) -> None:
+        config = self._state.config
+        service = config.services.get(upstream.service) if config else None
+        if service is None or service.warm_up_s <= 0.0:
+            return
+        until_s = now_s + ENTRY_DELAY_S + service.warm_up_s
+        before_s = self._cold_until_s.get(upstream.instance, -math.inf)
+        self._cold_until_s[upstream.instance] = max(before_s, until_s)
+
+    def _rate_of(self, upstream: Upstream) -> WarmUpRate:
+        config = self._state.config
+        service = config.services.get(upstream.service) if config else None
+        per_s = service.warm_up_rate_per_s if service else 0.0
+        return WarmUpRate(
+            per_s, self._bounds.warm_up_overage, self._bounds.warm_up_slack
         )
+
+    def _learn_versions(self, upstream: Upstream) -> None:
+        known = self._known_versions.setdefault(upstream.service, set())
+        present = {
+            u.version for u in self._state.upstreams.of_service(upstream.service)
+        }
+        if not known & (present - {upstream.version}) or not self._state.is_loaded:
+            known.add(upstream.version)
+
+    def _retry_allowance(self, service: str) -> RetryAllowance:
+        allowance = self._retries.get(service)
+        if allowance is None:
+            allowance = self._retries[service] = RetryAllowance(
+                self._bounds.retry_ratio,
+                self._bounds.retry_minimum,
+                self._bounds.retry_window_s,
+                self._started_s,
+            )
+        return allowance
--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC
+from abc import abstractmethod
 from typing import TYPE_CHECKING
 
 from cardamomquay.platform import Unavailable
@@ -15,8 +17,6 @@
 from cardamomquay_daemon.edge._platform_feed import HistoryGone
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from cardamomquay.clock import Clock
     from cardamomquay.rollouts import RolloutOrder
     from cardamomquay.traffic import TrafficConfig
@@ -41,6 +41,26 @@
 LAPSED_ENTRIES_BACK_S = 2.2
 
 
+class FeedListener(ABC):
+    """Is told of what the feeds change."""
+
+    @abstractmethod
+    def on_config(self) -> None:
+        """Another configuration is in force."""
+
+    @abstractmethod
+    def on_upstream(self, before: Upstream | None, after: Upstream | None) -> None:
+        """An upstream was registered, changed or removed."""
+
+    @abstractmethod
+    def on_zone_returned(self, zone: str) -> None:
+        """An order to empty a zone was taken back."""
+
+    @abstractmethod
+    def on_rollout(self, service: str, order: RolloutOrder | None) -> None:
+        """An order to move a service came, or was removed."""
+
+
 class StoreFeeds:
     """Keeps the host's state in step with the store.
 
@@ -52,8 +72,7 @@
     telemetry : EdgeTelemetry
     heartbeat_s : float
         How often upstreams register again.
-    on_upstream : callable
-        Called with an upstream before and after each change.
+    listener : FeedListener
     """
 
     def __init__(
@@ -63,18 +82,17 @@
         clock: Clock,
         telemetry: EdgeTelemetry,
         heartbeat_s: float,
-        on_upstream: Callable[[Upstream | None, Upstream | None], None],
+        listener: FeedListener,
     ) -> None:
         self._platform = platform
         self._state = state
         self._clock = clock
         self._telemetry = telemetry
         self._heartbeat_s = heartbeat_s
-        self._on_upstream = on_upstream
+        self._listener = listener
         self._lost: dict[str, str] = {}
         self._returned_s = float("-inf")
         self._lapsed: set[str] = set()
-        self.on_rollout: Callable[[str, RolloutOrder | None], None] | None = None
 
     async def follow_operator(self) -> None:
         """Apply the operator's orders until cancelled."""
@@ -144,14 +162,10 @@
                 state.evacuated_zones.add(zone)
             else:
                 state.evacuated_zones.discard(zone)
+                self._listener.on_zone_returned(zone)
             self._telemetry.log(ZONE_EVACUATED, zone=zone, is_evacuated=is_evacuated)
         for service, order in changes.rollouts.items():
-            if order is None:
-                state.rollouts.pop(service, None)
-            else:
-                state.rollouts[service] = order
-            if self.on_rollout is not None:
-                self.on_rollout(service, order)
+            self._listener.on_rollout(service, order)
         state.config_seen_s = max(state.config_seen_s, began_s)
 
     def _apply_config(self, config: TrafficConfig) -> None:
@@ -162,6 +176,7 @@
             )
             return
         self._state.config = config
+        self._listener.on_config()
         self._telemetry.log(
             CONFIG_IN_FORCE,
             version=config.version,
@@ -200,7 +215,7 @@
             self._report(before, None)
 
     def _report(self, before: Upstream | None, after: Upstream | None) -> None:
-        self._on_upstream(before, after)
+        self._listener.on_upstream(before, after)
         shown = after or before
         assert shown is not None
         if (
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -27,9 +27,11 @@
 from cardamomquay_daemon.edge._events import STARTED
 from cardamomquay_daemon.edge._events import STOPPED
 from cardamomquay_daemon.edge._events import STOPPING
+from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
 from cardamomquay_daemon.edge._peers import Peers
 from cardamomquay_daemon.edge._relay import Relay
+from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_pool import UpstreamPool
 
@@ -39,6 +41,7 @@
     from collections.abc import Coroutine
     from typing import Any
 
+    from cardamomquay.rollouts import RolloutOrder
     from cardamomquay.traffic import Upstream
     from cardamomquay_daemon.edge._caller_conn import RequestHandler
     from cardamomquay_daemon.edge._dialect import Dialect
@@ -54,7 +57,7 @@
 BACKLOG = 512
 
 
-class EdgeHost:
+class EdgeHost(FeedListener):
     """All parts of one host.
 
     Parameters
@@ -91,7 +94,17 @@
             self._clock,
             telemetry,
             settings.heartbeat_s,
-            self._on_upstream,
+            self,
+        )
+        self._eligibility = Eligibility(
+            self._state,
+            self._placement,
+            self._fleet,
+            settings.bounds,
+            self._clock.now_s(),
+        )
+        self._rollouts = RolloutControl(
+            self._state, self._fleet, platform, self._clock, telemetry
         )
         self._peers = Peers(
             self._fleet,
@@ -99,10 +112,18 @@
             platform,
             self._clock,
             telemetry,
+            self._eligibility,
+            self._rollouts,
             int.from_bytes(os.urandom(4), "big"),
         )
         attempts = Attempts(
-            self._pool, self._placement, distances, dialect.headers, self._clock
+            self._pool,
+            self._placement,
+            distances,
+            dialect.headers,
+            self._clock,
+            self._eligibility,
+            self._state,
         )
         self._relay = Relay(
             self._state,
@@ -110,8 +131,9 @@
             dialect.headers,
             self._clock,
             attempts,
-            Eligibility(self._state, self._placement),
+            self._eligibility,
             telemetry,
+            self._peers.note_admitted,
         )
         self._connections: set[CallerConnection] = set()
         self._side_connections: set[CallerConnection] = set()
@@ -138,6 +160,7 @@
             self._exchange_reports(),
             self._background("operator feed", self._feeds.follow_operator()),
             self._background("upstream feed", self._feeds.follow_upstreams()),
+            self._background("roll-outs", self._rollouts.run()),
             self._background("housekeeping", self._keep_house()),
         ):
             self._telemetry.log(STARTED, zone=self._settings.zone, pid=os.getpid())
@@ -251,7 +274,17 @@
             limits.idle_timeout_s,
         )
 
-    def _on_upstream(self, before: Upstream | None, after: Upstream | None) -> None:
+    def on_config(self) -> None:
+        self._eligibility.note_config(self._clock.now_s())
+
+    def on_zone_returned(self, zone: str) -> None:
+        self._eligibility.note_zone_returned(zone, self._clock.now_s())
+
+    def on_rollout(self, service: str, order: RolloutOrder | None) -> None:
+        self._rollouts.note_order(service, order)
+
+    def on_upstream(self, before: Upstream | None, after: Upstream | None) -> None:
+        self._eligibility.note_upstream(before, after, self._clock.now_s())
         if before is None:
             return
         if after is None or after.address != before.address:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -20,6 +20,10 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay.rollouts import RolloutOutcome
+from cardamomquay.rollouts import RolloutView
+from cardamomquay.rollouts import Tally
+from cardamomquay.rollouts import VersionTallies
 from cardamomquay_daemon.edge._events import PEER_LOST
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
@@ -28,7 +32,9 @@
     from cardamomquay.clock import Clock
     from cardamomquay.fleet import FleetView
     from cardamomquay.fleet import Peer
+    from cardamomquay_daemon.edge._eligibility import Eligibility
     from cardamomquay_daemon.edge._platform_feed import PlatformFeed
+    from cardamomquay_daemon.edge._rollout_control import RolloutControl
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
@@ -39,6 +45,9 @@
 # The table of hosts is read again this often, beside what hosts tell of themselves.
 HOSTS_PERIOD_S = 15.0
 RETRY_S = 0.5
+# Least time between two reports that do not wait for the period. A report takes up to
+# 0.06 s between regions; more of them would not agree the quotas much better.
+URGENT_SPACING_S = 0.1
 
 
 class HostRow(msgspec.Struct):
@@ -51,6 +60,37 @@
     region: str
 
 
+class RolloutReport(msgspec.Struct, array_like=True):
+    """What a host tells of one roll-out; see `RolloutView`."""
+
+    service: str
+    revision: int
+    step: int
+    outcome: RolloutOutcome
+    new: tuple[int, int, int]
+    old: tuple[int, int, int]
+
+    @classmethod
+    def from_view(cls, view: RolloutView) -> RolloutReport:
+        """Return a view as it is sent."""
+        new, old = view.tallies.new, view.tallies.old
+        return cls(
+            view.service,
+            view.revision,
+            view.step,
+            view.outcome,
+            (new.answers, new.errors, new.slow),
+            (old.answers, old.errors, old.slow),
+        )
+
+    def to_view(self) -> RolloutView:
+        """Return the view that was sent."""
+        tallies = VersionTallies(Tally(*self.new), Tally(*self.old))
+        return RolloutView(
+            self.service, self.revision, self.step, self.outcome, tallies
+        )
+
+
 class Report(msgspec.Struct, array_like=True):
     """What one host tells another.
 
@@ -68,6 +108,10 @@
         Age of the proof that no newer version had been accepted; -1 without one.
     record : tuple or None
         Name and place of the sender, until the other host has answered.
+    usage : list of int
+        Index and running total of requests, in turn, of organisations in the order of
+        their names in the configuration of that version.
+    rollouts : list of RolloutReport
     """
 
     incarnation: int
@@ -77,6 +121,8 @@
     config_version: int
     evidence_ms: int
     record: tuple[str, str, int, str, str] | None = None
+    usage: list[int] = []
+    rollouts: list[RolloutReport] = []
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -89,6 +135,8 @@
     platform : PlatformFeed
     clock : Clock
     telemetry : EdgeTelemetry
+    eligibility : Eligibility
+    rollouts : RolloutControl
     incarnation : int
     """
 
@@ -99,8 +147,12 @@
         platform: PlatformFeed,
         clock: Clock,
         telemetry: EdgeTelemetry,
+        eligibility: Eligibility,
+        rollouts: RolloutControl,
         incarnation: int,
     ) -> None:
+        self._eligibility = eligibility
+        self._rollouts = rollouts
         self._fleet = fleet
         self._state = state
         self._platform = platform
@@ -113,6 +165,7 @@
         self._stamps: dict[str, int] = {}
         self._reported_s: dict[str, float] = {}
         self._live: set[str] = set()
+        self._urgent_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -149,8 +202,11 @@
         self._stamps[peer.record.name] = report.stamp
         if report.echo and report.evidence_ms >= 0:
             self._use_evidence(report)
+        self._use_usage(peer, report, now_s)
+        for rollout in report.rollouts:
+            self._rollouts.note_view(peer.record.name, rollout.to_view())
         if is_new:
-            self._send(peer, now_s)
+            self._send(peer, now_s, [], [])
 
     def _use_evidence(self, report: Report) -> None:
         config = self._state.config
@@ -161,6 +217,36 @@
         seen_s = (report.echo - report.evidence_ms) / 1000.0
         self._state.config_seen_s = max(self._state.config_seen_s, seen_s)
 
+    def _use_usage(self, peer: Peer, report: Report, now_s: float) -> None:
+        config = self._state.config
+        if config is None or config.version != report.config_version:
+            return
+        names = config.organisation_names
+        for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
+            quota = self._eligibility.quotas.get(names[index])
+            if quota is not None:
+                quota.note_peer(peer.record.name, total, now_s)
+
+    def _usage(self) -> list[int]:
+        config = self._state.config
+        usage: list[int] = []
+        for index, name in enumerate(config.organisation_names if config else ()):
+            quota = self._eligibility.quotas.get(name)
+            if quota is not None and quota.admitted:
+                usage += (index, quota.admitted)
+        return usage
+
+    def note_admitted(self, organisation: str) -> None:
+        """Report at once if other hosts should hear of an organisation's requests."""
+        quota = self._eligibility.quotas.get(organisation)
+        now_s = self._clock.now_s()
+        if quota is None or not quota.is_report_due:
+            return
+        if now_s - self._urgent_s < URGENT_SPACING_S:
+            return
+        self._urgent_s = now_s
+        self.report()
+
     async def run(self) -> None:
         """Register this host and report until cancelled."""
         await self._register()
@@ -176,15 +262,25 @@
     def report(self) -> None:
         """Report to all hosts that are due."""
         now_s = self._clock.now_s()
+        usage = self._usage()
+        rollouts = [
+            RolloutReport.from_view(rollout.view())
+            for rollout in self._state.rollouts.values()
+        ]
+        for quota in self._eligibility.quotas.values():
+            quota.note_reported()
         for peer in self._fleet.peers.values():
             is_live = peer.is_live(now_s)
             self._note_liveness(peer, is_live)
             due_s = self._reported_s.get(peer.record.name, float("-inf"))
             if is_live or now_s - due_s >= SILENT_PERIOD_S:
-                self._send(peer, now_s)
+                self._send(peer, now_s, usage, rollouts)
 
     def _note_liveness(self, peer: Peer, is_live: bool) -> None:
         name = peer.record.name
+        if not is_live and peer.is_gone(self._clock.now_s()):
+            for quota in self._eligibility.quotas.values():
+                quota.forget_peer(name)
         if is_live and name not in self._live:
             self._live.add(name)
             self._telemetry.log(PEER_REGAINED, peer=name, phase=peer.phase.name)
@@ -236,7 +332,13 @@
             self._by_address[(record.peer_ip, record.peer_port)] = peer
         return peer
 
-    def _send(self, peer: Peer, now_s: float) -> None:
+    def _send(
+        self,
+        peer: Peer,
+        now_s: float,
+        usage: list[int],
+        rollouts: list[RolloutReport],
+    ) -> None:
         if self._transport is None:
             return
         own = self._fleet.own
@@ -254,6 +356,8 @@
             None
             if knows_us
             else (own.name, own.caller_address, own.peer_port, own.zone, own.region),
+            usage,
+            rollouts,
         )
         self._reported_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_platform_feed.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_platform_feed.py
@@ -13,6 +13,7 @@
     from cardamomquay.platform import RowsRead
     from cardamomquay.platform import Transaction
     from cardamomquay.platform import Unavailable
+    from cardamomquay.platform import Write
     from cardamomquay.rollouts import RolloutOrder
     from cardamomquay.rollouts import RolloutOutcome
     from cardamomquay.traffic import TrafficConfig
@@ -107,7 +108,26 @@
         """Commit a transaction on tables of the system's own."""
 
     @abstractmethod
-    async def report_rollout(
-        self, service: str, to_version: str, outcome: RolloutOutcome
-    ) -> Committed | Unavailable:
-        """Tell the operator the state of a roll-out."""
+    async def commit_rollout(
+        self,
+        service: str,
+        to_version: str,
+        outcome: RolloutOutcome,
+        row: Write,
+        expected_version: int,
+    ) -> Committed | Conflicted | Unavailable:
+        """Store the state of a roll-out and tell the operator, both or neither.
+
+        Parameters
+        ----------
+        service, to_version : str
+        outcome : RolloutOutcome
+        row : Write
+            The system's own record.
+        expected_version : int
+            Version that the record must have; 0 if there must be none.
+
+        Returns
+        -------
+        Committed, Conflicted or Unavailable
+        """
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -26,6 +26,8 @@
 from cardamomquay_daemon.edge._headers import object_key
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomquay.clock import Clock
     from cardamomquay.placement import Candidate
     from cardamomquay.traffic import Organisation
@@ -43,6 +45,8 @@
 REVOKE_MARGIN_S = 0.5
 # With older evidence an unknown key or route may be one that was added since.
 UNKNOWN_EVIDENCE_S = 1.0
+# Upstreams that are tried one after the other while none can be reached.
+CONNECT_TRIES_MAX = 4
 RETRY_NOT_READY_S = 0.5
 RETRY_STALE_S = 0.5
 
@@ -73,6 +77,8 @@
     attempts : Attempts
     eligibility : Eligibility
     telemetry : EdgeTelemetry
+    on_admitted : callable
+        Told the organisation of each request that its quota admitted.
     """
 
     def __init__(
@@ -84,7 +90,9 @@
         attempts: Attempts,
         eligibility: Eligibility,
         telemetry: EdgeTelemetry,
+        on_admitted: Callable[[str], None],
     ) -> None:
+        self._on_admitted = on_admitted
         self._state = state
         self._bounds = bounds
         self._names = names
@@ -120,22 +128,25 @@
         context.service = self._splits.setdefault(route.name, SplitCounter()).choose(
             route
         )
-        failed: AttemptResult | None = None
+        candidate = self._choose(context)
+        if isinstance(candidate, Refusal):
+            return candidate
+        refusal = self._eligibility.admit(context.organisation, self._clock.now_s())
+        if refusal is not None:
+            return refusal
+        if context.organisation is not None:
+            self._on_admitted(context.organisation.name)
+        self._eligibility.note_request(context.service, self._clock.now_s())
         while True:
-            candidate = self._choose(context)
-            if isinstance(candidate, Refusal):
-                return failed if failed and failed.answer else candidate
-            if failed is not None and not self._may_repeat(context, failed, candidate):
-                break
-            result = await self._attempts.send(
-                candidate, context, self._is_current(context)
-            )
+            result = await self._attempts.send(candidate, context)
             if result.outcome is Outcome.ANSWERED:
                 return result
-            failed = result
-            if result.outcome is Outcome.TIMED_OUT:
-                break
-        return self._final_failure(failed)
+            successor = self._choose(context)
+            if isinstance(successor, Refusal) or not self._may_repeat(
+                context, result, successor
+            ):
+                return self._final_failure(context, result)
+            candidate = successor
 
     def _identify(self, context: RequestContext) -> Refusal | None:
         config = self._state.config
@@ -168,7 +179,7 @@
         waits_s = deadline_s(request, self._names)
         limit_s = route.timeout_s if waits_s is None else min(route.timeout_s, waits_s)
         context.final_at_s = request.received_s + limit_s
-        return self._eligibility.admit(context.organisation, self._clock.now_s())
+        return None
 
     def _stale(self) -> Refusal:
         return Refusal(RefusalReason.CONFIGURATION_STALE, retry_after_s=RETRY_STALE_S)
@@ -179,9 +190,6 @@
         age_s = self._clock.now_s() - self._state.config_seen_s
         return age_s < self._bounds.revoke_s - REVOKE_MARGIN_S
 
-    def _is_current(self, context: RequestContext) -> bool:
-        return context.organisation is None or self._is_fresh()
-
     def _choose(self, context: RequestContext) -> Candidate | Refusal:
         route = context.route
         assert route is not None
@@ -203,8 +211,12 @@
     ) -> bool:
         route = context.route
         assert route is not None
+        if failed.outcome is Outcome.TIMED_OUT:
+            return False
+        if context.organisation is not None and not self._is_fresh():
+            return False
         if failed.outcome is Outcome.NOT_SENT:
-            return True
+            return len(context.tries) < CONNECT_TRIES_MAX
         arrivals = sum(attempt.arrived for attempt in context.tries)
         if arrivals >= route.max_attempts:
             return False
@@ -217,18 +229,19 @@
         return self._eligibility.take_retry(context.service, self._clock.now_s())
 
     @staticmethod
-    def _final_failure(failed: AttemptResult | None) -> AttemptResult | Refusal:
-        if failed is None:
-            return Refusal(RefusalReason.POOL_EMPTY)
-        if failed.outcome is Outcome.TIMED_OUT:
+    def _final_failure(
+        context: RequestContext, last: AttemptResult
+    ) -> AttemptResult | Refusal:
+        if last.outcome is Outcome.FAILED:
+            return last
+        if last.outcome is Outcome.TIMED_OUT:
             return Refusal(RefusalReason.UPSTREAM_TIMEOUT)
-        if failed.outcome is Outcome.NOT_SENT:
+        # One attempt that may have run outweighs all that have not.
+        if any(attempt.may_have_run for attempt in context.tries):
+            return Refusal(RefusalReason.ANSWER_CUT)
+        if last.outcome is Outcome.NOT_SENT:
             return Refusal(RefusalReason.UPSTREAM_UNREACHABLE)
-        if failed.outcome is Outcome.NOT_RUN:
-            return Refusal(RefusalReason.POOL_BUSY, retry_after_s=failed.retry_after_s)
-        if failed.answer is not None:
-            return failed
-        return Refusal(RefusalReason.ANSWER_CUT)
+        return Refusal(RefusalReason.POOL_BUSY, retry_after_s=last.retry_after_s)
 
     def _to_caller(
         self, context: RequestContext, answer: AttemptResult | Refusal
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
@@ -0,0 +1,207 @@
+"""Carries roll-outs through: commits their outcomes and tells other hosts."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cardamomquay.fleet import HostPhase
+from cardamomquay.platform import Committed
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Unavailable
+from cardamomquay.platform import Write
+from cardamomquay.rollouts import Rollout
+from cardamomquay.rollouts import RolloutOutcome
+from cardamomquay_daemon.edge._events import ROLLOUT_CHANGED
+from cardamomquay_daemon.edge._events import ROW_REJECTED
+
+if TYPE_CHECKING:
+    from cardamomquay.clock import Clock
+    from cardamomquay.fleet import FleetView
+    from cardamomquay.rollouts import RolloutOrder
+    from cardamomquay.rollouts import RolloutView
+    from cardamomquay_daemon.edge._platform_feed import PlatformFeed
+    from cardamomquay_daemon.edge._state import HostState
+    from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
+
+ROLLOUTS_TABLE = "rollouts"
+DECISION_PERIOD_S = 0.2
+# Reports of other hosts tell an outcome at once; the rows are for hosts that hear
+# none, and for those that have just started.
+ROWS_PERIOD_S = 2.0
+# Requests on the old version end by their route's timeout; a little longer covers the
+# hosts that heard of the last step late.
+DRAIN_MARGIN_S = 0.5
+DRAIN_DEFAULT_S = 3.0
+
+
+class RolloutRow(msgspec.Struct):
+    """A row of the table of roll-outs; `revision` is that of the order."""
+
+    revision: int
+    outcome: RolloutOutcome
+
+
+class RolloutControl:
+    """Follows the orders of the operator.
+
+    Parameters
+    ----------
+    state : HostState
+    fleet : FleetView
+    platform : PlatformFeed
+    clock : Clock
+    telemetry : EdgeTelemetry
+    """
+
+    def __init__(
+        self,
+        state: HostState,
+        fleet: FleetView,
+        platform: PlatformFeed,
+        clock: Clock,
+        telemetry: EdgeTelemetry,
+    ) -> None:
+        self._state = state
+        self._fleet = fleet
+        self._platform = platform
+        self._clock = clock
+        self._telemetry = telemetry
+        self._has_orders = asyncio.Event()
+        self._rows_read_s = float("-inf")
+
+    def note_order(self, service: str, order: RolloutOrder | None) -> None:
+        """Take over an order, or forget one that was removed."""
+        if order is None:
+            self._state.rollouts.pop(service, None)
+            return
+        known = self._state.rollouts.get(service)
+        if known is not None and known.order.revision >= order.revision:
+            return
+        self._state.rollouts[service] = Rollout(
+            order, self._clock.now_s(), self._drain_s(service)
+        )
+        self._log(self._state.rollouts[service], "ordered")
+        self._rows_read_s = float("-inf")
+        self._has_orders.set()
+
+    def note_view(self, host: str, view: RolloutView) -> None:
+        """Take over what another host tells."""
+        rollout = self._state.rollouts.get(view.service)
+        if rollout is None:
+            return
+        before = (rollout.step, rollout.outcome)
+        rollout.note_peer(host, view, self._clock.now_s())
+        if (rollout.step, rollout.outcome) != before:
+            self._log(rollout, f"told by {host}")
+
+    async def run(self) -> None:
+        """Decide until cancelled."""
+        while True:
+            await self._has_orders.wait()
+            if not self._running():
+                self._has_orders.clear()
+                continue
+            now_s = self._clock.now_s()
+            if now_s - self._rows_read_s >= ROWS_PERIOD_S:
+                await self._read_rows()
+            for rollout in self._running():
+                await self._advance(rollout)
+            await asyncio.sleep(DECISION_PERIOD_S)
+
+    def _running(self) -> list[Rollout]:
+        return [
+            rollout
+            for rollout in self._state.rollouts.values()
+            if rollout.outcome is RolloutOutcome.RUNNING
+        ]
+
+    async def _advance(self, rollout: Rollout) -> None:
+        if not rollout.is_known:
+            return
+        is_controller = self._is_controller()
+        if is_controller and rollout.row_version == 0:
+            await self._commit(rollout, RolloutOutcome.RUNNING)
+        step = rollout.step
+        outcome = rollout.next_outcome(self._clock.now_s(), is_controller)
+        if rollout.step != step:
+            self._log(rollout, "step")
+        if outcome is RolloutOutcome.ROLLED_BACK:
+            # Nothing more is sent to a bad version while the outcome is committed.
+            rollout.is_withheld = True
+        if outcome is not RolloutOutcome.RUNNING:
+            await self._commit(rollout, outcome)
+
+    async def _commit(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
+        row = RolloutRow(rollout.order.revision, outcome)
+        key = RowKey(ROLLOUTS_TABLE, rollout.order.service)
+        written = await self._platform.commit_rollout(
+            rollout.order.service,
+            rollout.order.to_version,
+            outcome,
+            Write(key, msgspec.to_builtins(row)),
+            rollout.row_version,
+        )
+        if isinstance(written, Committed):
+            rollout.row_version = written.revision
+            rollout.outcome = outcome
+            self._log(rollout, "committed")
+            return
+        # Another host was first, or the answer was lost; the row tells.
+        await self._read_rows()
+
+    async def _read_rows(self) -> None:
+        read = await self._platform.scan(ROLLOUTS_TABLE)
+        if isinstance(read, Unavailable):
+            return
+        self._rows_read_s = self._clock.now_s()
+        rows = {row.key.key: row for row in read.rows}
+        for service, rollout in self._state.rollouts.items():
+            rollout.is_known = True
+            row = rows.get(service)
+            if row is None:
+                continue
+            rollout.row_version = row.version
+            try:
+                stored = msgspec.convert(row.value, RolloutRow)
+            except msgspec.ValidationError as exc:
+                self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
+                continue
+            if stored.revision != rollout.order.revision:
+                continue
+            if stored.outcome is not rollout.outcome:
+                rollout.outcome = stored.outcome
+                self._log(rollout, "stored")
+
+    def _is_controller(self) -> bool:
+        now_s = self._clock.now_s()
+        own = self._fleet.own.name
+        return self._fleet.own_phase is HostPhase.READY and not any(
+            peer.record.name < own and peer.phase is HostPhase.READY
+            for peer in self._fleet.live(now_s)
+        )
+
+    def _drain_s(self, service: str) -> float:
+        config = self._state.config
+        timeouts = [
+            route.timeout_s
+            for route in (config.routes if config else ())
+            if any(part.service == service for part in route.parts)
+        ]
+        return max(timeouts, default=DRAIN_DEFAULT_S) + DRAIN_MARGIN_S
+
+    def _log(self, rollout: Rollout, cause: str) -> None:
+        totals = rollout.totals()
+        self._telemetry.log(
+            ROLLOUT_CHANGED,
+            service=rollout.order.service,
+            to_version=rollout.order.to_version,
+            revision=rollout.order.revision,
+            cause=cause,
+            step=rollout.step,
+            outcome=str(rollout.outcome),
+            new=msgspec.to_builtins(totals.new),
+            old=msgspec.to_builtins(totals.old),
+        )
--- a/packages/daemon/src/cardamomquay_daemon/edge/_state.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_state.py
@@ -10,7 +10,7 @@
 from cardamomquay.traffic import UpstreamTable
 
 if TYPE_CHECKING:
-    from cardamomquay.rollouts import RolloutOrder
+    from cardamomquay.rollouts import Rollout
     from cardamomquay.traffic import TrafficConfig
 
 
@@ -29,7 +29,7 @@
     upstreams_seen_s : float
         Time of the latest read of the upstreams; minus infinity before the first.
     evacuated_zones : set of str
-    rollouts : dict of str to RolloutOrder
+    rollouts : dict of str to Rollout
         By service.
     is_stopping : bool
     """
@@ -39,7 +39,7 @@
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
     upstreams_seen_s: float = -math.inf
     evacuated_zones: set[str] = field(default_factory=set)
-    rollouts: dict[str, RolloutOrder] = field(default_factory=dict)
+    rollouts: dict[str, Rollout] = field(default_factory=dict)
     is_stopping: bool = False
 
     @property
