Rank one upstream near and one far for each object; widen quotas to their bounds

Change: the warm-up pace counts when an upstream is chosen; a stopping host takes requests for half of its grace; a quota's bucket uses what the bounds allow; each object ranks one upstream of the region and one elsewhere.

--- a/packages/core/src/cardamomquay/allowances/__init__.py
+++ b/packages/core/src/cardamomquay/allowances/__init__.py
@@ -3,8 +3,15 @@
 from __future__ import annotations
 
 from cardamomquay.allowances._fleet_quota import FleetQuota
+from cardamomquay.allowances._fleet_quota import QuotaBounds
 from cardamomquay.allowances._retry_allowance import RetryAllowance
 from cardamomquay.allowances._warm_up_pace import WarmUpPace
 from cardamomquay.allowances._warm_up_pace import WarmUpRate
 
-__all__ = ["FleetQuota", "RetryAllowance", "WarmUpPace", "WarmUpRate"]
+__all__ = [
+    "FleetQuota",
+    "QuotaBounds",
+    "RetryAllowance",
+    "WarmUpPace",
+    "WarmUpRate",
+]
--- a/packages/core/src/cardamomquay/allowances/_fleet_quota.py
+++ b/packages/core/src/cardamomquay/allowances/_fleet_quota.py
@@ -12,6 +12,10 @@
 from dataclasses import dataclass
 from dataclasses import field
 
+# Part of the slack that is left for requests that other hosts have not reported yet.
+RESERVED_SLACK_SHARE = 0.5
+# Part of a window's requests that may come at once; the rest is spread over it.
+BURST_SHARE = 0.15
 # Reports are due every second; a host that is silent for longer is charged its part.
 REPORT_DUE_S = 1.3
 # Unreported requests of one host after which it should report at once.
@@ -19,6 +23,35 @@
 REPORT_MIN = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaBounds:
+    """By how much the requests of any window may exceed the quota.
+
+    Parameters
+    ----------
+    window_s : float
+    overage : float
+        Share of the quota's requests in a window.
+    slack : float
+        Requests beyond that.
+    """
+
+    window_s: float
+    overage: float
+    slack: float
+
+    def bucket(self, rate_per_s: float, burst: float) -> tuple[float, float]:
+        """Return rate and size of the bucket that uses what the bounds allow.
+
+        A quota is a promise to the organisation, and the bounds are the promise to
+        its rivals; a request between the two is better served than refused.
+        """
+        allowed = (rate_per_s * self.window_s + burst) * (1.0 + self.overage)
+        allowed += (1.0 - RESERVED_SLACK_SHARE) * self.slack
+        size = max(burst, BURST_SHARE * allowed)
+        return max(rate_per_s, (allowed - size) / self.window_s), size
+
+
 @dataclass
 class _PeerUse:
     total: int
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -2,9 +2,11 @@
 
 Load pattern: a few dozen objects make up nearly all requests, an upstream that has
 handled an object lately works about a third as long on it, and cold work alone would
-exceed all slots. A fixed rank of the upstreams for each object, the same on every
-host, keeps each object on few upstreams; requests leave the first rank only where the
-expected latency elsewhere is lower even without the object at hand.
+exceed all slots; regions have unequal demand and unequal upstreams. A fixed rank of
+the upstreams for each object, the same on every host of a region, gives each object
+one upstream in the region and one elsewhere. The one elsewhere takes what the region
+has no room for, and is warm for it; requests leave both only where the expected
+latency is lower even without the object at hand.
 """
 
 from __future__ import annotations
@@ -24,13 +26,13 @@
     from cardamomquay.placement._distances import Distances
     from cardamomquay.traffic import Upstream
 
-# The upstream that ranks first for an object is taken as warm before it was seen.
-PRESUMED_WARM_RANKS = 1
 # Cost of a failure as a multiple of the objective: the time until it shows, and the
 # repeated request.
 FAULT_COST_OBJECTIVES = 2.0
 # Work varies by about 15%; an answer rarely takes less than this part of the mean.
 LEAST_WORK_SHARE = 0.8
+# Requests for each slot at which upstreams turn others away, typically.
+FULL_SLOTS = 4
 # Costs closer than this are equal; the rank decides between them.
 TIE_S = 0.02
 
@@ -148,27 +150,41 @@
             key=lambda u: rank_of(req.object_key, u.instance),
             reverse=True,
         )
+        near = [u for u in ranked if self._is_near(u)]
+        far = [u for u in ranked if not self._is_near(u)]
+        # Taken as warm before this host has seen it, since all hosts rank alike.
+        presumed = {u.instance for u in (*near[:1], *far[:1])}
         best: Candidate | None = None
-        for rank, upstream in enumerate(ranked):
-            candidate = self._candidate(req, upstream, rank, now_s)
+        for upstream in (*near, *far):
+            is_warm = bool(req.object_key) and upstream.instance in presumed
+            candidate = self._candidate(req, upstream, is_warm, now_s)
             if best is None or candidate.cost_s < best.cost_s - TIE_S:
                 best = candidate
         return best
 
+    def _is_near(self, upstream: Upstream) -> bool:
+        return self._distances.region_of.get(upstream.zone) == self._distances.region
+
     def _is_at_home(self, req: PlacementRequest, upstream: Upstream) -> bool:
         if not req.home_regions:
             return True
         return self._distances.region_of.get(upstream.zone) in req.home_regions
 
     def _candidate(
-        self, req: PlacementRequest, upstream: Upstream, rank: int, now_s: float
+        self,
+        req: PlacementRequest,
+        upstream: Upstream,
+        is_presumed_warm: bool,
+        now_s: float,
     ) -> Candidate:
         record = self.record(upstream)
         work = self.work_times(req.route, req.objective_s)
-        presumed = rank < PRESUMED_WARM_RANKS and bool(req.object_key)
-        is_warm = presumed or record.is_warm(req.object_key)
+        is_warm = is_presumed_warm or record.is_warm(req.object_key)
         slowness = record.current_slowness(now_s)
-        waiting = max(0.0, record.occupied(now_s) + 1.0 - record.slots)
+        occupied = record.occupied(now_s)
+        if now_s < record.full_until_s:
+            occupied = max(occupied, float(FULL_SLOTS * record.slots))
+        waiting = max(0.0, occupied + 1.0 - record.slots)
         queue_s = math.ceil(waiting) / record.slots * work.warm_s * slowness
         work_s = work.expected_s(is_warm) * slowness
         round_trip_s = self._distances.round_trip_s(upstream.zone)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -150,6 +150,7 @@
         )
         context.tries.append(attempt)
         record.in_flight += 1
+        self._eligibility.note_sent(upstream, self._clock.now_s())
         try:
             async with asyncio.timeout_at(context.final_at_s):
                 answer = await self._exchange(candidate, context, attempt)
@@ -188,7 +189,6 @@
                 headers=headers,
             )
             attempt.arrived = True
-            self._eligibility.note_sent(upstream, self._clock.now_s())
             request_id = context.request_id.encode("latin-1")
             marked = (self._names.request_id, request_id) if request_id else None
             answer = await conn.exchange(request, context.request.body, marked)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.allowances import FleetQuota
+from cardamomquay.allowances import QuotaBounds
 from cardamomquay.allowances import RetryAllowance
 from cardamomquay.allowances import WarmUpPace
 from cardamomquay.allowances import WarmUpRate
@@ -62,6 +63,9 @@
         self._bounds = bounds
         self._started_s = now_s
         self.quotas: dict[str, FleetQuota] = {}
+        self._quota_bounds = QuotaBounds(
+            bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
+        )
         self._retries: dict[str, RetryAllowance] = {}
         self._pace = WarmUpPace(fleet.own.name)
         self._cold_until_s: dict[str, float] = {}
@@ -82,10 +86,7 @@
         """
         if organisation is None or organisation.rate_per_s <= 0.0:
             return None
-        quota = self.quotas.get(organisation.name)
-        if quota is None:
-            quota = FleetQuota(organisation.rate_per_s, organisation.burst, now_s)
-            self.quotas[organisation.name] = quota
+        quota = self.quotas[organisation.name]
         if quota.admit(now_s, self._fleet.counted(now_s)):
             return None
         hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, quota.retry_after_s()))
@@ -100,11 +101,14 @@
             if organisation.rate_per_s <= 0.0:
                 self.quotas.pop(organisation.name, None)
                 continue
+            rate_per_s, size = self._quota_bounds.bucket(
+                organisation.rate_per_s, organisation.burst
+            )
             quota = self.quotas.get(organisation.name)
             if quota is None:
-                quota = FleetQuota(organisation.rate_per_s, organisation.burst, now_s)
+                quota = FleetQuota(rate_per_s, size, now_s)
                 self.quotas[organisation.name] = quota
-            quota.set_limit(organisation.rate_per_s, organisation.burst, now_s)
+            quota.set_limit(rate_per_s, size, now_s)
 
     def note_request(self, service: str, now_s: float) -> None:
         """Count a caller's request to a service."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -51,9 +51,12 @@
 
 # Pause between two looks at the phase, the log and the settings file.
 HOUSEKEEPING_S = 0.25
-# After a signal to stop, callers with old look-ups are served until this much of the
-# grace is left.
-STOP_RESERVE_S = 0.8
+# After a signal to stop, callers with old look-ups are served for this part of the
+# grace; the rest is for requests that run.
+STOP_ACCEPTING_SHARE = 0.5
+# Part of the grace after which the process ends whatever still runs.
+STOP_END_SHARE = 0.98
+STOP_POLL_S = 0.05
 BACKLOG = 512
 
 
@@ -136,9 +139,9 @@
             self._peers.note_admitted,
         )
         self._connections: set[CallerConnection] = set()
+        self._caller_server: asyncio.Server | None = None
         self._side_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
-        self._hang_up = asyncio.Event()
 
     async def run(self) -> None:
         """Serve until a signal to stop, then finish gracefully."""
@@ -177,11 +180,18 @@
         self._peers.report()
         busy = sum(conn.is_busy for conn in self._connections)
         self._telemetry.log(STOPPING, connections=len(self._connections), busy=busy)
-        until_s = loop.time() + self._settings.bounds.grace_s - STOP_RESERVE_S
-        while loop.time() < until_s:
-            await asyncio.sleep(HOUSEKEEPING_S)
-        for conn in tuple(self._connections):
-            conn.close_if_idle()
+        grace_s = self._settings.bounds.grace_s
+        began_s = loop.time()
+        while loop.time() < began_s + STOP_ACCEPTING_SHARE * grace_s:
+            await asyncio.sleep(STOP_POLL_S)
+        if self._caller_server is not None:
+            self._caller_server.close()
+        while loop.time() < began_s + STOP_END_SHARE * grace_s:
+            for conn in tuple(self._connections):
+                conn.close_if_idle()
+            if not self._connections:
+                break
+            await asyncio.sleep(STOP_POLL_S)
 
     @asynccontextmanager
     async def _listen(
@@ -206,6 +216,8 @@
             backlog=BACKLOG,
             reuse_address=True,
         )
+        if registry is self._connections:
+            self._caller_server = server
         try:
             yield
         finally:
