Send first requests for an object alone and tell other hosts what is warm

Change: while a first request is on its way, others for the object wait for it or are asked to come back; hosts report first requests and handled objects; upstreams of the own region weigh three times in the rank, over all regions.

--- a/packages/core/src/cardamomquay/placement/__init__.py
+++ b/packages/core/src/cardamomquay/placement/__init__.py
@@ -9,6 +9,7 @@
 from cardamomquay.placement._placement import Placement
 from cardamomquay.placement._placement import PlacementRequest
 from cardamomquay.placement._ranking import rank_of
+from cardamomquay.placement._ranking import token_of
 from cardamomquay.placement._work_times import WorkTimes
 
 __all__ = [
@@ -20,4 +21,5 @@
     "UpstreamRecord",
     "WorkTimes",
     "rank_of",
+    "token_of",
 ]
--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -9,6 +9,8 @@
 
 # Objects that an upstream is assumed to keep warm at the same time.
 WARM_OBJECTS_MAX = 20
+# A first request for an object that is this much overdue counts as lost.
+WARMING_OVERDUE_S = 0.3
 # A report of the load says little after about two typical requests.
 LOAD_MEMORY_S = 0.8
 # Failures and slowness fade so that an upstream is tried again by single requests.
@@ -51,7 +53,8 @@
     full_until_s: float = -math.inf
     _others: float = 0.0
     _load_seen_s: float = -math.inf
-    _warm: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _warm: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _warming: dict[int, float] = field(default_factory=dict)
 
     def occupied(self, now_s: float) -> float:
         """Return the requests believed to run or wait at the upstream."""
@@ -65,20 +68,53 @@
         self._others = max(0.0, total - self.in_flight)
         self._load_seen_s = now_s
 
-    def is_warm(self, key: str) -> bool:
-        """Tell whether this host saw the upstream handle an object lately."""
-        return key in self._warm
-
-    def note_handled(self, key: str, now_s: float) -> None:
-        """Remember that the upstream handled an object."""
-        self._warm[key] = now_s
-        self._warm.move_to_end(key)
+    def is_warm(self, token: int) -> bool:
+        """Tell whether the upstream is believed to have handled an object lately."""
+        return token in self._warm
+
+    def warm_at_s(self, token: int, now_s: float) -> float | None:
+        """Return when an object that is handled for the first time will be warm.
+
+        Returns
+        -------
+        float or None
+            None if no such request is on its way.
+        """
+        due_s = self._warming.get(token)
+        if due_s is None or due_s + WARMING_OVERDUE_S < now_s:
+            return None
+        return max(due_s, now_s)
+
+    def cold_runs(self, now_s: float) -> int:
+        """Return the requests for cold objects that are believed to run."""
+        return sum(due_s > now_s for due_s in self._warming.values())
+
+    def note_warming(self, token: int, due_s: float) -> None:
+        """Remember that a first request for an object is on its way."""
+        self._warming[token] = due_s
+
+    def note_not_warmed(self, token: int) -> None:
+        """Forget a first request that ended without an answer."""
+        self._warming.pop(token, None)
+
+    def note_handled(self, token: int) -> bool:
+        """Remember that the upstream handled an object; return whether it is news."""
+        is_new = token not in self._warm
+        self._warming.pop(token, None)
+        self._warm[token] = None
+        self._warm.move_to_end(token)
         while len(self._warm) > WARM_OBJECTS_MAX:
             self._warm.popitem(last=False)
+        return is_new
+
+    def note_cold(self, token: int) -> None:
+        """Forget an object that took as long as one that is new to the upstream."""
+        self._warm.pop(token, None)
 
     def forget_objects(self) -> None:
-        """Forget warm objects, after a restart of the upstream."""
+        """Forget all objects, after a restart of the upstream."""
         self._warm.clear()
+        self._warming.clear()
 
     def current_slowness(self, now_s: float) -> float:
         """Return the factor of the usual work time, drifting back to 1."""
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -2,21 +2,24 @@
 
 Load pattern: a few dozen objects make up nearly all requests, an upstream that has
 handled an object lately works about a third as long on it, and cold work alone would
-exceed all slots; regions have unequal demand and unequal upstreams. A fixed rank of
-the upstreams for each object, the same on every host of a region, gives each object
-one upstream in the region and one elsewhere. The one elsewhere takes what the region
-has no room for, and is warm for it; requests leave both only where the expected
-latency is lower even without the object at hand.
+exceed all slots. A fixed rank of the upstreams for each object, the same on all hosts
+of a region, keeps each object on few upstreams; requests leave them only where the
+expected latency elsewhere is lower even without the object at hand.
+
+While the first request for an object is on its way to an upstream, others for the
+same object wait for it or are asked to come back: sent along at once, each of them
+would occupy a slot for the time of cold work, and after the loss of a zone or in a
+roll-out all slots would be taken by work that ends at its timeout and warms nothing.
 """
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cardamomquay.placement._observations import UpstreamRecord
-from cardamomquay.placement._ranking import rank_of
+from cardamomquay.placement._ranking import token_of
+from cardamomquay.placement._ranking import weighted_rank
 from cardamomquay.placement._work_times import WorkTimes
 
 if TYPE_CHECKING:
@@ -26,6 +29,13 @@
     from cardamomquay.placement._distances import Distances
     from cardamomquay.traffic import Upstream
 
+# Weight of an upstream of the host's own region in the rank. Callers of a region ask
+# for objects of their own; with 3, more than half of the requests stay in the region
+# and the load of regions with unequal slots still differs by less than a tenth.
+OWN_REGION_WEIGHT = 3.0
+# Advantage of the first rank for an object that is warm nowhere: a little queue is
+# better than a second upstream that has to work on it cold.
+FIRST_RANK_S = 0.3
 # Cost of a failure as a multiple of the objective: the time until it shows, and the
 # repeated request.
 FAULT_COST_OBJECTIVES = 2.0
@@ -72,8 +82,10 @@
         Seconds that an answer takes at least; more than there is left means that the
         request cannot be served in time.
     cost_s : float
-        The same with faults and crossings weighed in; the least cost is chosen.
+        `finish_s` with faults and crossings weighed in; the least cost is chosen.
     is_warm : bool
+    wait_s : float
+        Seconds until another request has warmed the object; 0 to send at once.
     """
 
     upstream: Upstream
@@ -81,6 +93,7 @@
     least_s: float
     cost_s: float
     is_warm: bool
+    wait_s: float
 
 
 class Placement:
@@ -94,6 +107,7 @@
     def __init__(self, distances: Distances) -> None:
         self._distances = distances
         self._records: dict[str, UpstreamRecord] = {}
+        self._by_token: dict[int, UpstreamRecord] = {}
         self._work: dict[str, WorkTimes] = {}
 
     def record(self, upstream: Upstream) -> UpstreamRecord:
@@ -102,11 +116,17 @@
         if known is None:
             known = UpstreamRecord(slots=max(1, upstream.capacity))
             self._records[upstream.instance] = known
+            self._by_token[token_of(upstream.instance)] = known
         return known
 
+    def record_of_token(self, token: int) -> UpstreamRecord | None:
+        """Return the record of an upstream that another host names."""
+        return self._by_token.get(token)
+
     def forget(self, instance: str) -> None:
         """Forget an upstream that is gone."""
         self._records.pop(instance, None)
+        self._by_token.pop(token_of(instance), None)
 
     def work_times(self, route: str, objective_s: float) -> WorkTimes:
         """Return the work times of a route, made on first use."""
@@ -146,54 +166,65 @@
         usable = [u for u in allowed if self.record(u).ejected_until_s <= now_s]
         # With all of them ejected, the fault is likely nearer to this host.
         ranked = sorted(
-            usable or allowed,
-            key=lambda u: rank_of(req.object_key, u.instance),
-            reverse=True,
+            usable or allowed, key=lambda u: self._rank(req, u), reverse=True
         )
-        near = [u for u in ranked if self._is_near(u)]
-        far = [u for u in ranked if not self._is_near(u)]
-        # Taken as warm before this host has seen it, since all hosts rank alike.
-        presumed = {u.instance for u in (*near[:1], *far[:1])}
         best: Candidate | None = None
-        for upstream in (*near, *far):
-            is_warm = bool(req.object_key) and upstream.instance in presumed
-            candidate = self._candidate(req, upstream, is_warm, now_s)
+        for rank, upstream in enumerate(ranked):
+            candidate = self._candidate(req, upstream, rank, now_s)
             if best is None or candidate.cost_s < best.cost_s - TIE_S:
                 best = candidate
         return best
 
-    def _is_near(self, upstream: Upstream) -> bool:
-        return self._distances.region_of.get(upstream.zone) == self._distances.region
+    def _rank(self, req: PlacementRequest, upstream: Upstream) -> float:
+        is_near = self._region(upstream) == self._distances.region
+        weight = OWN_REGION_WEIGHT if is_near else 1.0
+        return weighted_rank(req.object_key, upstream.instance, weight)
+
+    def _region(self, upstream: Upstream) -> str | None:
+        return self._distances.region_of.get(upstream.zone)
 
     def _is_at_home(self, req: PlacementRequest, upstream: Upstream) -> bool:
-        if not req.home_regions:
-            return True
-        return self._distances.region_of.get(upstream.zone) in req.home_regions
+        return not req.home_regions or self._region(upstream) in req.home_regions
 
     def _candidate(
-        self,
-        req: PlacementRequest,
-        upstream: Upstream,
-        is_presumed_warm: bool,
-        now_s: float,
+        self, req: PlacementRequest, upstream: Upstream, rank: int, now_s: float
     ) -> Candidate:
         record = self.record(upstream)
         work = self.work_times(req.route, req.objective_s)
-        is_warm = is_presumed_warm or record.is_warm(req.object_key)
         slowness = record.current_slowness(now_s)
-        occupied = record.occupied(now_s)
-        if now_s < record.full_until_s:
-            occupied = max(occupied, float(FULL_SLOTS * record.slots))
-        waiting = max(0.0, occupied + 1.0 - record.slots)
-        queue_s = math.ceil(waiting) / record.slots * work.warm_s * slowness
+        is_warm = False
+        wait_s = 0.0
+        if req.object_key:
+            token = token_of(req.object_key)
+            is_warm = record.is_warm(token)
+            warm_at_s = None if is_warm else record.warm_at_s(token, now_s)
+            if warm_at_s is not None:
+                is_warm = True
+                wait_s = warm_at_s - now_s
+        queue_s = self._queue_s(record, work, slowness, now_s)
         work_s = work.expected_s(is_warm) * slowness
         round_trip_s = self._distances.round_trip_s(upstream.zone)
-        finish_s = queue_s + work_s + round_trip_s
+        finish_s = max(wait_s, queue_s) + work_s + round_trip_s
         least_work_s = LEAST_WORK_SHARE * work_s if work.is_measured else 0.0
-        least_s = queue_s + least_work_s + round_trip_s
-        fault_s = (
-            record.current_fault_rate(now_s) * FAULT_COST_OBJECTIVES * req.objective_s
-        )
-        crossing_s = self._distances.cost_s(upstream.zone)
-        cost_s = queue_s + work_s + crossing_s + fault_s
-        return Candidate(upstream, finish_s, least_s, cost_s, is_warm)
+        least_s = max(wait_s, queue_s) + least_work_s + round_trip_s
+        crossing_s = self._distances.cost_s(upstream.zone) - round_trip_s
+        fault_rate = record.current_fault_rate(now_s)
+        fault_s = fault_rate * FAULT_COST_OBJECTIVES * req.objective_s
+        cost_s = finish_s + crossing_s + fault_s
+        if rank > 0 and not is_warm:
+            cost_s += FIRST_RANK_S
+        return Candidate(upstream, finish_s, least_s, cost_s, is_warm, wait_s)
+
+    @staticmethod
+    def _queue_s(
+        record: UpstreamRecord, work: WorkTimes, slowness: float, now_s: float
+    ) -> float:
+        occupied = record.occupied(now_s)
+        if now_s < record.full_until_s:
+            occupied = max(occupied, float(FULL_SLOTS * record.slots))
+        waiting = occupied + 1.0 - record.slots
+        if waiting <= 0.0:
+            return 0.0
+        cold_share = min(1.0, record.cold_runs(now_s) / max(1.0, occupied))
+        mean_s = work.warm_s + cold_share * (work.cold_s - work.warm_s)
+        return waiting / record.slots * mean_s * slowness
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from cardamomquay.placement import token_of
 from cardamomquay_daemon.edge._headers import load_report
 from cardamomquay_daemon.edge._headers import request_headers
 from cardamomquay_daemon.edge._http_client import ExchangeError
@@ -26,6 +27,7 @@
     from cardamomquay_daemon.edge._relay import RequestContext
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._upstream_pool import UpstreamPool
+    from cardamomquay_daemon.edge._warmth import WarmthNews
 
 MISDIRECTED = 421
 SERVER_ERROR = 500
@@ -103,6 +105,7 @@
     clock : Clock
     eligibility : Eligibility
     state : HostState
+    warmth : WarmthNews
     """
 
     def __init__(
@@ -114,7 +117,9 @@
         clock: Clock,
         eligibility: Eligibility,
         state: HostState,
+        warmth: WarmthNews,
     ) -> None:
+        self._warmth = warmth
         self._eligibility = eligibility
         self._state = state
         self._pool = pool
@@ -150,6 +155,11 @@
         )
         context.tries.append(attempt)
         record.in_flight += 1
+        token = token_of(context.object_key) if context.object_key else None
+        if token is not None and not candidate.is_warm:
+            self._warmth.note_warming(
+                record, upstream.instance, token, candidate.finish_s
+            )
         self._eligibility.note_sent(upstream, self._clock.now_s())
         try:
             async with asyncio.timeout_at(context.final_at_s):
@@ -167,6 +177,8 @@
         finally:
             record.in_flight -= 1
             attempt.took_s = loop.time() - attempt.began_s
+            if token is not None:
+                record.note_not_warmed(token)
         attempt.outcome = result.outcome
         self._learn(candidate, context, record, attempt, result)
         return result
@@ -269,9 +281,13 @@
         work_s = attempt.took_s - self._distances.round_trip_s(upstream.zone)
         times = self._placement.work_times(route.name, route.objective_s)
         did_wait = attempt.occupied >= record.slots
+        was_warm = times.looks_warm(work_s / record.current_slowness(now_s))
         if not did_wait:
-            was_warm = times.looks_warm(work_s / record.current_slowness(now_s))
             times.observe(was_warm, work_s)
             record.note_speed(work_s / times.expected_s(candidate.is_warm), now_s)
         if context.object_key:
-            record.note_handled(context.object_key, now_s)
+            token = token_of(context.object_key)
+            if candidate.is_warm and not did_wait and not was_warm:
+                # The upstream has lost the object; this request brought it back.
+                record.note_cold(token)
+            self._warmth.note_handled(record, upstream.instance, token)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -34,6 +34,7 @@
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_pool import UpstreamPool
+from cardamomquay_daemon.edge._warmth import WarmthNews
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -50,7 +51,7 @@
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
 # Pause between two looks at the phase, the log and the settings file.
-HOUSEKEEPING_S = 0.25
+HOUSEKEEPING_S = 0.1
 # After a signal to stop, callers with old look-ups are served for this part of the
 # grace; the rest is for requests that run.
 STOP_ACCEPTING_SHARE = 0.5
@@ -106,6 +107,7 @@
             settings.bounds,
             self._clock.now_s(),
         )
+        self._warmth = WarmthNews(self._placement, self._clock)
         self._rollouts = RolloutControl(
             self._state, self._fleet, platform, self._clock, telemetry
         )
@@ -117,6 +119,7 @@
             telemetry,
             self._eligibility,
             self._rollouts,
+            self._warmth,
             int.from_bytes(os.urandom(4), "big"),
         )
         attempts = Attempts(
@@ -127,6 +130,7 @@
             self._clock,
             self._eligibility,
             self._state,
+            self._warmth,
         )
         self._relay = Relay(
             self._state,
@@ -265,6 +269,8 @@
             elif self._state.is_loaded:
                 self._fleet.own_phase = HostPhase.READY
             self._telemetry.flush()
+            if self._warmth.is_due:
+                self._peers.report_soon()
             await asyncio.sleep(HOUSEKEEPING_S)
 
     def _reload_settings(self) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -9,6 +9,8 @@
 
 import asyncio
 from contextlib import suppress
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -37,6 +39,7 @@
     from cardamomquay_daemon.edge._rollout_control import RolloutControl
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
+    from cardamomquay_daemon.edge._warmth import WarmthNews
 
 HOSTS_TABLE = "hosts"
 REPORT_PERIOD_S = 1.0
@@ -112,6 +115,8 @@
         Index and running total of requests, in turn, of organisations in the order of
         their names in the configuration of that version.
     rollouts : list of RolloutReport
+    handled, warming : list of int
+        News of warm objects; see `WarmthNews`.
     """
 
     incarnation: int
@@ -123,6 +128,18 @@
     record: tuple[str, str, int, str, str] | None = None
     usage: list[int] = []
     rollouts: list[RolloutReport] = []
+    handled: list[int] = []
+    warming: list[int] = []
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """The parts of a report that are the same for all hosts."""
+
+    usage: list[int] = field(default_factory=list)
+    rollouts: list[RolloutReport] = field(default_factory=list)
+    handled: list[int] = field(default_factory=list)
+    warming: list[int] = field(default_factory=list)
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -137,6 +154,7 @@
     telemetry : EdgeTelemetry
     eligibility : Eligibility
     rollouts : RolloutControl
+    warmth : WarmthNews
     incarnation : int
     """
 
@@ -149,8 +167,10 @@
         telemetry: EdgeTelemetry,
         eligibility: Eligibility,
         rollouts: RolloutControl,
+        warmth: WarmthNews,
         incarnation: int,
     ) -> None:
+        self._warmth = warmth
         self._eligibility = eligibility
         self._rollouts = rollouts
         self._fleet = fleet
@@ -203,10 +223,11 @@
         if report.echo and report.evidence_ms >= 0:
             self._use_evidence(report)
         self._use_usage(peer, report, now_s)
+        self._warmth.apply(report.handled, report.warming)
         for rollout in report.rollouts:
             self._rollouts.note_view(peer.record.name, rollout.to_view())
         if is_new:
-            self._send(peer, now_s, [], [])
+            self._send(peer, now_s, News())
 
     def _use_evidence(self, report: Report) -> None:
         config = self._state.config
@@ -239,9 +260,12 @@
     def note_admitted(self, organisation: str) -> None:
         """Report at once if other hosts should hear of an organisation's requests."""
         quota = self._eligibility.quotas.get(organisation)
+        if quota is not None and quota.is_report_due:
+            self.report_soon()
+
+    def report_soon(self) -> None:
+        """Report unless that was done a moment ago."""
         now_s = self._clock.now_s()
-        if quota is None or not quota.is_report_due:
-            return
         if now_s - self._urgent_s < URGENT_SPACING_S:
             return
         self._urgent_s = now_s
@@ -267,6 +291,8 @@
             RolloutReport.from_view(rollout.view())
             for rollout in self._state.rollouts.values()
         ]
+        handled, warming = self._warmth.take()
+        news = News(usage, rollouts, handled, warming)
         for quota in self._eligibility.quotas.values():
             quota.note_reported()
         for peer in self._fleet.peers.values():
@@ -274,7 +300,7 @@
             self._note_liveness(peer, is_live)
             due_s = self._reported_s.get(peer.record.name, float("-inf"))
             if is_live or now_s - due_s >= SILENT_PERIOD_S:
-                self._send(peer, now_s, usage, rollouts)
+                self._send(peer, now_s, news)
 
     def _note_liveness(self, peer: Peer, is_live: bool) -> None:
         name = peer.record.name
@@ -336,8 +362,7 @@
         self,
         peer: Peer,
         now_s: float,
-        usage: list[int],
-        rollouts: list[RolloutReport],
+        news: News,
     ) -> None:
         if self._transport is None:
             return
@@ -356,8 +381,10 @@
             None
             if knows_us
             else (own.name, own.caller_address, own.peer_port, own.zone, own.region),
-            usage,
-            rollouts,
+            news.usage,
+            news.rollouts,
+            news.handled,
+            news.warming,
         )
         self._reported_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -47,6 +47,8 @@
 UNKNOWN_EVIDENCE_S = 1.0
 # Upstreams that are tried one after the other while none can be reached.
 CONNECT_TRIES_MAX = 4
+# Pause between two looks whether an object has become warm.
+WARM_POLL_S = 0.05
 RETRY_NOT_READY_S = 0.5
 RETRY_STALE_S = 0.5
 
@@ -128,7 +130,7 @@
         context.service = self._splits.setdefault(route.name, SplitCounter()).choose(
             route
         )
-        candidate = self._choose(context)
+        candidate = await self._choose_warm(context)
         if isinstance(candidate, Refusal):
             return candidate
         refusal = self._eligibility.admit(context.organisation, self._clock.now_s())
@@ -141,7 +143,7 @@
             result = await self._attempts.send(candidate, context)
             if result.outcome is Outcome.ANSWERED:
                 return result
-            successor = self._choose(context)
+            successor = await self._choose_warm(context)
             if isinstance(successor, Refusal) or not self._may_repeat(
                 context, result, successor
             ):
@@ -190,6 +192,14 @@
         age_s = self._clock.now_s() - self._state.config_seen_s
         return age_s < self._bounds.revoke_s - REVOKE_MARGIN_S
 
+    async def _choose_warm(self, context: RequestContext) -> Candidate | Refusal:
+        """Choose, and wait while another request warms the object there."""
+        while True:
+            candidate = self._choose(context)
+            if isinstance(candidate, Refusal) or candidate.wait_s <= 0.0:
+                return candidate
+            await asyncio.sleep(min(candidate.wait_s, WARM_POLL_S))
+
     def _choose(self, context: RequestContext) -> Candidate | Refusal:
         route = context.route
         assert route is not None
