Let the reported load fade slowly and fill joined upstreams object by object

Change: a reported load fades over 2.5 s and counts the first requests that other hosts have told; a first-ranked upstream with few objects gets one at a time; a refusal names the time at which the object is warm; a shed by an upstream with free slots counts as a fault, not as a full queue.

--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -11,8 +11,9 @@
 WARM_OBJECTS_MAX = 20
 # A first request for an object that is this much overdue counts as lost.
 WARMING_OVERDUE_S = 0.3
-# A report of the load says little after about two typical requests.
-LOAD_MEMORY_S = 0.8
+# A reported load fades only slowly: others keep sending at the rate they had, and an
+# upstream taken for idle too soon gets the requests of all hosts at once.
+LOAD_MEMORY_S = 2.5
 # Failures and slowness fade so that an upstream is tried again by single requests.
 FAULT_MEMORY_S = 4.0
 SLOWNESS_LEARNING_RATE = 0.3
@@ -55,11 +56,14 @@
     _load_seen_s: float = -math.inf
     _warm: OrderedDict[int, None] = field(default_factory=OrderedDict)
     _warming: dict[int, float] = field(default_factory=dict)
+    _warming_elsewhere: dict[int, float] = field(default_factory=dict)
 
     def occupied(self, now_s: float) -> float:
         """Return the requests believed to run or wait at the upstream."""
         age_s = now_s - self._load_seen_s
-        return self.in_flight + self._others * math.exp(-age_s / LOAD_MEMORY_S)
+        reported = self._others * math.exp(-age_s / LOAD_MEMORY_S)
+        told = sum(due_s > now_s for due_s in self._warming_elsewhere.values())
+        return self.in_flight + max(reported, told)
 
     def note_load(self, report: LoadReport, now_s: float) -> None:
         """Learn from the load that an answer states; `in_flight` excludes it."""
@@ -80,19 +84,30 @@
         float or None
             None if no such request is on its way.
         """
-        due_s = self._warming.get(token)
+        due_s = self._warming.get(token, self._warming_elsewhere.get(token))
         if due_s is None or due_s + WARMING_OVERDUE_S < now_s:
             return None
         return max(due_s, now_s)
 
     def cold_runs(self, now_s: float) -> int:
         """Return the requests for cold objects that are believed to run."""
-        return sum(due_s > now_s for due_s in self._warming.values())
+        own = sum(due_s > now_s for due_s in self._warming.values())
+        told = sum(due_s > now_s for due_s in self._warming_elsewhere.values())
+        return own + told
+
+    @property
+    def warm_count(self) -> int:
+        """Number of objects that the upstream is believed to have at hand."""
+        return len(self._warm) + len(self._warming) + len(self._warming_elsewhere)
 
     def note_warming(self, token: int, due_s: float) -> None:
         """Remember that a first request for an object is on its way."""
         self._warming[token] = due_s
 
+    def note_warming_elsewhere(self, token: int, due_s: float) -> None:
+        """Remember a first request that another host has sent."""
+        self._warming_elsewhere[token] = due_s
+
     def note_not_warmed(self, token: int) -> None:
         """Forget a first request that ended without an answer."""
         self._warming.pop(token, None)
@@ -101,6 +116,7 @@
         """Remember that the upstream handled an object; return whether it is news."""
         is_new = token not in self._warm
         self._warming.pop(token, None)
+        self._warming_elsewhere.pop(token, None)
         self._warm[token] = None
         self._warm.move_to_end(token)
         while len(self._warm) > WARM_OBJECTS_MAX:
@@ -115,6 +131,7 @@
         """Forget all objects, after a restart of the upstream."""
         self._warm.clear()
         self._warming.clear()
+        self._warming_elsewhere.clear()
 
     def current_slowness(self, now_s: float) -> float:
         """Return the factor of the usual work time, drifting back to 1."""
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -41,6 +41,8 @@
 FAULT_COST_OBJECTIVES = 2.0
 # Work varies by about 15%; an answer rarely takes less than this part of the mean.
 LEAST_WORK_SHARE = 0.8
+# An upstream with less than this part of the mean number of objects is filled up.
+JOINED_SHARE = 0.35
 # Requests for each slot at which upstreams turn others away, typically.
 FULL_SLOTS = 4
 # Costs closer than this are equal; the rank decides between them.
@@ -169,12 +171,26 @@
             usable or allowed, key=lambda u: self._rank(req, u), reverse=True
         )
         best: Candidate | None = None
+        if ranked and self._is_owed_objects(ranked, now_s):
+            return self._candidate(req, ranked[0], 0, now_s)
         for rank, upstream in enumerate(ranked):
             candidate = self._candidate(req, upstream, rank, now_s)
             if best is None or candidate.cost_s < best.cost_s - TIE_S:
                 best = candidate
         return best
 
+    def _is_owed_objects(self, ranked: list[Upstream], now_s: float) -> bool:
+        """Tell whether the first upstream should get an object that is warm elsewhere.
+
+        An upstream that has joined gets the objects that it ranks first for one by
+        one; otherwise those that are warm elsewhere would stay there for good.
+        """
+        first = self.record(ranked[0])
+        if first.in_flight > 0 or first.cold_runs(now_s) > 0:
+            return False
+        counts = [self.record(upstream).warm_count for upstream in ranked]
+        return first.warm_count < JOINED_SHARE * sum(counts) / len(counts)
+
     def _rank(self, req: PlacementRequest, upstream: Upstream) -> float:
         is_near = self._region(upstream) == self._distances.region
         weight = OWN_REGION_WEIGHT if is_near else 1.0
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -20,6 +20,7 @@
     from cardamomquay.clock import Clock
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import Distances
+    from cardamomquay.placement import LoadReport
     from cardamomquay.placement import Placement
     from cardamomquay.placement import UpstreamRecord
     from cardamomquay_daemon.edge._eligibility import Eligibility
@@ -232,6 +233,7 @@
     ) -> None:
         now_s = self._clock.now_s()
         self._tally(candidate, attempt, result)
+        report: LoadReport | None = None
         if result.answer is not None:
             report = load_report(result.answer.header(self._names.load))
             if report is not None:
@@ -243,8 +245,12 @@
             record.note_unreachable(now_s)
             self._eligibility.note_unreachable(candidate.upstream, now_s)
         elif result.outcome is Outcome.NOT_RUN:
-            record.full_until_s = now_s + FULL_S
-            record.note_fault(now_s)
+            is_full = report is None or report.running >= report.slots
+            if is_full:
+                record.full_until_s = now_s + FULL_S
+            else:
+                # It turns requests away with slots free.
+                record.note_fault(now_s)
         elif result.outcome is Outcome.TIMED_OUT:
             record.note_unreachable(now_s)
         else:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -29,7 +29,7 @@
 
 # Least and most time after which callers that found no room are asked to come back.
 RETRY_ROOM_MIN_S = 0.2
-RETRY_ROOM_MAX_S = 2.0
+RETRY_ROOM_MAX_S = 2.5
 # An entry states the rest of a warm-up; it is that of its last heartbeat.
 WARM_UP_MARGIN_S = 0.5
 # After this time without an answer or an entry, an upstream may have been replaced by
@@ -183,7 +183,7 @@
             reason = RefusalReason.POOL_BUSY if allowed else RefusalReason.POOL_EMPTY
             return Refusal(reason, retry_after_s=RETRY_ROOM_MAX_S / 2)
         if candidate.least_s > left_s:
-            late_s = candidate.least_s - left_s
+            late_s = max(candidate.wait_s, candidate.least_s - left_s)
             hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, late_s))
             return Refusal(RefusalReason.POOL_BUSY, retry_after_s=hint_s)
         return candidate
--- a/packages/daemon/src/cardamomquay_daemon/edge/_warmth.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_warmth.py
@@ -77,7 +77,7 @@
         ):
             record = self._placement.record_of_token(upstream)
             if record is not None and not record.is_warm(token):
-                record.note_warming(token, now_s + left_ms / 1000.0)
+                record.note_warming_elsewhere(token, now_s + left_ms / 1000.0)
         for upstream, token in zip(handled[::2], handled[1::2], strict=False):
             record = self._placement.record_of_token(upstream)
             if record is not None:
