--- a/packages/core/src/cardamomquay/allowances/_fleet_quota.py
+++ b/packages/core/src/cardamomquay/allowances/_fleet_quota.py
@@ -102,7 +102,10 @@
         """
         self._refill(now_s)
         self._charge_silent(now_s, hosts)
-        if self._level < 1.0:
+        # Hosts under the same load have as many requests unreported as this one, and
+        # each of them sees the tokens that are refilled meanwhile.
+        unreported = (hosts - 1) * (self.admitted - self._reported)
+        if self._level - unreported < 1.0:
             return False
         self._level -= 1.0
         self.admitted += 1
--- /dev/null
+++ b/packages/core/tests/allowances/test_second_attempts.py
@@ -0,0 +1,38 @@
+"""Load pattern: most upstreams of a service turn requests away at the same time."""
+
+from __future__ import annotations
+
+import unittest
+
+from cardamomquay.allowances import RetryAllowance
+
+RATIO = 0.2
+MINIMUM = 56.0
+WINDOW_S = 10.0
+HOSTS = 8
+
+
+class SheddingServiceTest(unittest.TestCase):
+    """Guards against second attempts beyond the budget of the whole fleet."""
+
+    def test_sum_over_hosts_stays_within_the_budget(self) -> None:
+        hosts = [RetryAllowance(RATIO, MINIMUM, WINDOW_S, 0.0) for _ in range(HOSTS)]
+        requests: list[float] = []
+        retries: list[float] = []
+        for step in range(3000):
+            now_s = step * 0.01
+            host = hosts[step % HOSTS]
+            host.note_request(now_s)
+            requests.append(now_s)
+            if host.take(now_s, HOSTS):
+                retries.append(now_s)
+        for end_s in range(10, 31):
+            within = [r for r in retries if end_s - WINDOW_S < r <= end_s]
+            asked = [r for r in requests if end_s - WINDOW_S < r <= end_s]
+            self.assertLessEqual(len(within), RATIO * len(asked) + MINIMUM)
+        self.assertGreater(len(retries), 0)
+
+    def test_a_restart_does_not_renew_the_fixed_part(self) -> None:
+        host = RetryAllowance(RATIO, MINIMUM, WINDOW_S, 100.0)
+        self.assertFalse(host.take(100.1, 1))
+        self.assertTrue(host.take(105.0, 1))
--- /dev/null
+++ b/packages/core/tests/placement/test_choice.py
@@ -0,0 +1,174 @@
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from placement.load_model import REGION_OF
+from placement.load_model import upstream
+
+from cardamomquay.placement import Candidate
+from cardamomquay.placement import Distances
+from cardamomquay.placement import LoadReport
+from cardamomquay.placement import Placement
+from cardamomquay.placement import PlacementRequest
+from cardamomquay.placement import token_of
+
+if TYPE_CHECKING:
+    from cardamomquay.traffic import Upstream
+
+UPSTREAMS = [upstream(n, zone) for n, zone in enumerate("aabbbbcccccc")]
+
+
+def request(key: str, homes: frozenset[str] = frozenset()) -> PlacementRequest:
+    return PlacementRequest("r", "browse", key, 0.6, homes)
+
+
+class ChoiceTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.placement = Placement(Distances("a", REGION_OF))
+
+    def choose(
+        self, key: str, now_s: float = 0.0, upstreams: list[Upstream] | None = None
+    ) -> Candidate:
+        chosen = self.placement.choose(
+            request(key), UPSTREAMS if upstreams is None else upstreams, (), now_s
+        )
+        assert chosen is not None
+        return chosen
+
+    def warm(self, number: int, *keys: str) -> None:
+        for key in keys:
+            self.placement.record(UPSTREAMS[number]).note_handled(token_of(key))
+
+
+class AffinityTest(ChoiceTest):
+    """Guards against objects that are worked on cold although they are warm."""
+
+    def test_hosts_of_a_region_rank_alike(self) -> None:
+        other = Placement(Distances("a", REGION_OF))
+        for number in range(50):
+            first = self.choose(str(number)).upstream
+            second = other.choose(request(str(number)), UPSTREAMS, (), 0.0)
+            assert second is not None
+            self.assertEqual(first, second.upstream)
+
+    def test_objects_spread_and_prefer_the_region(self) -> None:
+        chosen = Counter(self.choose(str(n)).upstream.zone for n in range(3000))
+        self.assertAlmostEqual(chosen["a"] / 3000, 6 / 16, delta=0.04)
+        self.assertAlmostEqual(chosen["c"] / 3000, 6 / 16, delta=0.04)
+
+    def test_a_warm_upstream_goes_before_the_first_rank(self) -> None:
+        for number in range(12):
+            self.warm(number, *(f"other-{number}-{n}" for n in range(6)))
+        first = self.choose("1").upstream
+        warm = 5 if first != UPSTREAMS[5] else 6
+        self.warm(warm, "1")
+        chosen = self.choose("1")
+        self.assertEqual(chosen.upstream, UPSTREAMS[warm])
+        self.assertTrue(chosen.is_warm)
+
+    def test_a_long_queue_at_the_warm_one_is_avoided(self) -> None:
+        for number in range(12):
+            self.warm(number, *(f"other-{number}-{n}" for n in range(6)))
+        self.warm(5, "1")
+        self.placement.record(UPSTREAMS[5]).note_load(LoadReport(3, 9, 3), 0.0)
+        self.assertNotEqual(self.choose("1").upstream, UPSTREAMS[5])
+
+    def test_an_object_found_cold_is_forgotten(self) -> None:
+        self.warm(5, "1")
+        record = self.placement.record(UPSTREAMS[5])
+        record.note_cold(token_of("1"))
+        self.assertFalse(record.is_warm(token_of("1")))
+
+
+class FirstRequestTest(ChoiceTest):
+    """Guards against several first requests for one object at the same time."""
+
+    def test_others_wait_for_it(self) -> None:
+        first = self.choose("1")
+        self.assertEqual(first.wait_s, 0.0)
+        record = self.placement.record(first.upstream)
+        record.note_warming(token_of("1"), 0.9)
+        second = self.choose("1", now_s=0.4)
+        self.assertEqual(second.upstream, first.upstream)
+        self.assertAlmostEqual(second.wait_s, 0.5)
+
+    def test_a_lost_one_is_not_waited_for(self) -> None:
+        first = self.choose("1")
+        record = self.placement.record(first.upstream)
+        record.note_warming_elsewhere(token_of("1"), 0.9)
+        self.assertEqual(self.choose("1", now_s=1.3).wait_s, 0.0)
+        record.note_warming(token_of("1"), 2.0)
+        record.note_not_warmed(token_of("1"))
+        self.assertEqual(self.choose("1", now_s=1.3).wait_s, 0.0)
+
+
+class JoinedUpstreamTest(ChoiceTest):
+    """Guards against upstreams that join and get nothing."""
+
+    def test_it_gets_the_objects_that_it_ranks_first(self) -> None:
+        present, joined = UPSTREAMS[:11], UPSTREAMS[11]
+        for number in range(11):
+            self.warm(number, *(f"{number}-{n}" for n in range(6)))
+        keys = [f"{number}-{n}" for number in range(11) for n in range(6)]
+        got = [key for key in keys if self.choose(key).upstream == joined]
+        self.assertTrue(got)
+        self.placement.record(joined).note_warming(token_of(got[0]), 0.9)
+        # One at a time: cold work would fill its slots.
+        busy = [key for key in keys if self.choose(key, 0.1).upstream == joined]
+        self.assertEqual(busy, [got[0]] if got[0] in busy else [])
+        self.assertNotIn(joined, present)
+
+
+class FaultTest(ChoiceTest):
+    """Guards against work for failing upstreams, and against giving all of them up."""
+
+    def test_an_upstream_that_does_not_accept_is_left_out(self) -> None:
+        first = self.choose("1").upstream
+        record = self.placement.record(first)
+        record.note_unreachable(0.0)
+        record.note_unreachable(0.0)
+        self.assertNotEqual(self.choose("1").upstream, first)
+        self.assertEqual(self.choose("1", now_s=20.0).upstream, first)
+
+    def test_with_all_left_out_one_is_still_tried(self) -> None:
+        for member in UPSTREAMS:
+            record = self.placement.record(member)
+            record.note_unreachable(0.0)
+            record.note_unreachable(0.0)
+        self.assertIsNotNone(self.choose("1").upstream)
+
+    def test_failing_and_slow_upstreams_lose_their_objects_for_a_time(self) -> None:
+        for name in ("failing", "slow"):
+            with self.subTest(name):
+                placement = Placement(Distances("a", REGION_OF))
+                for number, member in enumerate(UPSTREAMS):
+                    for n in range(6):
+                        token = token_of(f"{number}-{n}")
+                        placement.record(member).note_handled(token)
+                record = placement.record(UPSTREAMS[4])
+                for _ in range(5):
+                    if name == "failing":
+                        record.note_fault(0.0)
+                    else:
+                        record.note_speed(5.0, 0.0)
+                chosen = placement.choose(request("4-1"), UPSTREAMS, (), 0.0)
+                assert chosen is not None
+                self.assertNotEqual(chosen.upstream, UPSTREAMS[4])
+                later = placement.choose(request("4-1"), UPSTREAMS, (), 30.0)
+                assert later is not None
+                self.assertEqual(later.upstream, UPSTREAMS[4])
+
+
+class HomeTest(ChoiceTest):
+    """Guards against requests that leave their home regions."""
+
+    def test_only_home_regions_are_used(self) -> None:
+        for number in range(50):
+            wanted = request(str(number), frozenset({"B"}))
+            chosen = self.placement.choose(wanted, UPSTREAMS, (), 0.0)
+            assert chosen is not None
+            self.assertEqual(chosen.upstream.zone, "b")
+        nowhere = request("1", frozenset({"D"}))
+        self.assertIsNone(self.placement.choose(nowhere, UPSTREAMS, (), 0.0))
--- /dev/null
+++ b/packages/core/tests/traffic/test_traffic.py
@@ -0,0 +1,82 @@
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from cardamomquay.traffic import Route
+from cardamomquay.traffic import RouteKind
+from cardamomquay.traffic import SplitCounter
+from cardamomquay.traffic import TrafficConfig
+from cardamomquay.traffic import Upstream
+from cardamomquay.traffic import UpstreamState
+from cardamomquay.traffic import UpstreamTable
+from cardamomquay.traffic import WeightedService
+
+
+def route(name: str, prefix: str, *parts: tuple[str, float]) -> Route:
+    weighted = tuple(WeightedService(service, weight) for service, weight in parts)
+    return Route(
+        name=name,
+        hostname="shop.example",
+        prefix=prefix,
+        kind=RouteKind.IDEMPOTENT,
+        timeout_s=1.2,
+        objective_s=0.6,
+        priority=0,
+        parts=weighted or (WeightedService("browse", 1.0),),
+        max_attempts=2,
+        is_public=False,
+        has_affinity=True,
+        home_regions=frozenset(),
+    )
+
+
+class MatchTest(unittest.TestCase):
+    """Guards against a request that takes a shorter prefix or another host's route."""
+
+    def test_longest_prefix_of_the_host(self) -> None:
+        config = TrafficConfig(1, (route("short", "/a/"), route("long", "/a/b/")))
+        for hostname, path, expected in (
+            ("shop.example", "/a/b/1", "long"),
+            ("SHOP.example", "/a/bc", "short"),
+            ("shop.example", "/a", None),
+            ("other.example", "/a/b/1", None),
+        ):
+            with self.subTest(hostname=hostname, path=path):
+                found = config.match(hostname, path)
+                self.assertEqual(found.name if found else None, expected)
+
+
+class SplitTest(unittest.TestCase):
+    """Guards against shares that miss their weights in short windows."""
+
+    def test_every_window_has_the_weights(self) -> None:
+        split = SplitCounter()
+        weighted = route("r", "/", ("old", 90.0), ("new", 10.0))
+        chosen = [split.choose(weighted) for _ in range(500)]
+        for start in range(0, 400, 7):
+            window = Counter(chosen[start : start + 100])
+            self.assertAlmostEqual(window["new"], 10, delta=1)
+
+    def test_new_weights_hold_at_once(self) -> None:
+        split = SplitCounter()
+        for _ in range(50):
+            split.choose(route("r", "/", ("old", 90.0), ("new", 10.0)))
+        changed = route("r", "/", ("old", 50.0), ("new", 50.0))
+        chosen = Counter(split.choose(changed) for _ in range(20))
+        self.assertEqual(chosen, {"old": 10, "new": 10})
+
+
+class UpstreamTableTest(unittest.TestCase):
+    """Guards against an upstream that stays with a service it has left."""
+
+    def test_a_changed_service_moves_the_upstream(self) -> None:
+        table = UpstreamTable()
+        first = Upstream("i-1", "browse", "a:1", "z", "v1", 3, UpstreamState.READY)
+        second = Upstream("i-1", "confirm", "a:1", "z", "v1", 3, UpstreamState.READY)
+        self.assertIsNone(table.put(first))
+        self.assertEqual(table.put(second), first)
+        self.assertEqual(table.of_service("browse"), ())
+        self.assertEqual(table.of_service("confirm"), (second,))
+        self.assertEqual(table.remove("i-1"), second)
+        self.assertIsNone(table.remove("i-1"))
