--- a/packages/core/src/cardamomquay/rollouts/_rollout.py
+++ b/packages/core/src/cardamomquay/rollouts/_rollout.py
@@ -71,7 +71,10 @@
     step, step_since_s : int and float
     outcome : RolloutOutcome
     row_version : int
-        Version of the row that holds the outcome; 0 if there is none.
+        Version of the service's row, which may be that of an earlier order; 0 if there
+        is none.
+    is_recorded : bool
+        Whether the row is that of this order.
     is_known : bool
         Whether the row was read. Before, the order may have ended long ago.
     is_withheld : bool
@@ -87,6 +90,7 @@
     step_since_s: float = 0.0
     outcome: RolloutOutcome = RolloutOutcome.RUNNING
     row_version: int = 0
+    is_recorded: bool = False
     is_known: bool = False
     is_withheld: bool = False
     own: VersionTallies = field(default_factory=VersionTallies)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -147,9 +147,10 @@
             raise ExchangeError("answer_malformed", wrote=True) from exc
         except OSError as exc:
             raise ExchangeError("connection_reset", wrote=True) from exc
-        rest, _ = parser.trailing_data
+        rest, has_ended = parser.trailing_data
         answer.ends_connection = (
             parser.their_state is not h11.DONE
+            or has_ended
             or bool(rest)
             or self._stream.unsent_bytes > 0
         )
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -113,7 +113,7 @@
         Name and place of the sender, until the other host has answered.
     usage : list of int
         Index and running total of requests, in turn, of organisations in the order of
-        their names in the configuration of that version.
+        their names in the configuration of that version. Those left out have none.
     rollouts : list of RolloutReport
     handled, warming : list of int
         News of warm objects; see `WarmthNews`.
@@ -227,7 +227,7 @@
         for rollout in report.rollouts:
             self._rollouts.note_view(peer.record.name, rollout.to_view())
         if is_new:
-            self._send(peer, now_s, News())
+            self._send(peer, now_s, News(self._usage()))
 
     def _use_evidence(self, report: Report) -> None:
         config = self._state.config
@@ -242,11 +242,11 @@
         config = self._state.config
         if config is None or config.version != report.config_version:
             return
-        names = config.organisation_names
-        for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
-            quota = self._eligibility.quotas.get(names[index])
+        totals = dict(zip(report.usage[::2], report.usage[1::2], strict=False))
+        for index, name in enumerate(config.organisation_names):
+            quota = self._eligibility.quotas.get(name)
             if quota is not None:
-                quota.note_peer(peer.record.name, total, now_s)
+                quota.note_peer(peer.record.name, totals.get(index, 0), now_s)
 
     def _usage(self) -> list[int]:
         config = self._state.config
--- a/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
@@ -122,7 +122,7 @@
         if not rollout.is_known:
             return
         is_controller = self._is_controller()
-        if is_controller and rollout.row_version == 0:
+        if is_controller and not rollout.is_recorded:
             await self._commit(rollout, RolloutOutcome.RUNNING)
         step = rollout.step
         outcome = rollout.next_outcome(self._clock.now_s(), is_controller)
@@ -146,6 +146,7 @@
         )
         if isinstance(written, Committed):
             rollout.row_version = written.revision
+            rollout.is_recorded = True
             rollout.outcome = outcome
             self._log(rollout, "committed")
             return
@@ -171,6 +172,7 @@
                 continue
             if stored.revision != rollout.order.revision:
                 continue
+            rollout.is_recorded = True
             if stored.outcome is not rollout.outcome:
                 rollout.outcome = stored.outcome
                 self._log(rollout, "stored")
--- /dev/null
+++ b/packages/daemon/tests/edge/support.py
@@ -0,0 +1,253 @@
+"""Upstreams and callers on loopback, and fakes around the request path."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+
+from cardamomquay.fleet import FleetView
+from cardamomquay.fleet import HostRecord
+from cardamomquay.placement import Distances
+from cardamomquay.placement import Placement
+from cardamomquay.traffic import Organisation
+from cardamomquay.traffic import Route
+from cardamomquay.traffic import RouteKind
+from cardamomquay.traffic import Service
+from cardamomquay.traffic import TrafficConfig
+from cardamomquay.traffic import Upstream
+from cardamomquay.traffic import UpstreamState
+from cardamomquay.traffic import WeightedService
+from cardamomquay_daemon.edge import Bounds
+from cardamomquay_daemon.edge import HeaderNames
+from cardamomquay_daemon.edge._attempts import Attempts
+from cardamomquay_daemon.edge._caller_conn import CallerAnswer
+from cardamomquay_daemon.edge._caller_conn import CallerRequest
+from cardamomquay_daemon.edge._eligibility import Eligibility
+from cardamomquay_daemon.edge._relay import Relay
+from cardamomquay_daemon.edge._state import HostState
+from cardamomquay_daemon.edge._upstream_pool import UpstreamPool
+from cardamomquay_daemon.edge._warmth import WarmthNews
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+    from cardamomquay.clock import ManualClock
+
+LOOPBACK = "127.0.0.1"
+NAMES = HeaderNames(
+    request_id=b"request-id",
+    deadline_ms=b"deadline-ms",
+    affinity_cookie="object",
+    signature=b"signature",
+    organisation=b"organisation",
+    expected_instance=b"expected-instance",
+    instance=b"instance",
+    load=b"load",
+    not_executed=b"not-executed",
+    warm_up_ms=b"warm-up-ms",
+)
+
+
+@dataclass
+class ScriptedServer:
+    """Answers each request with the next piece of a script of raw bytes.
+
+    A piece may be bytes, None to close at once, or a callable that gets the writer.
+    """
+
+    script: list[Any]
+    requests: list[bytes] = field(default_factory=list)
+    connections: int = 0
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+    address: str = ""
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                piece = self.script.pop(0)
+                if piece is None:
+                    break
+                if callable(piece):
+                    await piece(reader, writer)
+                    break
+                writer.write(piece)
+                await writer.drain()
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.LimitOverrunError,
+            ConnectionError,
+            # The end of a test; a cancelled handler would be logged as a failure.
+            asyncio.CancelledError,
+        ):
+            pass
+        finally:
+            self.ended.set()
+            writer.close()
+
+
+@asynccontextmanager
+async def scripted_server(*script: Any) -> AsyncGenerator[ScriptedServer]:
+    """Run a scripted server on loopback."""
+    served = ScriptedServer(list(script))
+    server = await asyncio.start_server(served.serve, LOOPBACK, 0)
+    served.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield served
+    finally:
+        server.close()
+
+
+def answer(
+    body: bytes = b"ok",
+    status: int = 200,
+    request_id: bytes = b"id-1",
+    headers: bytes = b"signature: s\r\n",
+) -> bytes:
+    """Return a whole answer of an upstream."""
+    return b"HTTP/1.1 %d X\r\nrequest-id: %s\r\n%scontent-length: %d\r\n\r\n%s" % (
+        status,
+        request_id,
+        headers,
+        len(body),
+        body,
+    )
+
+
+SHED = b"HTTP/1.1 503 X\r\nnot-executed: 1\r\nload: 3,9,3\r\ncontent-length: 0\r\n\r\n"
+
+
+@dataclass
+class FakeTelemetry:
+    """Keeps events and counts."""
+
+    events: list[tuple[str, dict[str, Any]]] = field(default_factory=list)
+    counters: dict[str, int] = field(default_factory=dict)
+
+    def log(self, event: Any, **fields: Any) -> None:
+        self.events.append((event.name, fields))
+
+    def count(self, name: str, value: int = 1) -> None:
+        self.counters[name] = self.counters.get(name, 0) + value
+
+    def observe(self, name: str, seconds: float) -> None:
+        pass
+
+    def task_failed(self, task: str, exc: BaseException) -> None:
+        raise exc
+
+
+def route(kind: RouteKind = RouteKind.IDEMPOTENT, **changes: Any) -> Route:
+    """Return a route of the service ``browse``."""
+    values: dict[str, Any] = {
+        "name": "r",
+        "hostname": "shop.example",
+        "prefix": "/a/",
+        "kind": kind,
+        "timeout_s": 1.0,
+        "objective_s": 0.5,
+        "priority": 0,
+        "parts": (WeightedService("browse", 1.0),),
+        "max_attempts": 2,
+        "is_public": False,
+        "has_affinity": True,
+        "home_regions": frozenset(),
+    }
+    values.update(changes)
+    return Route(**values)
+
+
+def config(*routes: Route, version: int = 1) -> TrafficConfig:
+    """Return a configuration with one organisation, whose key is ``k``."""
+    return TrafficConfig(
+        version,
+        routes or (route(),),
+        {"browse": Service("browse", "/health", 100, 3.0, 2.9)},
+        {"salsa": Organisation("salsa", 0, 1000.0, 1000.0)},
+        {"k": "salsa"},
+    )
+
+
+def upstream(address: str, instance: str = "i-1", **changes: Any) -> Upstream:
+    """Return an upstream of ``browse`` in zone ``a``."""
+    values: dict[str, Any] = {
+        "instance": instance,
+        "service": "browse",
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "capacity": 3,
+        "state": UpstreamState.READY,
+    }
+    values.update(changes)
+    return Upstream(**values)
+
+
+class RelayFixture:
+    """A relay over upstreams on loopback, with a paused clock for beliefs."""
+
+    def __init__(
+        self, clock: ManualClock, served: TrafficConfig, *upstreams: Upstream
+    ) -> None:
+        self.clock = clock
+        self.state = HostState()
+        self.telemetry = FakeTelemetry()
+        own = HostRecord("h0", "h0:80", LOOPBACK, 7000, "a", "A")
+        self.fleet = FleetView(own)
+        distances = Distances("a", {"a": "A", "b": "B"})
+        self.placement = Placement(distances)
+        self.eligibility = Eligibility(
+            self.state, self.placement, self.fleet, Bounds(), clock.now_s() - 20.0
+        )
+        self.state.config = served
+        self.state.config_seen_s = clock.now_s()
+        for member in upstreams:
+            self.state.upstreams.put(member)
+            self.eligibility.note_upstream(None, member, clock.now_s())
+        self.state.upstreams_seen_s = clock.now_s()
+        self.eligibility.note_config(clock.now_s() - 10.0)
+        self.pool = UpstreamPool()
+        attempts = Attempts(
+            self.pool,
+            self.placement,
+            distances,
+            NAMES,
+            clock,
+            self.eligibility,
+            self.state,
+            WarmthNews(self.placement, clock),
+        )
+        self.admitted: list[str] = []
+        self.relay = Relay(
+            self.state,
+            Bounds(),
+            NAMES,
+            clock,
+            attempts,
+            self.eligibility,
+            self.telemetry,  # type: ignore[arg-type]
+            self.admitted.append,
+        )
+
+    async def ask(
+        self,
+        method: bytes = b"GET",
+        target: bytes = b"/a/1?x=2",
+        key: bytes | None = b"k",
+        body: bytes = b"",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> CallerAnswer:
+        """Send one request through the relay."""
+        sent = [(b"host", b"shop.example"), (b"request-id", b"id-1"), *headers]
+        if key is not None:
+            sent.append((b"authorization", b"Bearer " + key))
+        now_s = asyncio.get_running_loop().time()
+        return await self.relay.handle(CallerRequest(method, target, sent, body, now_s))
--- /dev/null
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -0,0 +1,163 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from edge.support import LOOPBACK
+
+from cardamomquay_daemon.edge._caller_conn import CallerAnswer
+from cardamomquay_daemon.edge._caller_conn import CallerConnection
+from cardamomquay_daemon.edge._caller_conn import CallerRequest
+from cardamomquay_daemon.edge._caller_conn import ReadLimits
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+LIMITS = ReadLimits(
+    max_header_bytes=4096,
+    max_body_bytes=1000,
+    header_timeout_s=0.2,
+    idle_timeout_s=0.4,
+)
+
+
+class CallerConnTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.began: list[bytes] = []
+        self.cancelled: list[bytes] = []
+        self.gates: dict[bytes, asyncio.Event] = {}
+        self.registry: set[CallerConnection] = set()
+        self.is_stopping = False
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        self.began.append(request.target)
+        try:
+            if request.target in self.gates:
+                await self.gates[request.target].wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        return CallerAnswer(200, [], request.target + request.body)
+
+    @asynccontextmanager
+    async def caller(
+        self,
+    ) -> AsyncGenerator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(
+                self.handle, lambda: LIMITS, lambda: self.is_stopping, self.registry
+            ),
+            LOOPBACK,
+            0,
+        )
+        reader, writer = await asyncio.open_connection(
+            *server.sockets[0].getsockname()[:2]
+        )
+        try:
+            async with asyncio.timeout(3.0):
+                yield reader, writer
+        finally:
+            writer.close()
+            server.close()
+
+    @staticmethod
+    def get(target: bytes, method: bytes = b"GET") -> bytes:
+        return method + b" " + target + b" HTTP/1.1\r\nhost: h\r\n\r\n"
+
+    async def settle(self, count: int) -> None:
+        while len(self.began) < count:
+            await asyncio.sleep(0)
+
+
+class PipelineTest(CallerConnTest):
+    """Guards against answers out of order, and work that starts too early."""
+
+    async def test_work_at_the_same_time_and_answers_in_order(self) -> None:
+        self.gates = {b"/1": asyncio.Event()}
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/1") + self.get(b"/2") + self.get(b"/3"))
+            await self.settle(3)
+            self.gates[b"/1"].set()
+            data = b""
+            while data.count(b"HTTP/1.1 200") < 3:
+                data += await reader.read(65536)
+        positions = [data.index(b"\r\n\r\n/%d" % n) for n in (1, 2, 3)]
+        self.assertEqual(positions, sorted(positions))
+
+    async def test_what_may_run_once_waits_for_the_answers_before_it(self) -> None:
+        self.gates = {b"/1": asyncio.Event()}
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/1") + self.get(b"/2", b"POST"))
+            await self.settle(1)
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertEqual(self.began, [b"/1"])
+            self.gates[b"/1"].set()
+            await self.settle(2)
+            await reader.read(65536)
+
+    async def test_nothing_runs_behind_an_answer_that_closes(self) -> None:
+        self.is_stopping = True
+        self.gates = {b"/1": asyncio.Event()}
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/1") + self.get(b"/2", b"POST"))
+            await self.settle(1)
+            self.gates[b"/1"].set()
+            data = await reader.read()
+        self.assertEqual(self.began, [b"/1"])
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+        self.assertIn(b"connection: close", data.lower())
+
+
+class LeavingCallerTest(CallerConnTest):
+    """Guards against work for callers that have left."""
+
+    async def test_the_work_is_cancelled(self) -> None:
+        self.gates = {b"/1": asyncio.Event(), b"/2": asyncio.Event()}
+        async with self.caller() as (_, writer):
+            writer.write(self.get(b"/1") + self.get(b"/2"))
+            await self.settle(2)
+            writer.close()
+            while len(self.cancelled) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.registry, set())
+
+
+class LimitTest(CallerConnTest):
+    """Guards against malformed, long and slow requests."""
+
+    async def test_statuses(self) -> None:
+        long_header = b"GET / HTTP/1.1\r\nhost: h\r\nx: " + b"y" * 9000
+        for name, sent, status in (
+            ("nonsense", b"\x00\x01\x02\r\n\r\n", 400),
+            ("two lengths", self._post(b"content-length: 3\r\ncontent-length: 4"), 400),
+            ("a long header", long_header, 431),
+            ("a long body", self._post(b"content-length: 5000") + b"x" * 5000, 413),
+            ("a slow header", b"GET / HTTP/1.1\r\nho", 408),
+        ):
+            with self.subTest(name):
+                async with self.caller() as (reader, writer):
+                    writer.write(sent)
+                    data = await reader.read()
+                self.assertIn(b"HTTP/1.1 %d" % status, data)
+        self.assertEqual(self.began, [])
+
+    async def test_an_idle_connection_is_closed_without_an_answer(self) -> None:
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/1"))
+            data = await reader.read()
+        self.assertEqual(data.count(b"HTTP/1.1"), 1)
+
+    async def test_a_body_in_chunks_arrives_whole(self) -> None:
+        async with self.caller() as (reader, writer):
+            writer.write(
+                self._post(b"transfer-encoding: chunked") + b"2\r\nab\r\n0\r\n\r\n"
+            )
+            data = await reader.read(65536)
+        self.assertIn(b"/ab", data)
+
+    @staticmethod
+    def _post(header: bytes) -> bytes:
+        return b"POST / HTTP/1.1\r\nhost: h\r\n" + header + b"\r\n\r\n"
--- /dev/null
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -0,0 +1,168 @@
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from edge.support import FakeTelemetry
+from edge.support import config
+from edge.support import upstream
+from edge.test_feeds import FakePlatform
+
+from cardamomquay.clock import ManualClock
+from cardamomquay.fleet import FleetView
+from cardamomquay.fleet import HostPhase
+from cardamomquay.fleet import HostRecord
+from cardamomquay.placement import Distances
+from cardamomquay.placement import Placement
+from cardamomquay.placement import token_of
+from cardamomquay_daemon.edge import Bounds
+from cardamomquay_daemon.edge._eligibility import Eligibility
+from cardamomquay_daemon.edge._peers import Peers
+from cardamomquay_daemon.edge._rollout_control import RolloutControl
+from cardamomquay_daemon.edge._state import HostState
+from cardamomquay_daemon.edge._warmth import WarmthNews
+
+REGION_OF = {"a": "A"}
+
+
+class Host:
+    """One host's reports, carried by hand."""
+
+    def __init__(self, name: str, clock: ManualClock, network: dict[str, Any]) -> None:
+        self.clock = clock
+        self.network = network
+        network[name] = self
+        self.address = (name, 7000)
+        self.state = HostState(config=config(), config_seen_s=clock.now_s())
+        self.fleet = FleetView(HostRecord(name, f"{name}:80", name, 7000, "a", "A"))
+        self.fleet.own_phase = HostPhase.READY
+        self.telemetry = FakeTelemetry()
+        self.placement = Placement(Distances("a", REGION_OF))
+        self.eligibility = Eligibility(
+            self.state, self.placement, self.fleet, Bounds(), clock.now_s()
+        )
+        self.eligibility.note_config(clock.now_s())
+        self.warmth = WarmthNews(self.placement, clock)
+        platform = FakePlatform()
+        telemetry: Any = self.telemetry
+        rollouts = RolloutControl(self.state, self.fleet, platform, clock, telemetry)
+        self.peers = Peers(
+            self.fleet,
+            self.state,
+            platform,
+            clock,
+            telemetry,
+            self.eligibility,
+            rollouts,
+            self.warmth,
+            incarnation=hash(name) & 0xFFFF,
+        )
+        self.sent: list[tuple[bytes, str]] = []
+        transport: Any = self
+        self.peers.connection_made(transport)
+
+    def sendto(self, data: bytes, addr: tuple[str, int]) -> None:
+        self.sent.append((data, addr[0]))
+
+    def deliver(self) -> None:
+        sent, self.sent = self.sent, []
+        for data, name in sent:
+            if name in self.network:
+                self.network[name].peers.datagram_received(data, self.address)
+
+
+class PeersTest(unittest.TestCase):
+    """Guards against beliefs that reports do not support."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        network: dict[str, Any] = {}
+        self.one = Host("h1", self.clock, network)
+        self.two = Host("h2", self.clock, network)
+        self.one.fleet.learn(self.two.fleet.own)
+        self.one.peers._learn(self.two.fleet.own)
+
+    def exchange(self) -> None:
+        for host in (self.one, self.two, self.one, self.two):
+            host.peers.report()
+            host.deliver()
+
+    def test_hosts_learn_of_each_other(self) -> None:
+        self.exchange()
+        peer = self.two.fleet.peers["h1"]
+        self.assertTrue(peer.is_live(self.clock.now_s()))
+        self.assertIs(peer.phase, HostPhase.READY)
+        self.assertEqual(peer.record.caller_address, "h1:80")
+
+    def test_evidence_counts_from_the_stamp_that_returns(self) -> None:
+        self.exchange()
+        self.one.state.config_seen_s = 90.0
+        self.two.state.config_seen_s = 99.0
+        self.one.peers.report()
+        self.one.deliver()
+        self.clock.advance(3.0)
+        self.two.state.config_seen_s = 102.5
+        self.two.peers.report()
+        # The report lies in a buffer while this host is suspended.
+        self.clock.advance(20.0)
+        self.two.deliver()
+        # Sent at 100.0, answered with a proof that was 0.5 s old.
+        self.assertAlmostEqual(self.one.state.config_seen_s, 99.5, places=2)
+
+    def test_evidence_of_another_version_counts_for_nothing(self) -> None:
+        self.exchange()
+        self.one.state.config_seen_s = 90.0
+        self.two.state.config = config(version=2)
+        self.two.state.config_seen_s = 100.0
+        self.exchange()
+        self.assertEqual(self.one.state.config_seen_s, 90.0)
+
+    def test_requests_of_other_hosts_are_counted(self) -> None:
+        self.exchange()
+        organisation = config().organisations["salsa"]
+        for _ in range(5):
+            self.clock.advance(1.0)
+            self.exchange()
+        for _ in range(40):
+            self.two.eligibility.admit(organisation, self.clock.now_s())
+        self.exchange()
+        quotas = [host.eligibility.quotas["salsa"] for host in (self.one, self.two)]
+        left = [0, 0]
+        for number, quota in enumerate(quotas):
+            quota.note_reported()
+            while quota.admit(self.clock.now_s(), hosts=1):
+                left[number] += 1
+        self.assertEqual(quotas[1].admitted - left[1], 40)
+        self.assertEqual(left[0], left[1])
+
+    def test_warm_objects_are_told(self) -> None:
+        self.exchange()
+        member = upstream("h:1")
+        token = token_of("7")
+        for host in (self.one, self.two):
+            host.placement.record(member)
+        record = self.two.placement.record(member)
+        self.two.warmth.note_warming(record, member.instance, token, 0.9)
+        self.exchange()
+        told = self.one.placement.record(member)
+        self.assertIsNotNone(told.warm_at_s(token, self.clock.now_s()))
+        self.two.warmth.note_handled(record, member.instance, token)
+        self.exchange()
+        self.assertTrue(told.is_warm(token))
+
+    def test_malformed_reports_harm_nothing(self) -> None:
+        for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"x" * 2000):
+            self.one.peers.datagram_received(data, ("h9", 7000))
+        self.assertEqual(self.one.telemetry.counters["peers.malformed"], 4)
+
+    def test_an_old_report_does_not_undo_a_new_one(self) -> None:
+        self.exchange()
+        self.two.peers.report()
+        old, self.two.sent = self.two.sent, []
+        self.clock.advance(1.0)
+        self.two.fleet.own_phase = HostPhase.LEAVING
+        self.two.peers.report()
+        self.two.deliver()
+        self.two.sent = old
+        self.two.deliver()
+        self.assertIs(self.one.fleet.peers["h2"].phase, HostPhase.LEAVING)
--- /dev/null
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -0,0 +1,271 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import replace
+
+from edge.support import SHED
+from edge.support import RelayFixture
+from edge.support import answer
+from edge.support import config
+from edge.support import route
+from edge.support import scripted_server
+from edge.support import upstream
+
+from cardamomquay.clock import ManualClock
+from cardamomquay.traffic import RouteKind
+from cardamomquay.traffic import TrafficConfig
+from cardamomquay.traffic import Upstream
+from cardamomquay.traffic import UpstreamState
+
+ONCE = config(route(RouteKind.AT_MOST_ONCE))
+NOWHERE = "127.0.0.1:1"
+
+
+class RelayCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+
+    def fixture(self, served: TrafficConfig, *upstreams: Upstream) -> RelayFixture:
+        fixture = RelayFixture(self.clock, served, *upstreams)
+        self.addCleanup(fixture.pool.close)
+        return fixture
+
+
+class ForwardingTest(RelayCase):
+    """Guards against changed requests and leaked keys."""
+
+    async def test_what_the_upstream_gets(self) -> None:
+        async with scripted_server(answer(b"whole")) as served:
+            fixture = self.fixture(config(), upstream(served.address))
+            got = await fixture.ask(
+                headers=(
+                    (b"deadline-ms", b"400"),
+                    (b"organisation", b"forged"),
+                    (b"connection", b"x-hop"),
+                    (b"x-hop", b"1"),
+                    (b"x-kept", b"2"),
+                )
+            )
+        head = served.requests[0].lower()
+        self.assertEqual((got.status, got.body), (200, b"whole"))
+        self.assertTrue(head.startswith(b"get /a/1?x=2 http/1.1\r\n"))
+        for present in (b"organisation: salsa", b"expected-instance: i-1", b"x-kept"):
+            self.assertIn(present, head)
+        for absent in (b"bearer", b"forged", b"x-hop", b"content-length"):
+            self.assertNotIn(absent, head)
+        left_ms = int(head.partition(b"deadline-ms: ")[2].partition(b"\r\n")[0])
+        self.assertLessEqual(left_ms, 400)
+
+    async def test_the_answer_keeps_status_and_signature(self) -> None:
+        async with scripted_server(answer(b"no", status=404)) as served:
+            fixture = self.fixture(config(), upstream(served.address))
+            got = await fixture.ask()
+        self.assertEqual(got.status, 404)
+        self.assertIn((b"signature", b"s"), got.headers)
+
+    async def test_a_kept_connection_is_used_again(self) -> None:
+        async with scripted_server(answer(), answer()) as served:
+            fixture = self.fixture(config(), upstream(served.address))
+            await fixture.ask()
+            await fixture.ask()
+        self.assertEqual(served.connections, 1)
+
+
+class RefusalTest(RelayCase):
+    """Guards against requests that run without a right to, and false statuses."""
+
+    async def test_statuses(self) -> None:
+        fixture = self.fixture(config(), upstream(NOWHERE))
+        for name, arguments, status in (
+            ("no key", {"key": None}, 401),
+            ("an unknown key", {"key": b"x"}, 401),
+            ("no route", {"target": b"/b/1"}, 404),
+        ):
+            with self.subTest(name):
+                got = await fixture.ask(**arguments)  # type: ignore[arg-type]
+                self.assertEqual(got.status, status)
+
+    async def test_before_the_first_configuration(self) -> None:
+        fixture = self.fixture(config(), upstream(NOWHERE))
+        fixture.state.config = None
+        got = await fixture.ask()
+        self.assertEqual(got.status, 503)
+        self.assertIn(b"retry-after", dict(got.headers))
+
+    async def test_keys_are_refused_on_old_evidence(self) -> None:
+        async with scripted_server(answer(), answer()) as served:
+            open_route = route(name="open", prefix="/o/", is_public=True)
+            fixture = self.fixture(
+                config(route(), open_route), upstream(served.address)
+            )
+            self.clock.advance(4.4)
+            self.assertEqual((await fixture.ask()).status, 200)
+            self.clock.advance(0.2)
+            self.assertEqual((await fixture.ask()).status, 503)
+            got = await fixture.ask(target=b"/o/1", key=None)
+            self.assertEqual(got.status, 200)
+
+    async def test_unknown_keys_are_not_denied_on_old_evidence(self) -> None:
+        fixture = self.fixture(config(), upstream(NOWHERE))
+        self.clock.advance(3.6)
+        self.assertEqual((await fixture.ask(key=b"new")).status, 503)
+        self.assertEqual((await fixture.ask(target=b"/b/1")).status, 503)
+
+    async def test_an_organisation_beyond_its_quota(self) -> None:
+        small = config()
+        small.organisations["salsa"] = replace(
+            small.organisations["salsa"], rate_per_s=1.0, burst=1.0
+        )
+        async with scripted_server(*[answer()] * 40) as served:
+            fixture = self.fixture(small, upstream(served.address))
+            statuses = [(await fixture.ask()).status for _ in range(30)]
+        self.assertEqual(set(statuses), {200, 429})
+        self.assertEqual(len(fixture.admitted), statuses.count(200))
+
+    async def test_draining_and_evacuated_upstreams_get_nothing(self) -> None:
+        for name in ("draining", "evacuated"):
+            with self.subTest(name):
+                member = upstream(NOWHERE)
+                if name == "draining":
+                    member = replace(member, state=UpstreamState.DRAINING)
+                fixture = self.fixture(config(), member)
+                if name == "evacuated":
+                    fixture.state.evacuated_zones.add("a")
+                got = await fixture.ask()
+                self.assertEqual(got.status, 503)
+                self.assertIn(b"pool_empty", got.body)
+
+
+class AtMostOnceTest(RelayCase):
+    """Guards against a second run, and against "not run" for what may have run."""
+
+    async def test_a_broken_answer_is_not_repeated(self) -> None:
+        for name, piece in (
+            ("closed", None),
+            ("no answer", b"nonsense\r\n\r\n"),
+            ("without signature", answer(headers=b"")),
+        ):
+            with self.subTest(name):
+                async with scripted_server(piece) as served:
+                    fixture = self.fixture(ONCE, upstream(served.address))
+                    got = await fixture.ask(method=b"POST", body=b"pledge")
+                self.assertEqual(got.status, 502)
+                self.assertEqual(len(served.requests), 1)
+
+    async def test_a_broken_answer_and_nobody_else_left_is_no_refusal(self) -> None:
+        """An attempt may have run although no other upstream could be chosen."""
+        async with scripted_server(None) as served:
+            fixture = self.fixture(ONCE, upstream(served.address))
+            fixture.state.evacuated_zones.add("b")
+            got = await fixture.ask(method=b"POST", body=b"pledge")
+        self.assertNotIn(got.status, (408, 421, 429, 503))
+
+    async def test_a_shed_request_goes_to_another(self) -> None:
+        async with scripted_server(SHED) as full, scripted_server(answer()) as free:
+            fixture = self.fixture(
+                ONCE,
+                upstream(full.address, "i-1"),
+                upstream(free.address, "i-2", zone="b"),
+            )
+            got = await fixture.ask(method=b"POST", body=b"pledge")
+        self.assertEqual(got.status, 200)
+
+    async def test_a_request_that_all_shed_did_not_run(self) -> None:
+        async with scripted_server(SHED) as one, scripted_server(SHED) as two:
+            fixture = self.fixture(
+                ONCE,
+                upstream(one.address, "i-1"),
+                upstream(two.address, "i-2"),
+            )
+            got = await fixture.ask(method=b"POST", body=b"pledge")
+        self.assertEqual(got.status, 503)
+        self.assertIn(b"retry-after", dict(got.headers))
+
+    async def test_shed_and_then_broken_may_have_run(self) -> None:
+        async with scripted_server(SHED) as one, scripted_server(None) as two:
+            fixture = self.fixture(
+                ONCE,
+                upstream(one.address, "i-1"),
+                upstream(two.address, "i-2"),
+            )
+            got = await fixture.ask(method=b"POST", body=b"pledge")
+        statuses = {503: not two.requests, 502: bool(two.requests)}
+        self.assertTrue(statuses[got.status])
+
+
+class RepeatTest(RelayCase):
+    """Guards against lost requests that could be repeated, and endless repeats."""
+
+    async def test_an_idempotent_request_is_repeated_once(self) -> None:
+        failed = answer(b"no", status=500)
+        for name, piece in (("closed", None), ("failed", failed)):
+            with self.subTest(name):
+                async with (
+                    scripted_server(piece, answer()) as one,
+                    scripted_server(piece, answer()) as two,
+                ):
+                    fixture = self.fixture(
+                        config(),
+                        upstream(one.address, "i-1"),
+                        upstream(two.address, "i-2"),
+                    )
+                    got = await fixture.ask()
+                    sent = len(one.requests) + len(two.requests)
+                self.assertEqual(sent, 2)
+                self.assertEqual(got.status, 500 if name == "failed" else 502)
+
+    async def test_unreachable_upstreams_do_not_count_as_attempts(self) -> None:
+        async with scripted_server(answer()) as served:
+            fixture = self.fixture(
+                config(route(max_attempts=1)),
+                upstream(NOWHERE, "i-1"),
+                upstream("127.0.0.1:2", "i-2"),
+                upstream(served.address, "i-3"),
+            )
+            got = await fixture.ask()
+        self.assertEqual(got.status, 200)
+
+    async def test_nobody_reachable_is_a_true_refusal(self) -> None:
+        fixture = self.fixture(ONCE, upstream(NOWHERE))
+        got = await fixture.ask(method=b"POST", body=b"pledge")
+        self.assertEqual(got.status, 503)
+
+
+class TimeTest(RelayCase):
+    """Guards against answers after the route's limit, and work that nobody awaits."""
+
+    async def test_a_silent_upstream_ends_at_the_routes_limit(self) -> None:
+        async def silent(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+
+        async with scripted_server(silent) as served:
+            fixture = self.fixture(
+                config(route(timeout_s=0.3)), upstream(served.address)
+            )
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            got = await fixture.ask()
+            self.assertLess(loop.time() - began_s, 0.55)
+            async with asyncio.timeout(1.0):
+                await served.ended.wait()
+        self.assertEqual(got.status, 504)
+
+    async def test_a_cancelled_request_leaves_its_upstream(self) -> None:
+        async def silent(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.read()
+
+        async with scripted_server(silent) as served:
+            fixture = self.fixture(config(), upstream(served.address))
+            task = asyncio.create_task(fixture.ask())
+            while not served.requests:
+                await asyncio.sleep(0.01)
+            task.cancel()
+            async with asyncio.timeout(0.5):
+                await served.ended.wait()
+        record = fixture.placement.record(upstream(served.address))
+        self.assertEqual(record.in_flight, 0)
--- /dev/null
+++ b/packages/daemon/tests/edge/test_rollout_control.py
@@ -0,0 +1,107 @@
+from __future__ import annotations
+
+import asyncio
+import unittest
+from unittest import mock
+
+from edge.support import FakeTelemetry
+from edge.support import config
+from edge.test_feeds import FakePlatform
+
+from cardamomquay.clock import ManualClock
+from cardamomquay.fleet import FleetView
+from cardamomquay.fleet import HostPhase
+from cardamomquay.fleet import HostRecord
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.rollouts import RolloutOrder
+from cardamomquay.rollouts import RolloutOutcome
+from cardamomquay_daemon.edge._rollout_control import RolloutControl
+from cardamomquay_daemon.edge._state import HostState
+
+ORDER = RolloutOrder("browse", "v2", 15.0, 7)
+
+
+class Host:
+    """One host's control over a shared platform."""
+
+    def __init__(self, name: str, platform: FakePlatform, clock: ManualClock) -> None:
+        self.state = HostState(config=config())
+        record = HostRecord(name, "", "h", 1, "a", "A")
+        self.fleet = FleetView(record)
+        self.fleet.own_phase = HostPhase.READY
+        self.control = RolloutControl(
+            self.state,
+            self.fleet,
+            platform,
+            clock,
+            FakeTelemetry(),  # type: ignore[arg-type]
+        )
+        self.clock = clock
+
+    async def decide(self) -> RolloutOutcome:
+        """Let the control decide once."""
+        pauses = mock.patch(
+            "cardamomquay_daemon.edge._rollout_control.asyncio.sleep",
+            mock.AsyncMock(side_effect=asyncio.CancelledError),
+        )
+        with pauses:
+            task = asyncio.create_task(self.control.run())
+            await asyncio.wait((task,), timeout=0.05)
+            task.cancel()
+        return self.state.rollouts["browse"].outcome
+
+    def tally(self, answers: int, errors: int) -> None:
+        tally = self.state.rollouts["browse"].own.new
+        tally.answers += answers
+        tally.errors += errors
+
+
+class RolloutControlTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against outcomes that are told twice, lost or contradicted."""
+
+    def setUp(self) -> None:
+        self.clock = ManualClock(100.0)
+        self.platform = FakePlatform()
+        self.hosts = [Host(name, self.platform, self.clock) for name in ("h0", "h1")]
+        for host in self.hosts:
+            host.control.note_order("browse", ORDER)
+
+    async def test_any_host_takes_a_bad_version_back_once(self) -> None:
+        await self.hosts[0].decide()
+        for host in self.hosts:
+            host.tally(8, 6)
+        for host in (*self.hosts, *self.hosts):
+            self.clock.advance(0.2)
+            await host.decide()
+        self.assertEqual(
+            self.platform.commits,
+            [RolloutOutcome.RUNNING, RolloutOutcome.ROLLED_BACK],
+        )
+        for host in self.hosts:
+            self.assertIs(await host.decide(), RolloutOutcome.ROLLED_BACK)
+
+    async def test_a_lost_answer_is_settled_by_the_row(self) -> None:
+        await self.hosts[0].decide()
+        self.hosts[0].tally(8, 6)
+        self.platform.lost_answers = 1
+        outcome = await self.hosts[0].decide()
+        self.assertIs(outcome, RolloutOutcome.ROLLED_BACK)
+        self.assertEqual(self.platform.commits.count(RolloutOutcome.ROLLED_BACK), 1)
+
+    async def test_a_host_that_starts_later_learns_the_outcome_first(self) -> None:
+        ended = {"revision": 7, "outcome": "rolled_back"}
+        key = RowKey("rollouts", "browse")
+        self.platform.rows["browse"] = Row(key, 5, ended)
+        late = Host("h2", self.platform, self.clock)
+        late.control.note_order("browse", ORDER)
+        self.assertEqual(late.state.rollouts["browse"].share, 0.0)
+        self.assertIs(await late.decide(), RolloutOutcome.ROLLED_BACK)
+        self.assertEqual(self.platform.commits, [])
+
+    async def test_a_new_order_replaces_an_ended_one(self) -> None:
+        key = RowKey("rollouts", "browse")
+        ended = {"revision": 3, "outcome": "completed"}
+        self.platform.rows["browse"] = Row(key, 5, ended)
+        self.assertIs(await self.hosts[0].decide(), RolloutOutcome.RUNNING)
+        self.assertEqual(self.platform.commits, [RolloutOutcome.RUNNING])
