--- a/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+from cardamomquay_daemon.edge._caller_conn import CallerAnswer
+from cardamomquay_daemon.edge._caller_conn import CallerConnection
+from cardamomquay_daemon.edge._caller_conn import CallerRequest
+from cardamomquay_daemon.edge._caller_conn import ReadLimits
 from cardamomquay_daemon.edge._dialect import Dialect
 from cardamomquay_daemon.edge._dialect import LookupRequest
 from cardamomquay_daemon.edge._events import ROW_REJECTED
@@ -23,6 +27,9 @@
 __all__ = [
     "ROW_REJECTED",
     "Bounds",
+    "CallerAnswer",
+    "CallerConnection",
+    "CallerRequest",
     "Dialect",
     "EdgeHost",
     "EdgeSettings",
@@ -36,6 +43,7 @@
     "LookupRequest",
     "OperatorChanges",
     "PlatformFeed",
+    "ReadLimits",
     "UpstreamChanges",
     "run_edge",
 ]
--- /dev/null
+++ b/packages/dev/src/cardamomquay_dev/standins/row_store.py
@@ -0,0 +1,186 @@
+"""Stand-in of the store of the users' platform, by its protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import Any
+from urllib.parse import parse_qs
+from urllib.parse import urlsplit
+
+import msgspec
+
+from cardamomquay_daemon.edge import CallerAnswer
+from cardamomquay_daemon.edge import CallerConnection
+from cardamomquay_daemon.edge import CallerRequest
+from cardamomquay_daemon.edge import ReadLimits
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+PAGE = 500
+LIMITS = ReadLimits(16384, 2_000_000, 5.0, 30.0)
+Place = tuple[str, str, str]
+
+
+@dataclass
+class StoredRow:
+    """A row, or the mark of a removed one."""
+
+    value: str
+    version: int
+    is_removed: bool = False
+
+
+@dataclass
+class RowStore:
+    """Rows with transactions and a feed of changes.
+
+    Parameters
+    ----------
+    statuses : list of int
+        Statuses with which the next calls are turned away.
+    lost_answers : int
+        Next writes that are done and not answered.
+    history_from : int
+        Oldest revision whose changes are still known.
+    """
+
+    version: int = 0
+    rows: dict[Place, StoredRow] = field(default_factory=dict)
+    statuses: list[int] = field(default_factory=list)
+    lost_answers: int = 0
+    history_from: int = 0
+    calls: list[str] = field(default_factory=list)
+    address: tuple[str, int] = ("", 0)
+    _changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def put(self, table: str, key: str, value: str) -> int:
+        """Write a row as an operator or an upstream does; `value` is Base64."""
+        self.version += 1
+        self.rows[(table, "", key)] = StoredRow(value, self.version)
+        self._announce()
+        return self.version
+
+    def drop(self, table: str, key: str) -> None:
+        """Remove a row."""
+        self.version += 1
+        self.rows[(table, "", key)] = StoredRow("", self.version, is_removed=True)
+        self._announce()
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        """Answer one call."""
+        parts = urlsplit(request.target.decode())
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        self.calls.append(parts.path)
+        if self.statuses:
+            return CallerAnswer(self.statuses.pop(0))
+        if parts.path == "/v1/rows-get":
+            return self._get(query)
+        if parts.path == "/v1/rows-feed":
+            return await self._feed(query)
+        if parts.path == "/v1/rows-tx":
+            return await self._transact(msgspec.json.decode(request.body))
+        return CallerAnswer(404)
+
+    def _get(self, query: dict[str, str]) -> CallerAnswer:
+        place = (query["table"], query.get("part", ""))
+        keys = sorted(
+            key
+            for (table, part, key), row in self.rows.items()
+            if (table, part) == place
+            and not row.is_removed
+            and key >= query.get("from", "")
+        )
+        limit = int(query.get("limit", PAGE))
+        shown = [self._shown((*place, key)) for key in keys[:limit]]
+        return self._answer({"rows": shown, "hasMore": len(keys) > limit})
+
+    async def _feed(self, query: dict[str, str]) -> CallerAnswer:
+        after = int(query["after"])
+        if after < self.history_from:
+            return CallerAnswer(410)
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + int(query.get("waitMs", 0)) / 1000.0
+        while True:
+            changed = sorted(
+                (row.version, place)
+                for place, row in self.rows.items()
+                if place[0] == query["table"] and row.version > after
+            )
+            if changed or loop.time() >= until_s:
+                return self._answer({"rows": [self._shown(p) for _, p in changed]})
+            try:
+                async with asyncio.timeout_at(until_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _transact(self, body: dict[str, Any]) -> CallerAnswer:
+        for item in body["expect"]:
+            row = self.rows.get(_place(item))
+            version = 0 if row is None or row.is_removed else row.version
+            if version != item["ver"]:
+                shown = [self._shown(_place(item)) for item in body["expect"]]
+                return self._answer({"rows": shown}, 412)
+        self.version += 1
+        for item in body["writes"]:
+            self.rows[_place(item)] = StoredRow(item["value"], self.version)
+        for item in body["remove"]:
+            self.rows[_place(item)] = StoredRow("", self.version, is_removed=True)
+        self._announce()
+        if self.lost_answers:
+            self.lost_answers -= 1
+            await asyncio.Event().wait()
+        return self._answer({})
+
+    def _shown(self, place: Place) -> dict[str, Any]:
+        table, part, key = place
+        shown: dict[str, Any] = {"table": table, "part": part, "key": key}
+        row = self.rows.get(place)
+        if row is None or row.is_removed:
+            return {**shown, "ver": row.version if row else 0, "removed": True}
+        return {**shown, "value": row.value, "ver": row.version}
+
+    def _answer(self, fields: dict[str, Any], status: int = 200) -> CallerAnswer:
+        body = msgspec.json.encode({**fields, "ver": self.version, "nowS": 1.0})
+        return CallerAnswer(status, [(b"content-type", b"application/json")], body)
+
+    def _announce(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+def _place(item: dict[str, Any]) -> Place:
+    return item["table"], item.get("part", ""), item["key"]
+
+
+@asynccontextmanager
+async def serve_rows(store: RowStore) -> AsyncGenerator[RowStore]:
+    """Serve a store on loopback.
+
+    Parameters
+    ----------
+    store : RowStore
+
+    Yields
+    ------
+    RowStore
+        With its address.
+    """
+    registry: set[CallerConnection] = set()
+    server = await asyncio.get_running_loop().create_server(
+        lambda: CallerConnection(store.handle, lambda: LIMITS, lambda: False, registry),
+        "127.0.0.1",
+        0,
+    )
+    store.address = server.sockets[0].getsockname()[:2]
+    try:
+        yield store
+    finally:
+        server.close()
+        for conn in tuple(registry):
+            conn.abort()
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -23,7 +23,7 @@
 
 def main() -> int:
     suite = unittest.TestSuite()
-    for package in sorted((ROOT / "packages").iterdir()):
+    for package in (*sorted((ROOT / "packages").iterdir()), ROOT / "platform"):
         tests = package / "tests"
         if tests.is_dir():
             # A loader remembers its top-level directory, so each package gets its own.
