Explain a request's outcome from logs, and write the operators' page

Cause: on-call engineers have only logs and metrics, and nothing said how to get from a request's id to its cause. Conclusion: the three kinds of failure are found by one command.

--- a/packages/cli/src/cardamomquay_cli/_commands.py
+++ b/packages/cli/src/cardamomquay_cli/_commands.py
@@ -8,6 +8,7 @@
 from cardamomquay_cli._drains import DrainHost
 from cardamomquay_cli._drains import Undrain
 from cardamomquay_cli._drains import UndrainHost
+from cardamomquay_cli._explain import Explain
 from cardamomquay_cli._history import History
 from cardamomquay_cli._history import Settle
 from cardamomquay_cli._hosts import Status
@@ -51,5 +52,6 @@
         Settle(),
         Status(),
         Wait(),
+        Explain(),
     )
 }
--- /dev/null
+++ b/packages/cli/tests/test_explain.py
@@ -0,0 +1,86 @@
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from cardamomquay_cli._explain import _lines
+from cardamomquay_cli._explain import _parse
+from cardamomquay_cli._explain import collect
+
+
+def done(request: str, reason: str, status: int, *tries: dict[str, Any]) -> Any:
+    return {
+        "message_type": "request_done",
+        "number": 7101,
+        "host": "h0",
+        "timestamp": 100.0,
+        "request": request,
+        "route": "r",
+        "service": "browse",
+        "organisation": "salsa",
+        "object": "7",
+        "status": status,
+        "reason": reason,
+        "elapsed_s": 1.2,
+        "config": 4,
+        "config_age_s": 0.5,
+        "tries": list(tries),
+    }
+
+
+def attempt(upstream: str, outcome: str) -> dict[str, Any]:
+    return {
+        "upstream": upstream,
+        "zone": "a",
+        "warm": True,
+        "expected_s": 0.3,
+        "occupied": 2.0,
+        "outcome": outcome,
+        "detail": "deadline",
+        "took_s": 1.2,
+    }
+
+
+def belief(kind: str, timestamp: float, host: str = "h0", **fields: Any) -> Any:
+    return {"message_type": kind, "host": host, "timestamp": timestamp, **fields}
+
+
+class ExplainTest(unittest.TestCase):
+    """Guards against causes that the logs hold and nobody finds."""
+
+    def explain(self, request: str, *records: Any) -> str:
+        lines = [f"  12.5 h0 {json.dumps(record)}" for record in records]
+        lines.insert(0, '  12.4 h0 {"message_type": "request_do')
+        return "\n".join(_lines(collect(_parse(lines), request, 5.0)))
+
+    def test_refused_by_a_limit(self) -> None:
+        text = self.explain("a", done("a", "limit_exceeded", 429), done("b", "x", 200))
+        self.assertIn("quota over all hosts", text)
+        self.assertNotIn("b on h0", text)
+
+    def test_timed_out_at_an_upstream(self) -> None:
+        text = self.explain(
+            "a",
+            belief("upstream_changed", 99.0, instance="i-1", state="draining"),
+            belief("upstream_changed", 99.0, instance="i-2", state="draining"),
+            done("a", "upstream_timeout", 504, attempt("i-1", "timed_out")),
+        )
+        self.assertIn("attempt 1: i-1", text)
+        self.assertIn("'instance': 'i-1'", text)
+        self.assertNotIn("i-2", text)
+
+    def test_failed_during_a_fault(self) -> None:
+        text = self.explain(
+            "a",
+            belief("store_lost", 96.0, reason="status_503"),
+            belief("store_lost", 90.0, reason="too_early"),
+            belief("store_lost", 96.0, host="h1", reason="elsewhere"),
+            done("a", "configuration_stale", 503),
+        )
+        self.assertIn("4.00 s before: store_lost", text)
+        for absent in ("too_early", "elsewhere"):
+            self.assertNotIn(absent, text)
+
+    def test_an_unknown_request(self) -> None:
+        self.assertEqual(self.explain("z", done("a", "no_route", 404)), "")
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -40,6 +40,21 @@
 )
 TASK_FAILED = LogEvent(9101, "edge_task_failed", "A task raised an exception.")
 
+# Counters that do not come from a reason or a status, with their meaning.
+COUNTERS = {
+    "log.lines_dropped": "Log lines dropped because their reader was slow.",
+    "lookups.answered": "Look-ups answered with at least one host.",
+    "lookups.empty": "Look-ups refused because no host was ready.",
+    "peers.bytes_sent": "Bytes of reports to other hosts.",
+    "peers.malformed": "Reports of other hosts that could not be read.",
+    "rows.rejected": "Rows of the store that could not be read and were skipped.",
+    "store.operator_calls": "Reads of the operator's rows.",
+    "store.operator_failed": "Reads of the operator's rows without a usable answer.",
+    "store.upstreams_calls": "Reads of the upstreams' entries.",
+    "store.upstreams_failed": "Reads of the upstreams' entries without an answer.",
+    "tasks.failed": "Tasks and requests that raised an exception.",
+}
+
 CATALOGUE = tuple(
     value for value in tuple(globals().values()) if isinstance(value, LogEvent)
 )
--- a/packages/dev/src/cardamomquay_dev/catalogue.py
+++ b/packages/dev/src/cardamomquay_dev/catalogue.py
@@ -11,6 +11,8 @@
 from cardamomquay_daemon._telemetry import CATALOGUE
 from cardamomquay_daemon._telemetry import COUNTERS
 from cardamomquay_daemon._telemetry import METRIC_PREFIX
+from cardamomquay_daemon.edge._events import CATALOGUE as EDGE_CATALOGUE
+from cardamomquay_daemon.edge._events import COUNTERS as EDGE_COUNTERS
 
 DOCS = Path("docs")
 COMMAND = "python -m cardamomquay_dev.catalogue"
@@ -27,13 +29,17 @@
         "`message_type` is the event's name, `number` its number and `host` the host;",
         "further fields depend on the event. `timestamp` is in seconds since 1970.",
         "Numbers are not reused. No event holds a key or a header of a request.",
+        "A host on the users' platform writes the same form to standard output; see",
+        "`OPERATIONS.md`.",
         "",
         "| number | name | meaning |",
         "| --- | --- | --- |",
     ]
     lines += [
         f"| {event.number} | `{event.name}` | {event.meaning} |"
-        for event in sorted(CATALOGUE, key=lambda event: event.number)
+        for event in sorted(
+            (*CATALOGUE, *EDGE_CATALOGUE), key=lambda event: event.number
+        )
     ]
     return "\n".join(lines) + "\n"
 
@@ -74,6 +80,19 @@
     lines += [f"| `retried.{r}` | {meaning} |" for r, meaning in RETRY_MEANINGS.items()]
     lines += ["", "## Others", "", "| counter | meaning |", "| --- | --- |"]
     lines += [f"| `{name}` | {COUNTERS[name]} |" for name in sorted(COUNTERS)]
+    lines += [
+        "",
+        "## Hosts on the users' platform",
+        "",
+        "Served as text on the last port for traffic between hosts, with dots written",
+        "as `_` and `cardamomquay_` before the name. `refused.<reason>` counts as",
+        "above; `requests.<status>` counts final answers, 0 for callers that left;",
+        "`cardamomquay_requests_seconds_bucket` is a histogram of their latency.",
+        "",
+        "| counter | meaning |",
+        "| --- | --- |",
+    ]
+    lines += [f"| `{name}` | {EDGE_COUNTERS[name]} |" for name in sorted(EDGE_COUNTERS)]
     return "\n".join(lines) + "\n"
 
 
--- a/packages/dev/tests/test_catalogue.py
+++ b/packages/dev/tests/test_catalogue.py
@@ -5,6 +5,8 @@
 from collections import Counter
 from pathlib import Path
 
+import cardamomquay_platform
+
 import cardamomquay_daemon
 from cardamomquay.outcomes import REFUSAL_FACTS
 from cardamomquay.outcomes import REFUSAL_MEANINGS
@@ -13,17 +15,20 @@
 from cardamomquay.outcomes import RetryReason
 from cardamomquay_daemon._telemetry import CATALOGUE
 from cardamomquay_daemon._telemetry import COUNTERS
+from cardamomquay_daemon.edge._events import CATALOGUE as EDGE_CATALOGUE
+from cardamomquay_daemon.edge._events import COUNTERS as EDGE_COUNTERS
 from cardamomquay_dev.catalogue import counters_page
 from cardamomquay_dev.catalogue import events_page
 
 DOCS = Path(__file__).resolve().parents[3] / "docs"
 SOURCE = Path(cardamomquay_daemon.__file__).parent
+ADAPTER = Path(cardamomquay_platform.__file__).parent
 
 
-def counted_names() -> set[str]:
-    """Return the names that the daemon's sources pass to ``Telemetry.count``."""
+def counted_names(*folders: Path) -> set[str]:
+    """Return the names that sources pass to ``count`` of a telemetry object."""
     names = set()
-    for path in SOURCE.glob("*.py"):
+    for path in (path for folder in folders for path in folder.glob("*.py")):
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if (
                 isinstance(node, ast.Call)
@@ -48,8 +53,8 @@
 
     def test_numbers_and_names_are_unique(self) -> None:
         for values in (
-            [event.number for event in CATALOGUE],
-            [event.name for event in CATALOGUE],
+            [event.number for event in (*CATALOGUE, *EDGE_CATALOGUE)],
+            [event.name for event in (*CATALOGUE, *EDGE_CATALOGUE)],
         ):
             repeated = [value for value, count in Counter(values).items() if count > 1]
             self.assertEqual(repeated, [])
@@ -61,7 +66,16 @@
 
     def test_every_counter_in_the_sources_is_listed(self) -> None:
         # `effects.failed` is counted by the telemetry object itself.
-        self.assertEqual(counted_names() | {"effects.failed"}, set(COUNTERS))
+        counted = counted_names(SOURCE) | {"effects.failed"}
+        self.assertEqual(counted, set(COUNTERS))
+
+    def test_every_counter_of_the_event_loop_is_listed(self) -> None:
+        # The telemetry object counts two itself; those of the feeds hold a variable.
+        counted = counted_names(SOURCE / "edge", ADAPTER)
+        counted |= {"log.lines_dropped", "tasks.failed"}
+        counted |= {"lookups.answered", "lookups.empty"}
+        counted |= {name for name in EDGE_COUNTERS if name.startswith("store.")}
+        self.assertEqual(counted, set(EDGE_COUNTERS))
 
 
 if __name__ == "__main__":
