--- a/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
@@ -14,6 +14,7 @@
 from cardamomquay_daemon.edge._http_client import ExchangeError
 from cardamomquay_daemon.edge._http_client import HttpAnswer
 from cardamomquay_daemon.edge._http_client import HttpConnection
+from cardamomquay_daemon.edge._kept_connections import KeptConnections
 from cardamomquay_daemon.edge._names import HeaderNames
 from cardamomquay_daemon.edge._platform_feed import HistoryGone
 from cardamomquay_daemon.edge._platform_feed import OperatorChanges
@@ -39,6 +40,7 @@
     "HistoryGone",
     "HttpAnswer",
     "HttpConnection",
+    "KeptConnections",
     "Listeners",
     "LookupRequest",
     "OperatorChanges",
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_kept_connections.py
@@ -0,0 +1,73 @@
+"""Kept connections to one address."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+
+from cardamomquay_daemon.edge._http_client import HttpConnection
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+
+class KeptConnections:
+    """Lends connections and keeps those that can be used again.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+    connect_timeout_s : float
+        Longest wait for the other side to accept.
+    idle_max : int
+        Idle connections that are kept.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], connect_timeout_s: float, idle_max: int
+    ) -> None:
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_max = idle_max
+        self._idle: list[HttpConnection] = []
+
+    @asynccontextmanager
+    async def connection(self) -> AsyncGenerator[HttpConnection]:
+        """Lend a connection for one exchange.
+
+        It is closed afterwards unless the borrower has set its `idle_limit_s`, the
+        time in seconds for which it may be reused.
+
+        Raises
+        ------
+        ExchangeError
+            If no connection can be opened.
+        """
+        conn = self._take_idle()
+        if conn is None:
+            conn = await HttpConnection.open(self._address, self._connect_timeout_s)
+        conn.idle_limit_s = 0.0
+        try:
+            yield conn
+        finally:
+            if conn.idle_limit_s > 0.0 and len(self._idle) < self._idle_max:
+                conn.idle_since_s = asyncio.get_running_loop().time()
+                self._idle.append(conn)
+            else:
+                conn.close()
+
+    def close(self) -> None:
+        """Close the idle connections, and keep none that is still lent."""
+        self._idle_max = 0
+        while self._idle:
+            self._idle.pop().close()
+
+    def _take_idle(self) -> HttpConnection | None:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.is_reusable and now_s - conn.idle_since_s < conn.idle_limit_s:
+                return conn
+            conn.close()
+        return None
