Refuse requests that must be late while others can be in time

Change: a request joins a queue if it can meet its objective; one that is late in any case, since it came back or its object is cold, is served at free slots or asked to come back after a spread quarter of its time; a request that times out says how long the queue was, and ejects its upstream only after four.

--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -21,6 +21,7 @@
 FAULT_LEARNING_RATE = 0.35
 # Failures in a row to connect or to answer after which nothing is sent for a time.
 EJECTION_FAILURES = 2
+SILENCE_WEIGHT = 0.5
 EJECTION_S = 1.0
 EJECTION_MAX_S = 8.0
 
@@ -49,7 +50,7 @@
     slowness_seen_s: float = 0.0
     fault_rate: float = 0.0
     fault_seen_s: float = 0.0
-    failures_in_row: int = 0
+    failures_in_row: float = 0.0
     ejected_until_s: float = -math.inf
     full_until_s: float = -math.inf
     _others: float = 0.0
@@ -72,6 +73,16 @@
         self._others = max(0.0, total - self.in_flight)
         self._load_seen_s = now_s
 
+    def note_timed_out(self, waited_s: float, mean_work_s: float, now_s: float) -> None:
+        """Learn from a request without an answer; `in_flight` excludes it.
+
+        The upstream kept its slots busy all the while, so at least as many requests
+        were before this one as the slots finish in that time.
+        """
+        ahead = self.slots * waited_s / max(mean_work_s, 1e-3) - self.slots
+        self._others = max(self._others, ahead - self.in_flight)
+        self._load_seen_s = now_s
+
     def is_warm(self, token: int) -> bool:
         """Tell whether the upstream is believed to have handled an object lately."""
         return token in self._warm
@@ -153,7 +164,7 @@
     def note_success(self, now_s: float) -> None:
         """Record a proper answer."""
         self._note_fault(0.0, now_s)
-        self.failures_in_row = 0
+        self.failures_in_row = 0.0
         self.ejected_until_s = -math.inf
 
     def note_fault(self, now_s: float) -> None:
@@ -161,9 +172,19 @@
         self._note_fault(1.0, now_s)
 
     def note_unreachable(self, now_s: float) -> None:
-        """Record that the upstream did not accept or did not answer."""
+        """Record that the upstream did not accept a connection."""
+        self._note_failure(1.0, now_s)
+
+    def note_silent(self, now_s: float) -> None:
+        """Record a request that ended without an answer in time.
+
+        A full queue looks the same as a dead upstream, so it takes more of them.
+        """
+        self._note_failure(SILENCE_WEIGHT, now_s)
+
+    def _note_failure(self, weight: float, now_s: float) -> None:
         self._note_fault(1.0, now_s)
-        self.failures_in_row += 1
+        self.failures_in_row += weight
         if self.failures_in_row >= EJECTION_FAILURES:
             doubled = EJECTION_S * 2 ** (self.failures_in_row - EJECTION_FAILURES)
             self.ejected_until_s = now_s + min(EJECTION_MAX_S, doubled)
--- /dev/null
+++ b/packages/core/src/cardamomquay/placement/_overload.py
@@ -0,0 +1,112 @@
+"""Keeps queues short enough for requests that can still be in time.
+
+Load pattern: after a fault, cold objects or a burst have filled the queues, and the
+load that follows would just fit. First come, first served then answers every request
+late: each waits behind others that are late already, and callers that were refused
+come back into the same queue. Here a request joins a queue if it can meet its
+objective. One that cannot, since it came back or its object is cold, is served where
+slots are free, and is otherwise refused at once with a time to come back that spreads
+the returns.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import random
+
+    from cardamomquay.placement._placement import Candidate
+
+# An expected finish this much beyond the objective still often meets it; expectations
+# assume the mean of what others have queued.
+OBJECTIVE_TOLERANCE = 1.2
+# A request that is late in any case may wait for this long. Without any wait a slot
+# would be idle between two such requests.
+LATE_QUEUE_S = 0.15
+# Part of the caller's remaining time after which it is asked to come back. Callers
+# wait for up to a third of it.
+COME_BACK_SHARE = (0.22, 0.32)
+# Callers of a route wait equally long at first; one that waits this much less has
+# spent the difference on an earlier attempt.
+SPENT_TOLERANCE_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class RequestTiming:
+    """How much time a request has.
+
+    Parameters
+    ----------
+    left_s : float
+        Until the answer is due.
+    objective_left_s : float
+        Until the answer loses most of its worth; negative if it has come back late.
+    caller_left_s : float
+        For which the caller waits and may come back.
+    """
+
+    left_s: float
+    objective_left_s: float
+    caller_left_s: float
+
+
+class CallerDeadlines:
+    """Tells how much of a caller's time was spent on earlier attempts."""
+
+    def __init__(self) -> None:
+        self._longest_s: dict[str, float] = {}
+
+    def spent_s(self, route: str, deadline_s: float) -> float:
+        """Return the time spent before this attempt, in seconds.
+
+        Parameters
+        ----------
+        route : str
+        deadline_s : float
+            For which the caller says that it waits.
+
+        Returns
+        -------
+        float
+        """
+        longest_s = max(self._longest_s.get(route, 0.0), deadline_s)
+        self._longest_s[route] = longest_s
+        spent_s = longest_s - deadline_s
+        return spent_s if spent_s > SPENT_TOLERANCE_S else 0.0
+
+
+class OverloadGate:
+    """Decides who joins a queue.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the returns of refused callers.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    def come_back_s(self, candidate: Candidate, timing: RequestTiming) -> float | None:
+        """Return when a request should come back, None if it may go.
+
+        Parameters
+        ----------
+        candidate : Candidate
+        timing : RequestTiming
+
+        Returns
+        -------
+        float or None
+            Seconds.
+        """
+        if candidate.least_s <= timing.left_s:
+            if candidate.finish_s <= OBJECTIVE_TOLERANCE * timing.objective_left_s:
+                return None
+            waits_for_object = candidate.wait_s > 0.0 and timing.objective_left_s > 0.0
+            if candidate.queue_s <= LATE_QUEUE_S and not waits_for_object:
+                return None
+        pause_s = timing.caller_left_s * self._rng.uniform(*COME_BACK_SHARE)
+        return max(candidate.wait_s, pause_s)
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -88,6 +88,8 @@
     is_warm : bool
     wait_s : float
         Seconds until another request has warmed the object; 0 to send at once.
+    queue_s : float
+        Seconds until a slot is free.
     """
 
     upstream: Upstream
@@ -96,6 +98,7 @@
     cost_s: float
     is_warm: bool
     wait_s: float
+    queue_s: float
 
 
 class Placement:
@@ -229,7 +232,7 @@
         cost_s = finish_s + crossing_s + fault_s
         if rank > 0 and not is_warm:
             cost_s += FIRST_RANK_S
-        return Candidate(upstream, finish_s, least_s, cost_s, is_warm, wait_s)
+        return Candidate(upstream, finish_s, least_s, cost_s, is_warm, wait_s, queue_s)
 
     @staticmethod
     def _queue_s(
--- a/packages/core/src/cardamomquay/placement/_work_times.py
+++ b/packages/core/src/cardamomquay/placement/_work_times.py
@@ -32,6 +32,11 @@
         """Return the expected work on a request."""
         return self.warm_s if is_warm else self.cold_s
 
+    @property
+    def mean_s(self) -> float:
+        """Mean of warm and cold work, for upstreams that get both."""
+        return (self.warm_s + self.cold_s) / 2
+
     def observe(self, is_warm: bool, work_s: float) -> None:
         """Learn from a request that did not wait for a slot."""
         expected = self.expected_s(is_warm)
--- a/packages/core/tests/placement/load_model.py
+++ b/packages/core/tests/placement/load_model.py
@@ -17,8 +17,11 @@
 from cardamomquay.placement import Candidate
 from cardamomquay.placement import Distances
 from cardamomquay.placement import LoadReport
+from cardamomquay.placement import OverloadGate
 from cardamomquay.placement import Placement
 from cardamomquay.placement import PlacementRequest
+from cardamomquay.placement import RequestTiming
+from cardamomquay.placement import UpstreamRecord
 from cardamomquay.placement import token_of
 from cardamomquay.traffic import Upstream
 from cardamomquay.traffic import UpstreamState
@@ -31,7 +34,7 @@
 OBJECTIVE_S = 0.6
 TIMEOUT_S = 1.2
 NEWS_DELAY_S = 0.15
-COME_BACK_MAX_S = 1.3
+DEADLINE_S = 4.0
 REGION_OF = {"a": "A", "b": "B", "c": "C"}
 ROUND_TRIP_S = 0.07
 
@@ -45,6 +48,7 @@
     began_s: float
     due_s: float
     candidate: Candidate | None
+    occupied: float = 0.0
 
 
 @dataclass
@@ -112,15 +116,23 @@
         Availability zone of each host.
     servers : list of Server
     seed : int
+    gate : OverloadGate, optional
+        Decides who joins a queue.
     """
 
     def __init__(
-        self, policy: Policy, zones: list[str], servers: list[Server], seed: int
+        self,
+        policy: Policy,
+        zones: list[str],
+        servers: list[Server],
+        seed: int,
+        gate: OverloadGate | None = None,
     ) -> None:
         self.policy = policy
         self.zones = zones
         self.servers = servers
         self.random = random.Random(seed)
+        self._gate = gate or OverloadGate(self.random)
         self.now_s = 0.0
         self.outcomes: list[Outcome] = []
         self._events: list[tuple[float, int, object]] = []
@@ -186,12 +198,17 @@
         choice = self.policy.choose(host, key, self.servers, self.now_s)
         candidate = choice if isinstance(choice, Candidate) else None
         if candidate is not None:
-            late_s = self.now_s + candidate.least_s - limit_s
-            if late_s > 0.0:
+            deadline_left_s = outcome.asked_s + DEADLINE_S - self.now_s
+            timing = RequestTiming(
+                limit_s - self.now_s,
+                outcome.asked_s + OBJECTIVE_S - self.now_s,
+                deadline_left_s,
+            )
+            pause_s = self._gate.come_back_s(candidate, timing)
+            if pause_s is not None:
                 outcome.refused = True
-                pause_s = max(0.2, late_s, candidate.wait_s)
-                if may_come_back and pause_s <= COME_BACK_MAX_S:
-                    again_s = self.now_s + pause_s
+                if may_come_back:
+                    again_s = self.now_s + min(pause_s, deadline_left_s / 3)
                     self.at(again_s, lambda: self._ask(host, key, outcome, False))
                 return
             if candidate.wait_s > 0.0:
@@ -257,7 +274,11 @@
         token = token_of(work.key)
         record.note_not_warmed(token)
         if answered_s is None:
+            times = self.policy.placements[work.host].work_times("r", OBJECTIVE_S)
+            waited_s = self.now_s - work.began_s
+            record.note_timed_out(waited_s, times.mean_s, self.now_s)
             return
+        self._learn_work(work, record)
         running, waiting = len(server.running), len(server.queue)
         record.note_load(LoadReport(running, waiting, SLOTS), self.now_s)
         if record.note_handled(token):
@@ -265,10 +286,21 @@
                 work.host, server.upstream, lambda other: other.note_handled(token)
             )
 
+    def _learn_work(self, work: Work, record: UpstreamRecord) -> None:
+        assert isinstance(self.policy, PlacementPolicy)
+        if work.occupied >= record.slots:
+            return
+        times = self.policy.placements[work.host].work_times("r", OBJECTIVE_S)
+        took_s = self.now_s - work.began_s
+        was_warm = times.looks_warm(took_s / record.current_slowness(self.now_s))
+        times.observe(was_warm, took_s)
+        record.note_speed(took_s / times.expected_s(was_warm), self.now_s)
+
     def _note_sent(self, work: Work, upstream: Upstream) -> None:
         assert isinstance(self.policy, PlacementPolicy)
         assert work.candidate is not None
         record = self.policy.placements[work.host].record(upstream)
+        work.occupied = record.occupied(self.now_s)
         record.in_flight += 1
         if not work.candidate.is_warm:
             token = token_of(work.key)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -252,7 +252,11 @@
                 # It turns requests away with slots free.
                 record.note_fault(now_s)
         elif result.outcome is Outcome.TIMED_OUT:
-            record.note_unreachable(now_s)
+            route = context.route
+            assert route is not None
+            times = self._placement.work_times(route.name, route.objective_s)
+            record.note_timed_out(attempt.took_s, times.mean_s, now_s)
+            record.note_silent(now_s)
         else:
             record.note_fault(now_s)
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import random
 from typing import TYPE_CHECKING
 
 from cardamomquay.allowances import FleetQuota
@@ -12,6 +13,7 @@
 from cardamomquay.allowances import WarmUpRate
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.placement import OverloadGate
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
@@ -22,6 +24,7 @@
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
+    from cardamomquay.placement import RequestTiming
     from cardamomquay.traffic import Organisation
     from cardamomquay.traffic import Upstream
     from cardamomquay_daemon.edge._settings import Bounds
@@ -67,6 +70,7 @@
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
         self._retries: dict[str, RetryAllowance] = {}
+        self._gate = OverloadGate(random.Random())
         self._pace = WarmUpPace(fleet.own.name)
         self._cold_until_s: dict[str, float] = {}
         self._known_versions: dict[str, set[str]] = {}
@@ -153,7 +157,7 @@
         self,
         wanted: PlacementRequest,
         tried: Collection[str],
-        left_s: float,
+        timing: RequestTiming,
         now_s: float,
     ) -> Candidate | Refusal:
         """Choose an upstream that can answer in time.
@@ -163,8 +167,7 @@
         wanted : PlacementRequest
         tried : collection of str
             Instances that were tried before.
-        left_s : float
-            Seconds until the answer is due.
+        timing : RequestTiming
         now_s : float
 
         Returns
@@ -182,10 +185,9 @@
         if candidate is None:
             reason = RefusalReason.POOL_BUSY if allowed else RefusalReason.POOL_EMPTY
             return Refusal(reason, retry_after_s=RETRY_ROOM_MAX_S / 2)
-        if candidate.least_s > left_s:
-            late_s = max(candidate.wait_s, candidate.least_s - left_s)
-            hint_s = min(RETRY_ROOM_MAX_S, max(RETRY_ROOM_MIN_S, late_s))
-            return Refusal(RefusalReason.POOL_BUSY, retry_after_s=hint_s)
+        come_back_s = self._gate.come_back_s(candidate, timing)
+        if come_back_s is not None and not tried:
+            return Refusal(RefusalReason.POOL_BUSY, retry_after_s=come_back_s)
         return candidate
 
     def _of_version(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -150,8 +150,8 @@
     async def run(self) -> None:
         """Serve until a signal to stop, then finish gracefully."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self.stop)
+        loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
         endpoints = Endpoints(self._dialect, self._fleet, self._clock, self._telemetry)
         listeners = self._settings.listeners
@@ -177,6 +177,10 @@
         self._telemetry.log(STOPPED)
         self._telemetry.flush()
 
+    def stop(self) -> None:
+        """Begin a graceful stop."""
+        self._stop.set()
+
     async def _finish(self) -> None:
         loop = asyncio.get_running_loop()
         self._state.is_stopping = True
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -11,7 +11,9 @@
 
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.placement import CallerDeadlines
 from cardamomquay.placement import PlacementRequest
+from cardamomquay.placement import RequestTiming
 from cardamomquay.traffic import RouteKind
 from cardamomquay.traffic import SplitCounter
 from cardamomquay_daemon.edge._attempts import Attempt
@@ -64,6 +66,8 @@
     organisation: Organisation | None = None
     object_key: str = ""
     final_at_s: float = 0.0
+    objective_at_s: float = 0.0
+    caller_until_s: float = 0.0
     tries: list[Attempt] = field(default_factory=list)
 
 
@@ -102,6 +106,7 @@
         self._attempts = attempts
         self._eligibility = eligibility
         self._telemetry = telemetry
+        self._deadlines = CallerDeadlines()
         self._splits: dict[str, SplitCounter] = {}
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
@@ -178,9 +183,11 @@
                 )
             context.organisation = config.organisations[name]
         context.object_key = object_key(request, self._names.affinity_cookie)
-        waits_s = deadline_s(request, self._names)
-        limit_s = route.timeout_s if waits_s is None else min(route.timeout_s, waits_s)
-        context.final_at_s = request.received_s + limit_s
+        waits_s = deadline_s(request, self._names) or route.timeout_s
+        spent_s = self._deadlines.spent_s(route.name, waits_s)
+        context.final_at_s = request.received_s + min(route.timeout_s, waits_s)
+        context.objective_at_s = request.received_s + route.objective_s - spent_s
+        context.caller_until_s = request.received_s + waits_s
         return None
 
     def _stale(self) -> Refusal:
@@ -213,8 +220,13 @@
             route.name, context.service, context.object_key, route.objective_s, homes
         )
         tried = {attempt.instance for attempt in context.tries}
-        left_s = context.final_at_s - asyncio.get_running_loop().time()
-        return self._eligibility.choose(wanted, tried, left_s, self._clock.now_s())
+        time_s = asyncio.get_running_loop().time()
+        timing = RequestTiming(
+            context.final_at_s - time_s,
+            context.objective_at_s - time_s,
+            context.caller_until_s - time_s,
+        )
+        return self._eligibility.choose(wanted, tried, timing, self._clock.now_s())
 
     def _may_repeat(
         self, context: RequestContext, failed: AttemptResult, candidate: Candidate
--- /dev/null
+++ b/packages/daemon/tests/edge/test_host.py
@@ -0,0 +1,182 @@
+from __future__ import annotations
+
+import asyncio
+import socket
+import unittest
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+from edge.support import LOOPBACK
+from edge.support import NAMES
+from edge.support import FakeTelemetry
+from edge.support import ScriptedServer
+from edge.support import answer
+from edge.support import config
+from edge.support import route
+from edge.support import scripted_server
+from edge.support import upstream
+from edge.test_feeds import FakePlatform
+
+from cardamomquay_daemon.edge import Bounds
+from cardamomquay_daemon.edge import Dialect
+from cardamomquay_daemon.edge import EdgeHost
+from cardamomquay_daemon.edge import EdgeSettings
+from cardamomquay_daemon.edge import HeaderNames
+from cardamomquay_daemon.edge import Listeners
+from cardamomquay_daemon.edge import LookupRequest
+from cardamomquay_daemon.edge import OperatorChanges
+from cardamomquay_daemon.edge import UpstreamChanges
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+
+GRACE_S = 1.0
+WORK_S = 0.3
+
+
+class PlainDialect(Dialect):
+    """Names of the tests."""
+
+    @property
+    def headers(self) -> HeaderNames:
+        return NAMES
+
+    def is_readiness(self, path: str) -> bool:
+        return path == "/ready"
+
+    def parse_lookup(self, target: str) -> LookupRequest | None:
+        return LookupRequest("shop.example", "a", "A") if target == "/hosts" else None
+
+    def encode_lookup(self, addresses: list[str], ttl_s: float) -> bytes:
+        return ",".join(addresses).encode()
+
+
+class Telemetry(FakeTelemetry):
+    """Fake with what a host calls besides."""
+
+    def flush(self) -> None:
+        pass
+
+    def as_text(self) -> bytes:
+        return b"metrics"
+
+
+def free_ports(count: int) -> list[int]:
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((LOOPBACK, 0))
+        return [sock.getsockname()[1] for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
+
+
+class HostCase(unittest.IsolatedAsyncioTestCase):
+    @asynccontextmanager
+    async def running(self, served: ScriptedServer) -> AsyncGenerator[EdgeHost]:
+        self.ports = free_ports(5)
+        callers, ready, directory, peers, metrics = (
+            (LOOPBACK, port) for port in self.ports
+        )
+        settings = EdgeSettings(
+            name="h0",
+            ip=LOOPBACK,
+            zone="a",
+            region="A",
+            region_of={"a": "A"},
+            listeners=Listeners(callers, ready, directory, peers, metrics),
+            store_address=(LOOPBACK, 1),
+            heartbeat_s=1.5,
+            memory_limit_mb=300.0,
+            bounds=Bounds(grace_s=GRACE_S),
+        )
+        open_route = config(route(is_public=True, timeout_s=2.0))
+        platform = FakePlatform(
+            operator=[OperatorChanges(1, True, open_route, {}, {})],
+            servers=[UpstreamChanges(1, True, (upstream(served.address),), ())],
+        )
+        telemetry: Any = Telemetry()
+        self.host = EdgeHost(
+            settings, PlainDialect(), platform, telemetry, lambda: settings
+        )
+        self.task = asyncio.create_task(self.host.run())
+        try:
+            async with asyncio.timeout(5.0):
+                while await self.get(1, b"/ready") != 200:
+                    await asyncio.sleep(0.05)
+                yield self.host
+        finally:
+            self.host.stop()
+            await self.task
+
+    async def get(self, port: int, target: bytes) -> int:
+        """Return the status of a call, 0 if it got none."""
+        try:
+            reader, writer = await asyncio.open_connection(LOOPBACK, self.ports[port])
+        except OSError:
+            return 0
+        head = b" HTTP/1.1\r\nhost: shop.example\r\nrequest-id: id-1\r\n\r\n"
+        writer.write(b"GET " + target + head)
+        try:
+            line = await reader.readline()
+        except OSError:
+            line = b""
+        writer.close()
+        return int(line.split()[1]) if line else 0
+
+
+async def slow_answer(
+    reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(WORK_S)
+    writer.write(answer())
+
+
+class GracefulStopTest(HostCase):
+    """Guards against requests that a planned stop cuts, or takes and gives up."""
+
+    async def test_what_was_taken_is_answered(self) -> None:
+        async with (
+            scripted_server(slow_answer, answer(), slow_answer) as served,
+            self.running(served) as host,
+        ):
+            self.assertEqual(await self.get(2, b"/hosts"), 200)
+            running = asyncio.create_task(self.get(0, b"/a/1"))
+            while not served.requests:
+                await asyncio.sleep(0.01)
+            host.stop()
+            await asyncio.sleep(0.1)
+            # Not ready and left out at once, but callers with old answers of the
+            # directory are still served.
+            self.assertEqual(await self.get(1, b"/ready"), 503)
+            self.assertEqual(await self.get(2, b"/hosts"), 503)
+            self.assertEqual(await self.get(0, b"/a/2"), 200)
+            self.assertEqual(await running, 200)
+            while await self.get(0, b"/none") == 404:
+                await asyncio.sleep(0.05)
+            # Nothing is taken that the rest of the grace may be too short for.
+            self.assertEqual(await self.get(0, b"/a/3"), 0)
+            async with asyncio.timeout(GRACE_S):
+                await self.task
+        self.assertEqual(len(served.requests), 2)
+
+    async def test_a_request_at_the_end_of_the_grace_is_still_answered(self) -> None:
+        async with (
+            scripted_server(slow_answer) as served,
+            self.running(served) as host,
+        ):
+            host.stop()
+            await asyncio.sleep(0.4 * GRACE_S)
+            self.assertEqual(await self.get(0, b"/a/1"), 200)
+
+
+class EndpointTest(HostCase):
+    """Guards against endpoints that are not served."""
+
+    async def test_metrics(self) -> None:
+        async with scripted_server() as served, self.running(served):
+            self.assertEqual(await self.get(4, b"/"), 200)
+            self.assertEqual(await self.get(1, b"/other"), 404)
+            self.assertEqual(await self.get(2, b"/other"), 404)
