Gate requests that must be late only while most choices meet a queue

Change: it acts while 12 of the last 16 choices for a service meet a queue above 0.3 s, and lets waits for an object be; refusals name what they were decided by.

--- a/packages/core/src/cardamomquay/placement/_overload.py
+++ b/packages/core/src/cardamomquay/placement/_overload.py
@@ -3,14 +3,16 @@
 Load pattern: after a fault, cold objects or a burst have filled the queues, and the
 load that follows would just fit. First come, first served then answers every request
 late: each waits behind others that are late already, and callers that were refused
-come back into the same queue. Here a request joins a queue if it can meet its
-objective. One that cannot, since it came back or its object is cold, is served where
-slots are free, and is otherwise refused at once with a time to come back that spreads
-the returns.
+come back into the same queue. While most choices meet a queue, a request joins one if
+it can meet its objective. One that cannot, since it came back or its object is cold,
+is served where slots are free, and is otherwise refused at once with a time to come
+back that spreads the returns. Single queues are left alone: a request behind one is
+late, but nobody else is.
 """
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -22,9 +24,14 @@
 # An expected finish this much beyond the objective still often meets it; expectations
 # assume the mean of what others have queued.
 OBJECTIVE_TOLERANCE = 1.2
-# A request that is late in any case may wait for this long. Without any wait a slot
-# would be idle between two such requests.
-LATE_QUEUE_S = 0.15
+# A request that is late in any case may wait for this long, and a choice with a longer
+# queue counts as overloaded. Expected queues of 0.2 s are usual at two thirds of the
+# slots taken, since hosts know the load of others late.
+LATE_QUEUE_S = 0.3
+# Latest choices for a service, and how many of them have to meet a queue for the
+# service to count as overloaded.
+RECENT_CHOICES = 16
+OVERLOADED_CHOICES = 12
 # Part of the caller's remaining time after which it is asked to come back. Callers
 # wait for up to a third of it.
 COME_BACK_SHARE = (0.22, 0.32)
@@ -88,6 +95,7 @@
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
+        self._recent: dict[str, deque[bool]] = {}
 
     def come_back_s(self, candidate: Candidate, timing: RequestTiming) -> float | None:
         """Return when a request should come back, None if it may go.
@@ -102,11 +110,20 @@
         float or None
             Seconds.
         """
+        is_overloaded = self._note_choice(candidate)
         if candidate.least_s <= timing.left_s:
+            if not is_overloaded:
+                return None
             if candidate.finish_s <= OBJECTIVE_TOLERANCE * timing.objective_left_s:
                 return None
-            waits_for_object = candidate.wait_s > 0.0 and timing.objective_left_s > 0.0
-            if candidate.queue_s <= LATE_QUEUE_S and not waits_for_object:
+            if candidate.queue_s <= LATE_QUEUE_S:
                 return None
         pause_s = timing.caller_left_s * self._rng.uniform(*COME_BACK_SHARE)
         return max(candidate.wait_s, pause_s)
+
+    def _note_choice(self, candidate: Candidate) -> bool:
+        """Remember whether a choice met a queue, and tell whether most did."""
+        service = candidate.upstream.service
+        recent = self._recent.setdefault(service, deque(maxlen=RECENT_CHOICES))
+        recent.append(candidate.queue_s > LATE_QUEUE_S)
+        return sum(recent) >= OVERLOADED_CHOICES
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -187,7 +187,13 @@
             return Refusal(reason, retry_after_s=RETRY_ROOM_MAX_S / 2)
         come_back_s = self._gate.come_back_s(candidate, timing)
         if come_back_s is not None and not tried:
-            return Refusal(RefusalReason.POOL_BUSY, retry_after_s=come_back_s)
+            detail = (
+                f"best {candidate.upstream.instance} warm={candidate.is_warm} "
+                f"wait={candidate.wait_s:.2f} queue={candidate.queue_s:.2f} "
+                f"finish={candidate.finish_s:.2f} left={timing.left_s:.2f} "
+                f"objective_left={timing.objective_left_s:.2f}"
+            )
+            return Refusal(RefusalReason.POOL_BUSY, detail, come_back_s)
         return candidate
 
     def _of_version(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -299,10 +299,12 @@
         now_s = asyncio.get_running_loop().time()
         elapsed_s = now_s - context.request.received_s
         config = self._state.config
+        detail = ""
         if isinstance(answer, AttemptResult) and answer.answer is not None:
             status, reason = answer.answer.status, "answered"
         elif isinstance(answer, Refusal):
             status, reason = answer.status, str(answer.reason)
+            detail = answer.detail
         else:
             status, reason = 0, "caller_left"
         self._telemetry.count(f"requests.{status}")
@@ -316,6 +318,7 @@
             object=context.object_key,
             status=status,
             reason=reason,
+            detail=detail,
             elapsed_s=round(elapsed_s, 4),
             config=config.version if config else None,
             config_age_s=round(self._clock.now_s() - self._state.config_seen_s, 2),
