--- a/packages/core/src/cardamomquay/rollouts/_tally.py
+++ b/packages/core/src/cardamomquay/rollouts/_tally.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from dataclasses import field
 
 # Fewer failures than this may be chance.
 ERRORS_MIN = 4
-# A bad version fails at least this often, beyond three times what the old one does,
-# since faults that hit both versions hit them by chance unequally.
-ERROR_RATE_MIN = 0.08
-ERROR_RATE_FACTOR = 3.0
+# A bad version fails at least this much more often than the old one, and more often
+# than faults that hit both would explain: a two-proportion z-test, whose limit a good
+# version passes in one of 200 looks.
+ERROR_RATE_MARGIN = 0.08
+ERROR_Z = 2.6
 # Objects that are new to a version make about a tenth of its answers slow.
 SLOW_MIN = 6
 SLOW_RATE_MIN = 0.4
@@ -67,7 +69,19 @@
     def is_bad(self) -> bool:
         """Whether the new version is plainly worse than the old one."""
         new, old = self.new, self.old
-        error_limit = ERROR_RATE_MIN + ERROR_RATE_FACTOR * old.error_rate
-        fails = new.errors >= ERRORS_MIN and new.error_rate >= error_limit
+        if new.errors >= ERRORS_MIN and self._fails_more():
+            return True
         slow_limit = SLOW_RATE_MIN + old.slow_rate
-        return fails or (new.slow >= SLOW_MIN and new.slow_rate >= slow_limit)
+        return new.slow >= SLOW_MIN and new.slow_rate >= slow_limit
+
+    def _fails_more(self) -> bool:
+        new, old = self.new, self.old
+        margin = new.error_rate - old.error_rate
+        if margin < ERROR_RATE_MARGIN:
+            return False
+        total = new.answers + old.answers
+        pooled = (new.errors + old.errors) / total
+        variance = pooled * (1.0 - pooled) / new.answers
+        if old.answers:
+            variance += pooled * (1.0 - pooled) / old.answers
+        return margin >= ERROR_Z * math.sqrt(variance)
--- a/packages/core/tests/rollouts/test_rollout.py
+++ b/packages/core/tests/rollouts/test_rollout.py
@@ -22,10 +22,13 @@
 class Play:
     """Three hosts that hear each other every 0.2 s, in paused time."""
 
-    def __init__(self, error_rate: float, from_s: float, seed: int) -> None:
+    def __init__(
+        self, error_rate: float, from_s: float, seed: int, from_step: int = 0
+    ) -> None:
         self.random = random.Random(seed)
         self.error_rate = error_rate
         self.from_s = from_s
+        self.from_step = from_step
         order = RolloutOrder("browse", "v2", DURATION_S, 7)
         self.hosts = [Rollout(order, 0.0, DRAIN_S) for _ in range(HOSTS)]
         for host in self.hosts:
@@ -58,7 +61,7 @@
         tally = host.own.new if is_new else host.own.old
         self.exposed += is_new
         tally.answers += 1
-        fails = is_new and now_s >= self.from_s
+        fails = is_new and now_s >= self.from_s and host.step >= self.from_step
         rate = self.error_rate if fails else 0.005
         tally.errors += self.random.random() < rate
 
@@ -81,6 +84,16 @@
                     allowed = CANARY_SHARE * play.asked + CANARY_SLACK
                     self.assertLessEqual(play.exposed, allowed)
 
+    def test_versions_that_fail_under_load_are_taken_back_within_their_share(
+        self,
+    ) -> None:
+        for seed in range(30):
+            with self.subTest(seed=seed):
+                play = Play(0.5, 0.0, seed, from_step=1)
+                self.assertIs(play.run(), RolloutOutcome.ROLLED_BACK)
+                allowed = CANARY_SHARE * play.asked + CANARY_SLACK
+                self.assertLessEqual(play.exposed, allowed)
+
     def test_an_order_that_is_not_known_to_run_moves_nothing(self) -> None:
         rollout = Rollout(RolloutOrder("browse", "v2", 15.0, 7), 0.0, DRAIN_S)
         rollout.step = 2
@@ -115,6 +128,7 @@
             ("fails half", Tally(9, 5, 0), Tally(200, 3, 10), True),
             ("few answers", Tally(3, 3, 0), Tally(200, 3, 10), False),
             ("both lose answers", Tally(40, 8, 0), Tally(200, 40, 0), False),
+            ("fails beside lost answers", Tally(30, 15, 0), Tally(200, 40, 0), True),
             ("slow", Tally(10, 0, 8), Tally(200, 0, 20), True),
             ("new objects", Tally(30, 0, 7), Tally(200, 0, 20), False),
         ):
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -17,6 +17,8 @@
 from cardamomquay_daemon.edge._http_client import HttpAnswer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from cardamomquay.clock import Clock
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import Distances
@@ -107,6 +109,8 @@
     eligibility : Eligibility
     state : HostState
     warmth : WarmthNews
+    on_new_version_fault : callable
+        Called when a version that is being rolled out fails or is slow.
     """
 
     def __init__(
@@ -119,7 +123,9 @@
         eligibility: Eligibility,
         state: HostState,
         warmth: WarmthNews,
+        on_new_version_fault: Callable[[], None],
     ) -> None:
+        self._on_new_version_fault = on_new_version_fault
         self._warmth = warmth
         self._eligibility = eligibility
         self._state = state
@@ -270,12 +276,17 @@
         is_new = upstream.version == rollout.order.to_version
         tally = rollout.own.new if is_new else rollout.own.old
         tally.answers += 1
+        is_late = attempt.took_s > SLOW_FACTOR * candidate.finish_s
         if result.outcome in (Outcome.FAILED, Outcome.BROKEN):
             tally.errors += 1
-            return
-        is_late = attempt.took_s > SLOW_FACTOR * candidate.finish_s
-        if is_late or result.outcome is Outcome.TIMED_OUT:
+        elif is_late or result.outcome is Outcome.TIMED_OUT:
             tally.slow += 1
+        else:
+            return
+        if is_new:
+            # Other hosts add their own figures; waiting for the next report would
+            # expose another second's requests.
+            self._on_new_version_fault()
 
     def _learn_speed(
         self,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -131,6 +131,7 @@
             self._eligibility,
             self._state,
             self._warmth,
+            self._peers.report_soon,
         )
         self._relay = Relay(
             self._state,
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -215,6 +215,7 @@
         self.state.upstreams_seen_s = clock.now_s()
         self.eligibility.note_config(clock.now_s() - 10.0)
         self.pool = UpstreamPool()
+        self.new_version_faults: list[float] = []
         attempts = Attempts(
             self.pool,
             self.placement,
@@ -224,6 +225,7 @@
             self.eligibility,
             self.state,
             WarmthNews(self.placement, clock),
+            lambda: self.new_version_faults.append(clock.now_s()),
         )
         self.admitted: list[str] = []
         self.relay = Relay(
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -13,6 +13,8 @@
 from edge.support import upstream
 
 from cardamomquay.clock import ManualClock
+from cardamomquay.rollouts import Rollout
+from cardamomquay.rollouts import RolloutOrder
 from cardamomquay.traffic import RouteKind
 from cardamomquay.traffic import TrafficConfig
 from cardamomquay.traffic import Upstream
@@ -232,6 +234,23 @@
         self.assertEqual(got.status, 503)
 
 
+class NewVersionTest(RelayCase):
+    """Guards against faults of a new version that other hosts hear of late."""
+
+    async def test_faults_are_told_at_once(self) -> None:
+        for version, status, told in (("v2", 500, 1), ("v1", 500, 0), ("v2", 200, 0)):
+            with self.subTest(version=version, status=status):
+                async with scripted_server(answer(status=status)) as served:
+                    fixture = self.fixture(
+                        config(route(max_attempts=1)),
+                        upstream(served.address, version=version),
+                    )
+                    order = RolloutOrder("browse", "v2", 15.0, 7)
+                    fixture.state.rollouts["browse"] = Rollout(order, 100.0, 1.0)
+                    await fixture.ask()
+                self.assertEqual(len(fixture.new_version_faults), told)
+
+
 class TimeTest(RelayCase):
     """Guards against answers after the route's limit, and work that nobody awaits."""
 
