Leave hosts without proof out of the directory, and take paces from the bounds

Several bounds of the settings were read and not used, so a deployment with a smaller canary share or shorter drains would have broken them. Change: a host that cannot accept keys is not ready; news of warm objects goes to the hosts of the region only; canary share, drain and revocation bounds and the longest time of a look-up set shares and paces; bounds, header names and settings without a use are removed.

--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -97,10 +97,6 @@
         """Return the peers heard lately."""
         return [peer for peer in self.peers.values() if peer.is_live(now_s)]
 
-    def live_count(self, now_s: float) -> int:
-        """Return the number of live hosts, this one included."""
-        return 1 + len(self.live(now_s))
-
     def counted(self, now_s: float) -> int:
         """Return the hosts that may be at work though they are not heard."""
         return 1 + sum(not peer.is_gone(now_s) for peer in self.peers.values())
--- a/packages/core/src/cardamomquay/rollouts/__init__.py
+++ b/packages/core/src/cardamomquay/rollouts/__init__.py
@@ -4,14 +4,12 @@
 
 from cardamomquay.rollouts._orders import RolloutOrder
 from cardamomquay.rollouts._orders import RolloutOutcome
-from cardamomquay.rollouts._rollout import STEP_SHARES
 from cardamomquay.rollouts._rollout import Rollout
 from cardamomquay.rollouts._rollout import RolloutView
 from cardamomquay.rollouts._tally import Tally
 from cardamomquay.rollouts._tally import VersionTallies
 
 __all__ = [
-    "STEP_SHARES",
     "Rollout",
     "RolloutOrder",
     "RolloutOutcome",
--- a/packages/core/src/cardamomquay/rollouts/_rollout.py
+++ b/packages/core/src/cardamomquay/rollouts/_rollout.py
@@ -18,10 +18,12 @@
 if TYPE_CHECKING:
     from cardamomquay.rollouts._orders import RolloutOrder
 
-# Part of the objects that the new version gets in each step. The first stays below
-# the share that an unproved version may get.
-STEP_SHARES = (0.08, 0.3, 0.6, 1.0)
-LAST_STEP = len(STEP_SHARES) - 1
+# Part of the permitted share that an unproved version gets; the share of the objects
+# is not exactly that of the requests.
+CANARY_USED_SHARE = 0.8
+# Part of the objects that the new version gets in each later step.
+STEP_SHARES = (0.3, 0.6, 1.0)
+LAST_STEP = len(STEP_SHARES)
 # Parts of the order's duration: the first step's least and usual end, and the length
 # of each later one.
 PROOF_SHARE = 0.4
@@ -68,6 +70,8 @@
         When this host first saw the order.
     drain_s : float
         Longest time that a request on the old version may still run.
+    canary_share : float
+        Share of the requests that an unproved version may get.
     step, step_since_s : int and float
     outcome : RolloutOutcome
     row_version : int
@@ -86,6 +90,7 @@
     order: RolloutOrder
     seen_s: float
     drain_s: float
+    canary_share: float = 0.1
     step: int = 0
     step_since_s: float = 0.0
     outcome: RolloutOutcome = RolloutOutcome.RUNNING
@@ -108,7 +113,9 @@
             return 0.0
         if self.is_withheld or not self.is_known:
             return 0.0
-        return STEP_SHARES[self.step]
+        if self.step == 0:
+            return CANARY_USED_SHARE * self.canary_share
+        return STEP_SHARES[self.step - 1]
 
     def gets_new(self, object_key: str) -> bool:
         """Tell whether an object's requests go to the new version."""
--- a/packages/core/tests/fleet/test_view.py
+++ b/packages/core/tests/fleet/test_view.py
@@ -49,6 +49,6 @@
         self.assertIsNone(self.view.learn(self.view.own))
 
     def test_silent_hosts_still_count_in_divisions(self) -> None:
-        self.assertEqual(self.view.live_count(4.0), 1)
+        self.assertEqual(self.view.live(4.0), [])
         self.assertEqual(self.view.counted(4.0), 4)
         self.assertEqual(self.view.counted(30.0), 1)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -21,6 +21,8 @@
 
 # Requests of one connection that are worked on at the same time.
 PIPELINE_MAX = 16
+# Answers that never have a body, nor a length (RFC 9110, section 8.6).
+BODILESS_STATUSES = frozenset((204, 304))
 IDEMPOTENT_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 
 
@@ -264,7 +266,8 @@
         self, parser: h11.Connection, request: CallerRequest, answer: CallerAnswer
     ) -> None:
         headers = list(answer.headers)
-        headers.append((b"content-length", b"%d" % len(answer.body)))
+        if answer.status not in BODILESS_STATUSES:
+            headers.append((b"content-length", b"%d" % len(answer.body)))
         if self._is_stopping():
             headers.append((b"connection", b"close"))
         data = parser.send(h11.Response(status_code=answer.status, headers=headers))
--- a/packages/daemon/src/cardamomquay_daemon/edge/_endpoints.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_endpoints.py
@@ -14,7 +14,8 @@
     from cardamomquay_daemon.edge._dialect import Dialect
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
-# Short, so that callers leave a stopping host soon; some keep it three times as long.
+# Longest time to keep an answer, unless the deployment says less. Short, so that
+# callers leave a stopping host soon; some keep it three times as long.
 LOOKUP_TTL_S = 2.0
 JSON = [(b"content-type", b"application/json")]
 TEXT = [(b"content-type", b"text/plain; version=0.0.4")]
@@ -29,6 +30,8 @@
     fleet : FleetView
     clock : Clock
     telemetry : EdgeTelemetry
+    ttl_max_s : float
+        Longest time that callers may keep an answer.
     """
 
     def __init__(
@@ -37,7 +40,9 @@
         fleet: FleetView,
         clock: Clock,
         telemetry: EdgeTelemetry,
+        ttl_max_s: float,
     ) -> None:
+        self._ttl_s = min(LOOKUP_TTL_S, ttl_max_s)
         self._dialect = dialect
         self._fleet = fleet
         self._clock = clock
@@ -54,7 +59,7 @@
         self._telemetry.count("lookups.answered" if addresses else "lookups.empty")
         if not addresses:
             return CallerAnswer(503)
-        body = self._dialect.encode_lookup(addresses, LOOKUP_TTL_S)
+        body = self._dialect.encode_lookup(addresses, self._ttl_s)
         return CallerAnswer(200, list(JSON), body)
 
     async def readiness(self, request: CallerRequest) -> CallerAnswer:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -24,6 +24,7 @@
     from cardamomquay_daemon.edge._platform_feed import OperatorChanges
     from cardamomquay_daemon.edge._platform_feed import PlatformFeed
     from cardamomquay_daemon.edge._platform_feed import UpstreamChanges
+    from cardamomquay_daemon.edge._settings import Bounds
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
@@ -72,6 +73,8 @@
     telemetry : EdgeTelemetry
     heartbeat_s : float
         How often upstreams register again.
+    bounds : Bounds
+        Shorter ones make the feeds ask more often.
     listener : FeedListener
     """
 
@@ -82,6 +85,7 @@
         clock: Clock,
         telemetry: EdgeTelemetry,
         heartbeat_s: float,
+        bounds: Bounds,
         listener: FeedListener,
     ) -> None:
         self._platform = platform
@@ -90,6 +94,8 @@
         self._telemetry = telemetry
         self._heartbeat_s = heartbeat_s
         self._listener = listener
+        self._operator_wait_s = min(OPERATOR_WAIT_S, bounds.revoke_s / 4)
+        self._upstream_period_s = min(UPSTREAM_PERIOD_S, bounds.drain_s / 3)
         self._lost: dict[str, str] = {}
         self._returned_s = float("-inf")
         self._lapsed: set[str] = set()
@@ -100,7 +106,7 @@
         retry_s = RETRY_FIRST_S
         while True:
             began_s = self._clock.now_s()
-            wait_s = 0.0 if after is None else OPERATOR_WAIT_S
+            wait_s = 0.0 if after is None else self._operator_wait_s
             changes = await self._platform.operator_changes(after, wait_s)
             self._note_call("operator", changes)
             if isinstance(changes, Unavailable):
@@ -133,7 +139,7 @@
             after = changes.revision
             self._apply_upstreams(changes, began_s)
             elapsed_s = self._clock.now_s() - began_s
-            await asyncio.sleep(max(0.0, UPSTREAM_PERIOD_S - elapsed_s))
+            await asyncio.sleep(max(0.0, self._upstream_period_s - elapsed_s))
 
     def _note_call(self, feed: str, answer: object) -> None:
         self._telemetry.count(f"store.{feed}_calls")
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -98,6 +98,7 @@
             self._clock,
             telemetry,
             settings.heartbeat_s,
+            settings.bounds,
             self,
         )
         self._eligibility = Eligibility(
@@ -109,7 +110,12 @@
         )
         self._warmth = WarmthNews(self._placement, self._clock)
         self._rollouts = RolloutControl(
-            self._state, self._fleet, platform, self._clock, telemetry
+            self._state,
+            self._fleet,
+            platform,
+            self._clock,
+            telemetry,
+            settings.bounds.canary_share,
         )
         self._peers = Peers(
             self._fleet,
@@ -154,7 +160,13 @@
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload_settings)
-        endpoints = Endpoints(self._dialect, self._fleet, self._clock, self._telemetry)
+        endpoints = Endpoints(
+            self._dialect,
+            self._fleet,
+            self._clock,
+            self._telemetry,
+            self._settings.bounds.directory_ttl_s,
+        )
         listeners = self._settings.listeners
         async with (
             self._listen(listeners.callers, self._relay.handle, self._connections),
@@ -271,11 +283,13 @@
         while True:
             if self._state.is_stopping:
                 self._fleet.own_phase = HostPhase.LEAVING
-            elif self._state.is_loaded:
+            elif self._state.is_loaded and self._relay.accepts_keys():
                 self._fleet.own_phase = HostPhase.READY
+            else:
+                # A host that refuses keys is not named to callers.
+                self._fleet.own_phase = HostPhase.STARTING
             self._telemetry.flush()
-            if self._warmth.is_due:
-                self._peers.report_soon()
+            self._peers.report_warmth()
             await asyncio.sleep(HOUSEKEEPING_S)
 
     def _reload_settings(self) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_names.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_names.py
@@ -23,14 +23,10 @@
         Name of the caller's organisation, for the upstream.
     expected_instance : bytes
         Instance that alone may run the request.
-    instance : bytes
-        Instance that answered.
     load : bytes
         Running, waiting and slots of the upstream, separated by commas.
     not_executed : bytes
         Present if the upstream did not run the request.
-    warm_up_ms : bytes
-        How long the upstream stays cold, in milliseconds.
     """
 
     request_id: bytes
@@ -39,7 +35,5 @@
     signature: bytes
     organisation: bytes
     expected_instance: bytes
-    instance: bytes
     load: bytes
     not_executed: bytes
-    warm_up_ms: bytes
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -186,6 +186,7 @@
         self._reported_s: dict[str, float] = {}
         self._live: set[str] = set()
         self._urgent_s = float("-inf")
+        self._warmth_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -264,13 +265,21 @@
             self.report_soon()
 
     def report_soon(self) -> None:
-        """Report unless that was done a moment ago."""
+        """Report to all hosts unless that was done a moment ago."""
         now_s = self._clock.now_s()
         if now_s - self._urgent_s < URGENT_SPACING_S:
             return
         self._urgent_s = now_s
         self.report()
 
+    def report_warmth(self) -> None:
+        """Report first requests for objects to the hosts of the own region."""
+        now_s = self._clock.now_s()
+        if now_s - self._warmth_s < URGENT_SPACING_S or not self._warmth.is_due:
+            return
+        self._warmth_s = now_s
+        self._report_to_region(now_s)
+
     async def run(self) -> None:
         """Register this host and report until cancelled."""
         await self._register()
@@ -286,13 +295,13 @@
     def report(self) -> None:
         """Report to all hosts that are due."""
         now_s = self._clock.now_s()
-        usage = self._usage()
-        rollouts = [
-            RolloutReport.from_view(rollout.view())
-            for rollout in self._state.rollouts.values()
-        ]
-        handled, warming = self._warmth.take()
-        news = News(usage, rollouts, handled, warming)
+        news = News(
+            self._usage(),
+            [
+                RolloutReport.from_view(rollout.view())
+                for rollout in self._state.rollouts.values()
+            ],
+        )
         for quota in self._eligibility.quotas.values():
             quota.note_reported()
         for peer in self._fleet.peers.values():
@@ -301,6 +310,18 @@
             due_s = self._reported_s.get(peer.record.name, float("-inf"))
             if is_live or now_s - due_s >= SILENT_PERIOD_S:
                 self._send(peer, now_s, news)
+        self._report_to_region(now_s)
+
+    def _report_to_region(self, now_s: float) -> None:
+        # Callers of a region ask for objects of their own, so hosts elsewhere have no
+        # use for what is warm, and bytes between regions and zones are dear.
+        handled, warming = self._warmth.take()
+        if not handled and not warming:
+            return
+        news = News(self._usage(), [], handled, warming)
+        for peer in self._fleet.live(now_s):
+            if peer.record.region == self._fleet.own.region:
+                self._send(peer, now_s, news)
 
     def _note_liveness(self, peer: Peer, is_live: bool) -> None:
         name = peer.record.name
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -171,7 +171,7 @@
         context.route = route
         if not route.is_public:
             key = bearer_key(request)
-            if not self._is_fresh():
+            if not self.accepts_keys():
                 return self._stale()
             name = config.keys.get(key) if key is not None else None
             if name is None:
@@ -193,7 +193,8 @@
     def _stale(self) -> Refusal:
         return Refusal(RefusalReason.CONFIGURATION_STALE, retry_after_s=RETRY_STALE_S)
 
-    def _is_fresh(self) -> bool:
+    def accepts_keys(self) -> bool:
+        """Whether the proof of the configuration is young enough for keys."""
         if not self._bounds.fail_closed:
             return True
         age_s = self._clock.now_s() - self._state.config_seen_s
@@ -235,7 +236,7 @@
         assert route is not None
         if failed.outcome is Outcome.TIMED_OUT:
             return False
-        if context.organisation is not None and not self._is_fresh():
+        if context.organisation is not None and not self.accepts_keys():
             return False
         if failed.outcome is Outcome.NOT_SENT:
             return len(context.tries) < CONNECT_TRIES_MAX
--- a/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
@@ -54,6 +54,8 @@
     platform : PlatformFeed
     clock : Clock
     telemetry : EdgeTelemetry
+    canary_share : float
+        Share of the requests that an unproved version may get.
     """
 
     def __init__(
@@ -63,7 +65,9 @@
         platform: PlatformFeed,
         clock: Clock,
         telemetry: EdgeTelemetry,
+        canary_share: float,
     ) -> None:
+        self._canary_share = canary_share
         self._state = state
         self._fleet = fleet
         self._platform = platform
@@ -81,7 +85,7 @@
         if known is not None and known.order.revision >= order.revision:
             return
         self._state.rollouts[service] = Rollout(
-            order, self._clock.now_s(), self._drain_s(service)
+            order, self._clock.now_s(), self._drain_s(service), self._canary_share
         )
         self._log(self._state.rollouts[service], "ordered")
         self._rows_read_s = float("-inf")
--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -32,8 +32,6 @@
         Whether a host that may have missed a withdrawal refuses keys.
     grace_s : float
         From the signal to stop until the process is killed.
-    evacuation_s : float
-        From the order to empty a zone until its upstreams get nothing.
     retry_ratio : float
         Second attempts for each request to a service.
     retry_minimum : float
@@ -42,14 +40,12 @@
     quota_window_s : float
     quota_overage, quota_slack : float
         Share and number of requests by which a quota may be exceeded in a window.
-    canary_share, canary_slack : float
-        Share and number of requests that an unproved version may get.
+    canary_share : float
+        Share of the requests that an unproved version may get.
     warm_up_overage, warm_up_slack : float
         Factor and number by which a cold upstream's rate may be exceeded.
     directory_ttl_s : float
         Longest time that callers keep an answer of the directory.
-    shift_share : float
-        Share of a region's requests that may change regions within two seconds.
     """
 
     drain_s: float = 2.5
@@ -57,7 +53,6 @@
     revoke_s: float = 5.0
     fail_closed: bool = True
     grace_s: float = 6.0
-    evacuation_s: float = 5.0
     retry_ratio: float = 0.2
     retry_minimum: float = 50.0
     retry_window_s: float = 10.0
@@ -65,11 +60,9 @@
     quota_overage: float = 0.1
     quota_slack: float = 20.0
     canary_share: float = 0.1
-    canary_slack: float = 50.0
     warm_up_overage: float = 1.5
     warm_up_slack: float = 5.0
     directory_ttl_s: float = 5.0
-    shift_share: float = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,7 +80,6 @@
     store_address : tuple of str and int
     heartbeat_s : float
         How often upstreams register again.
-    memory_limit_mb : float
     bounds : Bounds
     """
 
@@ -99,5 +91,4 @@
     listeners: Listeners
     store_address: tuple[str, int]
     heartbeat_s: float
-    memory_limit_mb: float
     bounds: Bounds
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -45,10 +45,8 @@
     signature=b"signature",
     organisation=b"organisation",
     expected_instance=b"expected-instance",
-    instance=b"instance",
     load=b"load",
     not_executed=b"not-executed",
-    warm_up_ms=b"warm-up-ms",
 )
 
 
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -21,6 +21,7 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge import HistoryGone
 from cardamomquay_daemon.edge import OperatorChanges
 from cardamomquay_daemon.edge import PlatformFeed
@@ -135,6 +136,7 @@
             self.clock,
             self.telemetry,  # type: ignore[arg-type]
             HEARTBEAT_S,
+            Bounds(),
             self.listener,
         )
 
--- a/packages/daemon/tests/edge/test_host.py
+++ b/packages/daemon/tests/edge/test_host.py
@@ -89,7 +89,6 @@
             listeners=Listeners(callers, ready, directory, peers, metrics),
             store_address=(LOOPBACK, 1),
             heartbeat_s=1.5,
-            memory_limit_mb=300.0,
             bounds=Bounds(grace_s=GRACE_S),
         )
         open_route = config(route(is_public=True, timeout_s=2.0))
@@ -172,6 +171,21 @@
             self.assertEqual(await self.get(0, b"/a/1"), 200)
 
 
+class StaleHostTest(HostCase):
+    """Guards against callers that are sent to a host which refuses their keys."""
+
+    async def test_a_host_without_proof_leaves_the_directory(self) -> None:
+        async with scripted_server() as served, self.running(served) as host:
+            self.assertEqual(await self.get(2, b"/hosts"), 200)
+            host._state.config_seen_s -= 4.6
+            while await self.get(1, b"/ready") != 503:
+                await asyncio.sleep(0.02)
+            self.assertEqual(await self.get(2, b"/hosts"), 503)
+            host._state.config_seen_s += 4.6
+            while await self.get(1, b"/ready") != 200:
+                await asyncio.sleep(0.02)
+
+
 class EndpointTest(HostCase):
     """Guards against endpoints that are not served."""
 
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -45,7 +45,9 @@
         self.warmth = WarmthNews(self.placement, clock)
         platform = FakePlatform()
         telemetry: Any = self.telemetry
-        rollouts = RolloutControl(self.state, self.fleet, platform, clock, telemetry)
+        rollouts = RolloutControl(
+            self.state, self.fleet, platform, clock, telemetry, 0.1
+        )
         self.peers = Peers(
             self.fleet,
             self.state,
--- a/packages/daemon/tests/edge/test_rollout_control.py
+++ b/packages/daemon/tests/edge/test_rollout_control.py
@@ -36,6 +36,7 @@
             platform,
             clock,
             FakeTelemetry(),  # type: ignore[arg-type]
+            canary_share=0.1,
         )
         self.clock = clock
 
