--- a/packages/core/src/cardamomquay/traffic/_split.py
+++ b/packages/core/src/cardamomquay/traffic/_split.py
@@ -14,16 +14,9 @@
 
     Random choice would miss the weights by several percent in the few hundred
     requests of a short window; round robin misses them by one request a host.
-
-    Parameters
-    ----------
-    start : float, default=0.0
-        Position at which the rounds begin, from 0 to 1. Hosts that start at
-        different positions do not send the same part at the same moment.
     """
 
-    def __init__(self, start: float = 0.0) -> None:
-        self._start = start
+    def __init__(self) -> None:
         self._parts: tuple[WeightedService, ...] = ()
         self._credits: dict[str, float] = {}
 
@@ -42,9 +35,7 @@
             return route.parts[0].service
         if route.parts != self._parts:
             self._parts = route.parts
-            self._credits = {
-                part.service: self._start * part.weight for part in route.parts
-            }
+            self._credits = {part.service: 0.0 for part in route.parts}
         total = sum(part.weight for part in route.parts)
         for part in route.parts:
             self._credits[part.service] += part.weight
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -1,16 +1,14 @@
 """Reports between hosts, by datagrams.
 
-A datagram carries the whole state that it reports, so a lost one does no harm. All
-codes are MessagePack arrays; the sender is known by its name only in the first
-datagrams, and by its address once the other side has answered.
+A datagram carries the whole state that it reports, so a lost one does no harm. The
+sender is known by its name only in the first datagrams, and by its address once the
+other side has answered.
 """
 
 from __future__ import annotations
 
 import asyncio
 from contextlib import suppress
-from dataclasses import dataclass
-from dataclasses import field
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -22,13 +20,12 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
-from cardamomquay.rollouts import RolloutOutcome
-from cardamomquay.rollouts import RolloutView
-from cardamomquay.rollouts import Tally
-from cardamomquay.rollouts import VersionTallies
 from cardamomquay_daemon.edge._events import PEER_LOST
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
+from cardamomquay_daemon.edge._reports import News
+from cardamomquay_daemon.edge._reports import Report
+from cardamomquay_daemon.edge._reports import RolloutReport
 
 if TYPE_CHECKING:
     from cardamomquay.clock import Clock
@@ -63,85 +60,6 @@
     region: str
 
 
-class RolloutReport(msgspec.Struct, array_like=True):
-    """What a host tells of one roll-out; see `RolloutView`."""
-
-    service: str
-    revision: int
-    step: int
-    outcome: RolloutOutcome
-    new: tuple[int, int, int]
-    old: tuple[int, int, int]
-
-    @classmethod
-    def from_view(cls, view: RolloutView) -> RolloutReport:
-        """Return a view as it is sent."""
-        new, old = view.tallies.new, view.tallies.old
-        return cls(
-            view.service,
-            view.revision,
-            view.step,
-            view.outcome,
-            (new.answers, new.errors, new.slow),
-            (old.answers, old.errors, old.slow),
-        )
-
-    def to_view(self) -> RolloutView:
-        """Return the view that was sent."""
-        tallies = VersionTallies(Tally(*self.new), Tally(*self.old))
-        return RolloutView(
-            self.service, self.revision, self.step, self.outcome, tallies
-        )
-
-
-class Report(msgspec.Struct, array_like=True):
-    """What one host tells another.
-
-    Parameters
-    ----------
-    incarnation : int
-        Differs between starts of the same host.
-    phase : int
-    stamp : int
-        Sender's clock in milliseconds.
-    echo : int
-        Latest stamp received from the other host; 0 without one.
-    config_version : int
-    evidence_ms : int
-        Age of the proof that no newer version had been accepted; -1 without one.
-    record : tuple or None
-        Name and place of the sender, until the other host has answered.
-    usage : list of int
-        Index and running total of requests, in turn, of organisations in the order of
-        their names in the configuration of that version. Those left out have none.
-    rollouts : list of RolloutReport
-    handled, warming : list of int
-        News of warm objects; see `WarmthNews`.
-    """
-
-    incarnation: int
-    phase: int
-    stamp: int
-    echo: int
-    config_version: int
-    evidence_ms: int
-    record: tuple[str, str, int, str, str] | None = None
-    usage: list[int] = []
-    rollouts: list[RolloutReport] = []
-    handled: list[int] = []
-    warming: list[int] = []
-
-
-@dataclass(frozen=True, slots=True)
-class News:
-    """The parts of a report that are the same for all hosts."""
-
-    usage: list[int] = field(default_factory=list)
-    rollouts: list[RolloutReport] = field(default_factory=list)
-    handled: list[int] = field(default_factory=list)
-    warming: list[int] = field(default_factory=list)
-
-
 class Peers(asyncio.DatagramProtocol):
     """Exchanges reports with all other hosts.
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -31,6 +31,7 @@
     from collections.abc import Callable
 
     from cardamomquay.clock import Clock
+    from cardamomquay.events import LogEvent
     from cardamomquay.placement import Candidate
     from cardamomquay.traffic import Organisation
     from cardamomquay.traffic import Route
@@ -294,7 +295,7 @@
     def _log_done(
         self,
         context: RequestContext,
-        event: object,
+        event: LogEvent,
         answer: AttemptResult | Refusal | None,
     ) -> None:
         now_s = asyncio.get_running_loop().time()
@@ -311,7 +312,7 @@
         self._telemetry.count(f"requests.{status}")
         self._telemetry.observe("requests", elapsed_s)
         self._telemetry.log(
-            event,  # type: ignore[arg-type]
+            event,
             request=context.request_id,
             route=context.route.name if context.route else None,
             service=context.service,
