Let one host of each zone read the store in a large fleet

Cause: each of 79 hosts followed the store by itself.

Change: in fleets of more than 24 hosts the first live host of each zone by rank reads for the others. Its reports carry the latest changes of upstreams with sequence numbers, and every report names the revision of the latest order that the sender knows. Smaller fleets read as before.

--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -1,4 +1,9 @@
-"""Which hosts live, and which of them callers should use."""
+"""Which hosts live, which of them callers should use, and which read the store.
+
+Load pattern: eighty hosts that each follow the store make 170 calls a second for the
+same few changes. In a large fleet one host of each availability zone reads for the
+others, and a host that is not told in time reads for itself.
+"""
 
 from __future__ import annotations
 
@@ -6,6 +11,8 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+from cardamomquay.placement import rank_of
+
 # A host that was silent for this long is not named to callers. Reports come every
 # second, and single datagrams are lost.
 SILENT_S = 3.2
@@ -15,6 +22,11 @@
 # dead host does not stop them.
 ADDRESSES_MIN = 2
 ADDRESSES_MAX = 32
+# In fleets of up to this many hosts each one reads the store: their calls cost less
+# than the delay of a second hop.
+ALL_READ_HOSTS_MAX = 24
+# A host whose proof of the operator's orders is older does not read for others.
+READER_PROOF_S = 3.0
 
 
 class HostPhase(IntEnum):
@@ -56,6 +68,7 @@
     incarnation: int = 0
     heard_s: float = -math.inf
     config_version: int = 0
+    orders_seen_s: float = -math.inf
 
     def is_live(self, now_s: float) -> bool:
         """Whether the host was heard lately."""
@@ -101,6 +114,31 @@
         """Return the hosts that may be at work though they are not heard."""
         return 1 + sum(not peer.is_gone(now_s) for peer in self.peers.values())
 
+    @property
+    def is_large(self) -> bool:
+        """Whether few hosts read the store for the others."""
+        return len(self.peers) >= ALL_READ_HOSTS_MAX
+
+    def in_own_zone(self, now_s: float) -> list[Peer]:
+        """Return the peers of this host's availability zone that were heard lately."""
+        return [peer for peer in self.live(now_s) if peer.record.zone == self.own.zone]
+
+    def is_reader(self, now_s: float) -> bool:
+        """Tell whether this host reads the store for its availability zone.
+
+        Two hosts may do so for a moment, which costs calls but no correctness.
+        """
+        if not self.is_large:
+            return True
+        zone = self.own.zone
+        own = rank_of(zone, self.own.name)
+        return not any(
+            peer.phase is HostPhase.READY
+            and now_s - peer.orders_seen_s < READER_PROOF_S
+            and rank_of(zone, peer.record.name) > own
+            for peer in self.in_own_zone(now_s)
+        )
+
     def addresses_for(self, zone: str, region: str, now_s: float) -> list[str]:
         """Return the addresses that a caller should use.
 
--- a/packages/core/tests/fleet/test_view.py
+++ b/packages/core/tests/fleet/test_view.py
@@ -52,3 +52,60 @@
         self.assertEqual(self.view.live(4.0), [])
         self.assertEqual(self.view.counted(4.0), 4)
         self.assertEqual(self.view.counted(30.0), 1)
+
+
+class ReadersTest(unittest.TestCase):
+    """Guards against eighty hosts that each follow the store for the same changes."""
+
+    ZONES = tuple(f"z{index}" for index in range(8))
+    NAMES = tuple((f"h{number}", f"z{number % 8}") for number in range(80))
+
+    def view_of(self, name: str, zone: str, now_s: float) -> FleetView:
+        own = HostRecord(name, f"{name}:80", name, 7000, zone, "a")
+        view = FleetView(own)
+        for other, other_zone in self.NAMES:
+            record = HostRecord(other, f"{other}:80", other, 7000, other_zone, "a")
+            peer = view.learn(record)
+            if peer is not None:
+                peer.phase = HostPhase.READY
+                peer.heard_s = peer.orders_seen_s = now_s
+        return view
+
+    def readers(self, views: dict[str, FleetView], now_s: float) -> dict[str, str]:
+        found = {}
+        for name, view in views.items():
+            if view.is_reader(now_s):
+                self.assertNotIn(view.own.zone, found)
+                found[view.own.zone] = name
+        return found
+
+    def setUp(self) -> None:
+        self.views = {name: self.view_of(name, zone, 10.0) for name, zone in self.NAMES}
+
+    def test_one_host_of_each_zone_reads(self) -> None:
+        self.assertEqual(set(self.readers(self.views, 10.0)), set(self.ZONES))
+
+    def test_another_host_reads_for_one_that_is_silent_or_cut_off(self) -> None:
+        first = self.readers(self.views, 10.0)
+        silent, cut_off = first["z1"], first["z2"]
+        self.views = {
+            name: view
+            for name, view in self.views.items()
+            if name not in (silent, cut_off)
+        }
+        for view in self.views.values():
+            for peer in view.peers.values():
+                is_silent = peer.record.name == silent
+                peer.heard_s = 10.0 if is_silent else 15.0
+                is_cut_off = peer.record.name == cut_off
+                peer.orders_seen_s = 10.0 if is_cut_off else 15.0
+        second = self.readers(self.views, 15.0)
+        self.assertEqual(set(second), set(self.ZONES))
+        self.assertNotIn(second["z1"], (silent, cut_off))
+        self.assertNotIn(second["z2"], (silent, cut_off))
+
+    def test_all_hosts_of_a_small_fleet_read(self) -> None:
+        for view in self.views.values():
+            for name in tuple(view.peers)[12:]:
+                del view.peers[name]
+            self.assertTrue(view.is_reader(10.0))
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -100,6 +100,7 @@
             settings.heartbeat_s,
             settings.bounds,
             self,
+            lambda: self._fleet.is_reader(self._clock.now_s()),
         )
         self._eligibility = Eligibility(
             self._state,
@@ -126,6 +127,7 @@
             self._eligibility,
             self._rollouts,
             self._warmth,
+            self._feeds,
             int.from_bytes(os.urandom(4), "big"),
         )
         attempts = Attempts(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -26,20 +26,26 @@
 from cardamomquay_daemon.edge._reports import News
 from cardamomquay_daemon.edge._reports import Report
 from cardamomquay_daemon.edge._reports import RolloutReport
+from cardamomquay_daemon.edge._reports import StoreReport
 
 if TYPE_CHECKING:
     from cardamomquay.clock import Clock
     from cardamomquay.fleet import FleetView
     from cardamomquay.fleet import Peer
     from cardamomquay_daemon.edge._eligibility import Eligibility
+    from cardamomquay_daemon.edge._feeds import StoreFeeds
     from cardamomquay_daemon.edge._platform_feed import PlatformFeed
     from cardamomquay_daemon.edge._rollout_control import RolloutControl
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
+    from cardamomquay_daemon.edge._upstream_news import UpstreamNews
     from cardamomquay_daemon.edge._warmth import WarmthNews
 
 HOSTS_TABLE = "hosts"
 REPORT_PERIOD_S = 1.0
+# Hosts that read the store for others tell their zone more often, so that what is told
+# stays well within the time for a drain.
+ZONE_PERIOD_S = 0.5
 # Silent hosts are greeted more rarely.
 SILENT_PERIOD_S = 5.0
 # The table of hosts is read again this often, beside what hosts tell of themselves.
@@ -73,6 +79,7 @@
     eligibility : Eligibility
     rollouts : RolloutControl
     warmth : WarmthNews
+    feeds : StoreFeeds
     incarnation : int
     """
 
@@ -86,8 +93,10 @@
         eligibility: Eligibility,
         rollouts: RolloutControl,
         warmth: WarmthNews,
+        feeds: StoreFeeds,
         incarnation: int,
     ) -> None:
+        self._feeds = feeds
         self._warmth = warmth
         self._eligibility = eligibility
         self._rollouts = rollouts
@@ -141,6 +150,10 @@
         self._stamps[peer.record.name] = report.stamp
         if report.echo and report.evidence_ms >= 0:
             self._use_evidence(report)
+        if report.store is not None:
+            peer.orders_seen_s = now_s - report.store.orders_ms / 1000.0
+            if report.echo:
+                self._use_store_report(peer, report.echo, report.store)
         self._use_usage(peer, report, now_s)
         self._warmth.apply(report.handled, report.warming)
         for rollout in report.rollouts:
@@ -157,6 +170,14 @@
         seen_s = (report.echo - report.evidence_ms) / 1000.0
         self._state.config_seen_s = max(self._state.config_seen_s, seen_s)
 
+    def _use_store_report(self, peer: Peer, echo: int, report: StoreReport) -> None:
+        seen_s = (echo - report.orders_ms) / 1000.0
+        self._feeds.note_orders(report.orders_changed, seen_s)
+        if report.upstreams is not None:
+            seen_s = (echo - report.upstreams.seen_ms) / 1000.0
+            source = (peer.record.name, peer.incarnation)
+            self._feeds.apply_news(source, report.upstreams, seen_s)
+
     def _use_usage(self, peer: Peer, report: Report, now_s: float) -> None:
         config = self._state.config
         if config is None or config.version != report.config_version:
@@ -204,17 +225,52 @@
         read_s = self._clock.now_s()
         while True:
             now_s = self._clock.now_s()
-            if now_s - read_s > HOSTS_PERIOD_S:
+            if now_s - read_s > HOSTS_PERIOD_S and self._fleet.is_reader(now_s):
                 read_s = now_s
                 await self._read_hosts()
             self.report()
-            await asyncio.sleep(REPORT_PERIOD_S)
+            await asyncio.sleep(REPORT_PERIOD_S - ZONE_PERIOD_S)
+            self.report_to_zone()
+            await asyncio.sleep(ZONE_PERIOD_S)
+
+    def report_to_zone(self) -> None:
+        """Tell the own zone what this host has read of the store for it."""
+        now_s = self._clock.now_s()
+        if not self._fleet.is_large:
+            return
+        news = self._news(now_s, [])
+        for peer in self._fleet.in_own_zone(now_s):
+            self._send(peer, now_s, news)
+
+    def _news(self, now_s: float, rollouts: list[RolloutReport]) -> News:
+        return News(self._usage(), rollouts, upstreams=self._upstream_news(now_s))
+
+    def _store_report(
+        self, peer: Peer, now_s: float, upstreams: UpstreamNews | None
+    ) -> StoreReport | None:
+        state = self._state
+        if not self._fleet.is_large or not state.orders_revision:
+            return None
+        orders_ms = int((now_s - state.orders_seen_s) * 1000.0)
+        in_zone = peer.record.zone == self._fleet.own.zone
+        return StoreReport(
+            state.orders_changed, orders_ms, upstreams if in_zone else None
+        )
+
+    def _upstream_news(self, now_s: float) -> UpstreamNews | None:
+        state = self._state
+        is_told = self._fleet.is_large and self._fleet.is_reader(now_s)
+        if not is_told or not state.is_loaded:
+            return None
+        return self._feeds.upstream_log.news(
+            state.upstreams_revision, state.upstreams_seen_s
+        )
 
     def report(self) -> None:
         """Report to all hosts that are due."""
         now_s = self._clock.now_s()
-        news = News(
-            self._usage(),
+        news = self._news(
+            now_s,
             [
                 RolloutReport.from_view(rollout.view())
                 for rollout in self._state.rollouts.values()
@@ -324,6 +380,7 @@
             news.rollouts,
             news.handled,
             news.warming,
+            self._store_report(peer, now_s, news.upstreams),
         )
         self._reported_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -11,6 +11,7 @@
 from cardamomquay.rollouts import RolloutView
 from cardamomquay.rollouts import Tally
 from cardamomquay.rollouts import VersionTallies
+from cardamomquay_daemon.edge._upstream_news import UpstreamNews  # noqa: TC001
 
 
 class RolloutReport(msgspec.Struct, array_like=True):
@@ -44,6 +45,24 @@
         )
 
 
+class StoreReport(msgspec.Struct, array_like=True):
+    """What a host of a large fleet knows of the store.
+
+    Parameters
+    ----------
+    orders_changed : int
+        Revision that includes the operator's latest order known to the host.
+    orders_ms : int
+        Age of the proof that there was no later one, in milliseconds.
+    upstreams : UpstreamNews or None
+        From a host that reads the store for its availability zone.
+    """
+
+    orders_changed: int
+    orders_ms: int
+    upstreams: UpstreamNews | None
+
+
 class Report(msgspec.Struct, array_like=True):
     """What one host tells another.
 
@@ -67,6 +86,8 @@
     rollouts : list of RolloutReport
     handled, warming : list of int
         News of warm objects; see `WarmthNews`.
+    store : StoreReport or None
+        None where each host reads the store itself.
     """
 
     incarnation: int
@@ -80,6 +101,7 @@
     rollouts: list[RolloutReport] = []
     handled: list[int] = []
     warming: list[int] = []
+    store: StoreReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,3 +112,4 @@
     rollouts: list[RolloutReport] = field(default_factory=list)
     handled: list[int] = field(default_factory=list)
     warming: list[int] = field(default_factory=list)
+    upstreams: UpstreamNews | None = None
--- a/packages/daemon/src/cardamomquay_daemon/edge/_state.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_state.py
@@ -25,9 +25,18 @@
     config_seen_s : float
         Latest time at which no newer configuration had been accepted, on the clock
         that counts suspension.
+    orders_seen_s : float
+        Latest time at which no order of the operator was missing here.
+    orders_revision : int
+        Revision up to which all of the operator's orders are known; 0 before.
+    orders_changed : int
+        Revision that includes the latest of them.
     upstreams : UpstreamTable
+    upstreams_revision : int
+        Revision up to which all changes of upstreams are known; 0 before.
     upstreams_seen_s : float
-        Time of the latest read of the upstreams; minus infinity before the first.
+        Latest time at which no change of upstreams was missing here; minus infinity
+        before the first read.
     evacuated_zones : set of str
     rollouts : dict of str to Rollout
         By service.
@@ -36,7 +45,11 @@
 
     config: TrafficConfig | None = None
     config_seen_s: float = -math.inf
+    orders_seen_s: float = -math.inf
+    orders_revision: int = 0
+    orders_changed: int = 0
     upstreams: UpstreamTable = field(default_factory=UpstreamTable)
+    upstreams_revision: int = 0
     upstreams_seen_s: float = -math.inf
     evacuated_zones: set[str] = field(default_factory=set)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -4,6 +4,7 @@
 import unittest
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from unittest import mock
@@ -21,6 +22,7 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay.traffic import UpstreamState
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge import HistoryGone
 from cardamomquay_daemon.edge import OperatorChanges
@@ -29,6 +31,8 @@
 from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
 from cardamomquay_daemon.edge._state import HostState
+from cardamomquay_daemon.edge._upstream_news import TOLD_S
+from cardamomquay_daemon.edge._upstream_news import UpstreamLog
 
 if TYPE_CHECKING:
     from cardamomquay.rollouts import RolloutOrder
@@ -36,6 +40,7 @@
     from cardamomquay.traffic import Upstream
 
 HEARTBEAT_S = 1.5
+DRAINING = UpstreamState.DRAINING
 
 
 @dataclass
@@ -130,6 +135,7 @@
         self.platform = FakePlatform()
         self.listener = Listener()
         self.telemetry = FakeTelemetry()
+        self.is_reader = True
         self.feeds = StoreFeeds(
             self.platform,
             self.state,
@@ -138,6 +144,7 @@
             HEARTBEAT_S,
             Bounds(),
             self.listener,
+            lambda: self.is_reader,
         )
 
     async def play(self, work: Any) -> None:
@@ -229,3 +236,121 @@
             self.clock.advance(0.8)
             present = await self.read(UpstreamChanges(2, False, (), ()))
         self.assertEqual(present, {"i-1"})
+
+
+class NewsTest(FeedCase):
+    """Guards against hosts that miss, or undo, what another host has read for them."""
+
+    async def asyncSetUp(self) -> None:
+        self.first = upstream("10.0.0.1:80")
+        await self.read(1, self.first)
+        self.is_reader = False
+        self.reader = UpstreamLog(self.clock)
+        self.reader.note_snapshot(1)
+        self.platform.asked.clear()
+
+    async def read(self, revision: int, *present: Upstream) -> None:
+        self.platform.servers.append(
+            UpstreamChanges(revision, revision == 1, present, ())
+        )
+        task = asyncio.create_task(self.feeds.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+
+    def tell(self, revision: int, seen_s: float | None = None) -> None:
+        seen_s = self.clock.now_s() if seen_s is None else seen_s
+        news = self.reader.news(revision, seen_s)
+        self.feeds.apply_news(("h1", 7), news, seen_s)
+
+    def known(self) -> set[str]:
+        return set(self.state.upstreams.by_instance)
+
+    async def test_changes_are_taken_over_once(self) -> None:
+        second = upstream("10.0.0.2:80", "i-2")
+        self.reader.note_change("i-2", second, 2)
+        self.tell(2)
+        self.reader.note_change("i-1", None, 3)
+        self.tell(3)
+        self.tell(3)
+        self.assertEqual(self.known(), {"i-2"})
+        self.assertEqual(len(self.listener.upstreams), 3)
+
+    async def test_a_lost_report_is_made_up_for_by_the_next(self) -> None:
+        self.tell(1)
+        self.reader.note_change("i-2", upstream("10.0.0.2:80", "i-2"), 2)
+        self.reader.news(2, self.clock.now_s())
+        self.clock.advance(1.0)
+        self.tell(3)
+        self.assertEqual(self.known(), {"i-1", "i-2"})
+
+    async def test_a_host_that_missed_too_much_reads_itself(self) -> None:
+        self.tell(1)
+        self.reader.note_change("i-2", upstream("10.0.0.2:80", "i-2"), 2)
+        self.clock.advance(TOLD_S + 1.0)
+        self.tell(5)
+        self.assertEqual(self.known(), {"i-1"})
+        task = asyncio.create_task(self.feeds.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.assertEqual(self.platform.asked, [("servers", None)])
+
+    async def test_older_news_undoes_nothing(self) -> None:
+        self.reader.note_change("i-1", replace(self.first, state=DRAINING), 2)
+        old = self.reader.news(2, self.clock.now_s())
+        self.state.upstreams_revision = 9
+        self.feeds.apply_news(("h1", 7), old, self.clock.now_s())
+        self.assertEqual(self.state.upstreams.by_instance["i-1"], self.first)
+        # A change that the own read has shown is not applied again by later news.
+        self.feeds.apply_news(
+            ("h1", 7), self.reader.news(9, self.clock.now_s()), self.clock.now_s()
+        )
+        self.assertEqual(self.state.upstreams.by_instance["i-1"], self.first)
+
+    async def test_an_answer_that_news_overtook_is_dropped(self) -> None:
+        self.is_reader = True
+        answered = asyncio.Event()
+
+        async def overtaken(after: int | None, wait_s: float) -> UpstreamChanges:
+            if answered.is_set():
+                await asyncio.Event().wait()
+            answered.set()
+            self.reader.note_change("i-1", replace(self.first, state=DRAINING), 6)
+            self.tell(6)
+            return UpstreamChanges(5, True, (self.first,), ())
+
+        with mock.patch.object(self.platform, "upstream_changes", overtaken):
+            task = asyncio.create_task(self.feeds.follow_upstreams())
+            await asyncio.sleep(0.02)
+            task.cancel()
+        self.assertIs(self.state.upstreams.by_instance["i-1"].state, DRAINING)
+
+    async def test_a_host_reads_when_news_stay_away(self) -> None:
+        self.tell(1)
+        self.clock.advance(Bounds().drain_s - 0.1)
+        self.platform.servers.append(UpstreamChanges(1, True, (self.first,), ()))
+        task = asyncio.create_task(self.feeds.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.assertEqual(self.state.upstreams_seen_s, self.clock.now_s())
+
+    async def test_an_order_that_another_host_knows_is_read_at_once(self) -> None:
+        self.platform.operator.append(operator(1, is_snapshot=True, version=1))
+        task = asyncio.create_task(self.feeds.follow_operator())
+        await asyncio.sleep(0.02)
+        self.feeds.note_orders(1, self.clock.now_s())
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.platform.asked, [("operator", None)])
+        self.platform.operator.append(operator(4, a=True))
+        self.feeds.note_orders(4, self.clock.now_s())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.assertEqual(self.platform.asked, [("operator", None), ("operator", 1)])
+        self.assertEqual(self.state.evacuated_zones, {"a"})
+        self.assertEqual(self.state.orders_changed, 4)
+
+    async def test_a_proof_counts_only_with_all_orders_known(self) -> None:
+        self.state.orders_revision = 3
+        self.feeds.note_orders(4, 200.0)
+        self.assertLess(self.state.orders_seen_s, 200.0)
+        self.feeds.note_orders(3, 200.0)
+        self.assertEqual(self.state.orders_seen_s, 200.0)
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -6,7 +6,9 @@
 from edge.support import FakeTelemetry
 from edge.support import config
 from edge.support import upstream
+from edge.test_feeds import HEARTBEAT_S
 from edge.test_feeds import FakePlatform
+from edge.test_feeds import Listener
 
 from cardamomquay.clock import ManualClock
 from cardamomquay.fleet import FleetView
@@ -17,6 +19,7 @@
 from cardamomquay.placement import token_of
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge._eligibility import Eligibility
+from cardamomquay_daemon.edge._feeds import StoreFeeds
 from cardamomquay_daemon.edge._peers import Peers
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
@@ -48,6 +51,17 @@
         rollouts = RolloutControl(
             self.state, self.fleet, platform, clock, telemetry, 0.1
         )
+        self.listener = Listener()
+        self.feeds = StoreFeeds(
+            platform,
+            self.state,
+            clock,
+            telemetry,
+            HEARTBEAT_S,
+            Bounds(),
+            self.listener,
+            lambda: self.fleet.is_reader(clock.now_s()),
+        )
         self.peers = Peers(
             self.fleet,
             self.state,
@@ -57,6 +71,7 @@
             self.eligibility,
             rollouts,
             self.warmth,
+            self.feeds,
             incarnation=hash(name) & 0xFFFF,
         )
         self.sent: list[tuple[bytes, str]] = []
@@ -168,3 +183,45 @@
         self.two.sent = old
         self.two.deliver()
         self.assertIs(self.one.fleet.peers["h2"].phase, HostPhase.LEAVING)
+
+
+class LargeFleetTest(PeersTest):
+    """Guards against hosts of a large fleet that are not told what one has read."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for host in (self.one, self.two):
+            for number in range(80):
+                name = f"s{number}"
+                host.fleet.learn(HostRecord(name, f"{name}:80", name, 7000, "a", "A"))
+            host.state.orders_revision = host.state.upstreams_revision = 5
+            host.state.orders_seen_s = host.state.upstreams_seen_s = 100.0
+            host.feeds.upstream_log.note_snapshot(5)
+
+    def test_one_host_reads_for_the_zone(self) -> None:
+        self.exchange()
+        now_s = self.clock.now_s()
+        reading = [host.fleet.is_reader(now_s) for host in (self.one, self.two)]
+        self.assertEqual(sorted(reading), [False, True])
+
+    def test_changes_of_upstreams_reach_the_zone(self) -> None:
+        self.exchange()
+        hosts = [self.one, self.two]
+        hosts.sort(key=lambda host: host.fleet.is_reader(self.clock.now_s()))
+        told, reader = hosts
+        self.clock.advance(0.5)
+        reader.feeds.upstream_log.note_change("i-1", upstream("h:1"), 6)
+        reader.state.upstreams_revision = 6
+        reader.state.upstreams_seen_s = self.clock.now_s()
+        reader.peers.report_to_zone()
+        reader.deliver()
+        self.assertIn("i-1", told.state.upstreams.by_instance)
+        # Proved by the latest stamp that the reader had, which is that of the exchange.
+        self.assertAlmostEqual(told.state.upstreams_seen_s, 100.0, places=2)
+
+    def test_a_later_order_is_told(self) -> None:
+        self.exchange()
+        self.two.state.orders_changed = self.two.state.orders_revision = 8
+        self.two.peers.report()
+        self.two.deliver()
+        self.assertTrue(self.one.feeds._orders_missing.is_set())
