Admit by chance what fits an organisation's quota, and cheapen reports

Cause: each host took its own unreported requests times the other hosts for what those had not reported.

Change: unreported requests are estimated from the rate of the reports, and where the requests wanted exceed what is left, each host admits by chance the part that fits. Only listed organisations are touched by a report; hosts start their reports spread over a period. Of an upstream's rank beyond 24 only those warm for the object are weighed, and the hosts allowed at a cold upstream are counted no further than needed.

--- a/packages/core/src/cardamomquay/allowances/__init__.py
+++ b/packages/core/src/cardamomquay/allowances/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cardamomquay.allowances._fleet_quota import FleetQuota
+from cardamomquay.allowances._fleet_quota import HeardHosts
 from cardamomquay.allowances._fleet_quota import QuotaBounds
 from cardamomquay.allowances._retry_allowance import RetryAllowance
 from cardamomquay.allowances._warm_up_pace import WarmUpPace
@@ -10,6 +11,7 @@
 
 __all__ = [
     "FleetQuota",
+    "HeardHosts",
     "QuotaBounds",
     "RetryAllowance",
     "WarmUpPace",
--- a/packages/core/src/cardamomquay/allowances/_warm_up_pace.py
+++ b/packages/core/src/cardamomquay/allowances/_warm_up_pace.py
@@ -78,8 +78,12 @@
         if now_s < self._next_s.get(instance, 0.0):
             return False
         own = rank_of(instance, self._host)
-        before = sum(rank_of(instance, host) > own for host in live_hosts)
-        return before < HOSTS_PER_UPSTREAM
+        before = 0
+        for host in live_hosts:
+            before += rank_of(instance, host) > own
+            if before == HOSTS_PER_UPSTREAM:
+                return False
+        return True
 
     def note_sent(self, instance: str, rate: WarmUpRate, now_s: float) -> None:
         """Count a request to a cold upstream."""
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -45,6 +45,9 @@
 JOINED_SHARE = 0.35
 # Requests for each slot at which upstreams turn others away, typically.
 FULL_SLOTS = 4
+# Upstreams weighed for a request by their rank. Further ones are weighed only if the
+# object is warm there: with this many busy, the service is full.
+WEIGHED_MAX = 24
 # Costs closer than this are equal; the rank decides between them.
 TIE_S = 0.02
 
@@ -176,7 +179,10 @@
         best: Candidate | None = None
         if ranked and self._is_owed_objects(ranked, now_s):
             return self._candidate(req, ranked[0], 0, now_s)
+        token = token_of(req.object_key) if req.object_key else 0
         for rank, upstream in enumerate(ranked):
+            if rank >= WEIGHED_MAX and not self.record(upstream).is_warm(token):
+                continue
             candidate = self._candidate(req, upstream, rank, now_s)
             if best is None or candidate.cost_s < best.cost_s - TIE_S:
                 best = candidate
--- a/packages/core/tests/allowances/test_hot_organisation.py
+++ b/packages/core/tests/allowances/test_hot_organisation.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import heapq
 import unittest
+from random import Random
 
 from cardamomquay.allowances import FleetQuota
 from cardamomquay.allowances import QuotaBounds
@@ -17,13 +19,21 @@
 DELAY_S = 0.06
 
 
+def empty_quota(
+    now_s: float, seed: int, rate_per_s: float = RATE_PER_S, burst: float = BURST
+) -> FleetQuota:
+    rate_per_s, size = BOUNDS.bucket(rate_per_s, burst)
+    return FleetQuota(
+        rate_per_s, size, now_s, margin=BOUNDS.margin, chance=Random(seed)
+    )
+
+
 class Fleet:
     """Hosts that report running totals with a delay, in paused time."""
 
     def __init__(self, groups: tuple[tuple[int, ...], ...] | None = None) -> None:
-        rate_per_s, size = BOUNDS.bucket(RATE_PER_S, BURST)
         self.now_s = 0.0
-        self.quotas = [FleetQuota(rate_per_s, size, 0.0) for _ in range(HOSTS)]
+        self.quotas = [empty_quota(0.0, host) for host in range(HOSTS)]
         self.last_report_s = [0.0] * HOSTS
         self.under_way: list[tuple[float, int, int, int]] = []
         self.runs: list[float] = []
@@ -122,8 +132,7 @@
     def test_all_hosts_restart_with_empty_buckets(self) -> None:
         fleet = Fleet()
         self.play(fleet, 10.0, 250.0, HOSTS)
-        rate_per_s, size = BOUNDS.bucket(RATE_PER_S, BURST)
-        fleet.quotas = [FleetQuota(rate_per_s, size, fleet.now_s) for _ in range(HOSTS)]
+        fleet.quotas = [empty_quota(fleet.now_s, host) for host in range(HOSTS)]
         for host in range(HOSTS):
             for other in range(HOSTS):
                 if host != other:
@@ -145,7 +154,7 @@
         self.assertGreater(quota.retry_after_s(), 0.0)
 
     def test_a_restarted_peer_counts_from_nothing(self) -> None:
-        quota = FleetQuota(10.0, 10.0, 0.0)
+        quota = FleetQuota(10.0, 10.0, 0.0, margin=5.0)
         quota.note_peer("h1", 100, 1.0)
         quota.note_peer("h1", 4, 1.0)
         admitted = 0
@@ -153,3 +162,71 @@
             admitted += quota.admit(1.0, 2)
             quota.note_reported()
         self.assertEqual(admitted, 6)
+
+
+class LargeFleetTest(unittest.TestCase):
+    """Guards against eighty hosts that spend the same tokens, or refuse what is owed.
+
+    Load pattern: requests come at random to all hosts, first at the usual rate of five
+    eighths of the quota, then at seven times that.
+    """
+
+    HOSTS = 80
+
+    def play(
+        self, rate_per_s: float, burst: float, seed: int
+    ) -> tuple[float, list[float]]:
+        """Return the refused share at the usual rate, and the times of what ran."""
+        chance = Random(seed)
+        quotas = [
+            empty_quota(0.0, seed + host, rate_per_s, burst)
+            for host in range(self.HOSTS)
+        ]
+        reported_s = [2.0 + chance.random() for _ in quotas]
+        for index, quota in enumerate(quotas):
+            for other in range(self.HOSTS):
+                if other != index:
+                    quota.heard.note(str(other), 0.0)
+        under_way: list[tuple[float, int, int]] = []
+        usual_per_s = rate_per_s / 1.6
+        runs: list[float] = []
+        asked = refused = 0
+        now_s = next_s = 3.0
+        while now_s < 20.0:
+            now_s += STEP_S
+            while under_way and under_way[0][0] <= now_s:
+                _, sender, total = heapq.heappop(under_way)
+                for index, quota in enumerate(quotas):
+                    if index != sender:
+                        quota.note_peer(str(sender), total, now_s)
+            while next_s <= now_s:
+                per_s = usual_per_s if now_s < 13.0 else 7.5 * usual_per_s
+                next_s += chance.expovariate(per_s)
+                admits = quotas[chance.randrange(self.HOSTS)].admit(now_s, self.HOSTS)
+                runs += [now_s] * admits
+                asked += now_s < 13.0
+                refused += now_s < 13.0 and not admits
+            for index, quota in enumerate(quotas):
+                silent_s = now_s - reported_s[index]
+                if silent_s >= (URGENT_S if quota.is_report_due else REPORT_S):
+                    reported_s[index] = now_s
+                    quota.note_reported()
+                    message = (now_s + DELAY_S, index, quota.admitted)
+                    heapq.heappush(under_way, message)
+        return refused / asked, runs
+
+    def test_the_quota_holds_and_the_usual_is_served(self) -> None:
+        for rate_per_s, burst in ((16.0, 4.0), (60.0, 60.0)):
+            allowed = (rate_per_s * BOUNDS.window_s + burst) * (1 + BOUNDS.overage)
+            allowed += BOUNDS.slack
+            for seed in (2, 6):
+                with self.subTest(rate_per_s=rate_per_s, seed=seed):
+                    refused, runs = self.play(rate_per_s, burst, seed)
+                    most = max(
+                        sum(
+                            at_s < other_s <= at_s + BOUNDS.window_s for other_s in runs
+                        )
+                        for at_s in runs
+                    )
+                    self.assertLessEqual(most, allowed)
+                    self.assertLess(refused, 0.02)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.allowances import FleetQuota
+from cardamomquay.allowances import HeardHosts
 from cardamomquay.allowances import QuotaBounds
 from cardamomquay.allowances import RetryAllowance
 from cardamomquay.allowances import WarmUpPace
@@ -66,6 +67,7 @@
         self._bounds = bounds
         self._started_s = now_s
         self.quotas: dict[str, FleetQuota] = {}
+        self.heard = HeardHosts()
         self._quota_bounds = QuotaBounds(
             bounds.quota_window_s, bounds.quota_overage, bounds.quota_slack
         )
@@ -110,7 +112,8 @@
             )
             quota = self.quotas.get(organisation.name)
             if quota is None:
-                quota = FleetQuota(rate_per_s, size, now_s)
+                margin = self._quota_bounds.margin
+                quota = FleetQuota(rate_per_s, size, now_s, margin, self.heard)
                 self.quotas[organisation.name] = quota
             quota.set_limit(rate_per_s, size, now_s)
 
@@ -180,7 +183,7 @@
             if upstream.state is UpstreamState.READY
             and upstream.zone not in self._state.evacuated_zones
         ]
-        upstreams = [u for u in allowed if self._may_send(u, now_s)]
+        upstreams = self._sendable(allowed, now_s)
         candidate = self._placement.choose(wanted, upstreams, tried, now_s)
         if candidate is None:
             reason = RefusalReason.POOL_BUSY if allowed else RefusalReason.POOL_EMPTY
@@ -217,11 +220,17 @@
             return new
         return old or new
 
-    def _may_send(self, upstream: Upstream, now_s: float) -> bool:
-        if not self._is_cold(upstream, now_s):
-            return True
+    def _sendable(self, allowed: list[Upstream], now_s: float) -> list[Upstream]:
+        cold = [u for u in allowed if self._is_cold(u, now_s)]
+        if not cold:
+            return allowed
         live = [peer.record.name for peer in self._fleet.live(now_s)]
-        return self._pace.may_send(upstream.instance, live, now_s)
+        withheld = {
+            upstream.instance
+            for upstream in cold
+            if not self._pace.may_send(upstream.instance, live, now_s)
+        }
+        return [u for u in allowed if u.instance not in withheld]
 
     def _is_cold(self, upstream: Upstream, now_s: float) -> bool:
         return now_s < self._cold_until_s.get(upstream.instance, -math.inf)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from contextlib import suppress
 from typing import TYPE_CHECKING
 from typing import cast
@@ -143,6 +144,8 @@
         ):
             return
         is_new = report.incarnation != peer.incarnation
+        if is_new:
+            self._forget_usage(peer.record.name)
         peer.incarnation = report.incarnation
         peer.phase = HostPhase(report.phase)
         peer.heard_s = now_s
@@ -182,11 +185,19 @@
         config = self._state.config
         if config is None or config.version != report.config_version:
             return
-        totals = dict(zip(report.usage[::2], report.usage[1::2], strict=False))
-        for index, name in enumerate(config.organisation_names):
-            quota = self._eligibility.quotas.get(name)
+        names = config.organisation_names
+        for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
+            quota = self._eligibility.quotas.get(names[index])
             if quota is not None:
-                quota.note_peer(peer.record.name, totals.get(index, 0), now_s)
+                quota.note_peer(peer.record.name, total, now_s)
+        self._eligibility.heard.note(peer.record.name, now_s)
+
+    def _forget_usage(self, host: str) -> None:
+        if host not in self._eligibility.heard:
+            return
+        self._eligibility.heard.forget(host)
+        for quota in self._eligibility.quotas.values():
+            quota.forget_peer(host)
 
     def _usage(self) -> list[int]:
         config = self._state.config
@@ -223,6 +234,10 @@
         """Register this host and report until cancelled."""
         await self._register()
         read_s = self._clock.now_s()
+        self.report()
+        # Hosts start together; reports at the same moment would show the requests of a
+        # whole period at once.
+        await asyncio.sleep(random.uniform(0.0, REPORT_PERIOD_S))
         while True:
             now_s = self._clock.now_s()
             if now_s - read_s > HOSTS_PERIOD_S and self._fleet.is_reader(now_s):
@@ -300,8 +315,7 @@
     def _note_liveness(self, peer: Peer, is_live: bool) -> None:
         name = peer.record.name
         if not is_live and peer.is_gone(self._clock.now_s()):
-            for quota in self._eligibility.quotas.values():
-                quota.forget_peer(name)
+            self._forget_usage(name)
         if is_live and name not in self._live:
             self._live.add(name)
             self._telemetry.log(PEER_REGAINED, peer=name, phase=peer.phase.name)
