--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -14,6 +14,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -48,6 +49,9 @@
 # Upstreams weighed for a request by their rank. Further ones are weighed only if the
 # object is warm there: with this many busy, the service is full.
 WEIGHED_MAX = 24
+# Objects whose rank of the upstreams is kept, so that it is not computed again while a
+# request waits for its object; each takes about 2 KB with 126 upstreams.
+KEPT_RANKS = 512
 # Costs closer than this are equal; the rank decides between them.
 TIE_S = 0.02
 
@@ -104,6 +108,12 @@
     queue_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class _KeptRank:
+    members: tuple[str, ...]
+    order: tuple[str, ...]
+
+
 class Placement:
     """Chooses upstreams for one host.
 
@@ -117,6 +127,7 @@
         self._records: dict[str, UpstreamRecord] = {}
         self._by_token: dict[int, UpstreamRecord] = {}
         self._work: dict[str, WorkTimes] = {}
+        self._ranks: OrderedDict[tuple[str, str], _KeptRank] = OrderedDict()
 
     def record(self, upstream: Upstream) -> UpstreamRecord:
         """Return what is known of an upstream, made on first use."""
@@ -168,14 +179,12 @@
         """
         allowed = [
             upstream
-            for upstream in upstreams
+            for upstream in self._ranked(req, upstreams)
             if upstream.instance not in excluded and self._is_at_home(req, upstream)
         ]
         usable = [u for u in allowed if self.record(u).ejected_until_s <= now_s]
         # With all of them ejected, the fault is likely nearer to this host.
-        ranked = sorted(
-            usable or allowed, key=lambda u: self._rank(req, u), reverse=True
-        )
+        ranked = usable or allowed
         best: Candidate | None = None
         if ranked and self._is_owed_objects(ranked, now_s):
             return self._candidate(req, ranked[0], 0, now_s)
@@ -188,6 +197,23 @@
                 best = candidate
         return best
 
+    def _ranked(
+        self, req: PlacementRequest, upstreams: Iterable[Upstream]
+    ) -> list[Upstream]:
+        by_instance = {upstream.instance: upstream for upstream in upstreams}
+        members = tuple(by_instance)
+        key = (req.service, req.object_key)
+        kept = self._ranks.get(key)
+        if kept is None or kept.members != members:
+            order = sorted(
+                members, key=lambda i: self._rank(req, by_instance[i]), reverse=True
+            )
+            kept = self._ranks[key] = _KeptRank(members, tuple(order))
+            while len(self._ranks) > KEPT_RANKS:
+                self._ranks.popitem(last=False)
+        self._ranks.move_to_end(key)
+        return [by_instance[instance] for instance in kept.order]
+
     def _is_owed_objects(self, ranked: list[Upstream], now_s: float) -> bool:
         """Tell whether the first upstream should get an object that is warm elsewhere.
 
--- a/packages/core/tests/placement/test_choice.py
+++ b/packages/core/tests/placement/test_choice.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from placement.load_model import REGION_OF
@@ -172,3 +173,33 @@
             self.assertEqual(chosen.upstream.zone, "b")
         nowhere = request("1", frozenset({"D"}))
         self.assertIsNone(self.placement.choose(nowhere, UPSTREAMS, (), 0.0))
+
+
+class LargeServiceTest(ChoiceTest):
+    """Guards against choices that follow a rank of upstreams that are gone."""
+
+    MANY = tuple(upstream(number, "abc"[number % 3]) for number in range(126))
+
+    def test_a_kept_rank_follows_the_members(self) -> None:
+        first = self.choose("7", upstreams=list(self.MANY)).upstream
+        rest = [member for member in self.MANY if member != first]
+        fresh = Placement(Distances("a", REGION_OF)).choose(request("7"), rest, (), 0.0)
+        assert fresh is not None
+        self.assertEqual(self.choose("7", upstreams=rest).upstream, fresh.upstream)
+        back = self.choose("7", upstreams=list(self.MANY)).upstream
+        self.assertEqual(back, first)
+
+    def test_a_changed_entry_is_used_as_it_is_now(self) -> None:
+        first = self.choose("7", upstreams=list(self.MANY)).upstream
+        moved = replace(first, address="10.9.9.9:80")
+        members = [moved if m == first else m for m in self.MANY]
+        self.assertIs(self.choose("7", upstreams=members).upstream, moved)
+
+    def test_a_warm_upstream_of_low_rank_is_found(self) -> None:
+        for member in self.MANY:
+            record = self.placement.record(member)
+            for number in range(6):
+                record.note_handled(token_of(f"{member.instance}-{number}"))
+        lowest = self.placement._ranked(request("7"), self.MANY)[-1]
+        self.placement.record(lowest).note_handled(token_of("7"))
+        self.assertEqual(self.choose("7", upstreams=list(self.MANY)).upstream, lowest)
