End the writer of a connection whose caller has left during an answer

A caller that ends its side while an answer is being sent clears the pending requests; the writer then took its request from the empty queue and its task failed, unseen by the log.

Change: the writer ends when nothing is pending. The test fails without it (IndexError).

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -253,6 +253,9 @@
                 break
             self._write_answer(pending.parser, pending.request, answer)
             await self.drain()
+            if not self._pending:
+                # The caller left while the answer was being sent.
+                break
             self._pending.popleft()
             self._has_room.set()
             if pending.parser.our_state is not h11.DONE:
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -1,9 +1,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import unittest
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
+from typing import Any
 
 from edge.support import LOOPBACK
 
@@ -161,3 +163,26 @@
     @staticmethod
     def _post(header: bytes) -> bytes:
         return b"POST / HTTP/1.1\r\nhost: h\r\n" + header + b"\r\n\r\n"
+
+
+class LeavingWhileAnsweredTest(CallerConnTest):
+    """Guards against a writer that fails when its caller leaves during an answer."""
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        self.began.append(request.target)
+        return CallerAnswer(200, [], b"x" * 16_000_000)
+
+    async def test_a_caller_leaves_during_a_long_answer(self) -> None:
+        failures: list[dict[str, Any]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/long"))
+            await reader.read(1000)
+            writer.write_eof()
+            while self.registry:
+                await asyncio.sleep(0.01)
+            while await reader.read(1_000_000):
+                pass
+        gc.collect()
+        self.assertEqual(failures, [])
