Count the requests of restarted hosts and of hosts with another configuration

A killed host came back while the store was away. It wrote its own row first and read the others' rows only after the answer, which the store lost; until then it served with nobody to share the limits with. Two more faults of the same kind showed while tracing it: requests are told by the index of an organisation's name, so hosts with different versions of the configuration did not count each other's; and a restarted host's first total was taken for an old one.

Change: a host reads the table of hosts first, serves only then, and registers after that if its row does not stand. A digest of the names tells whether indices mean the same. Totals of a restarted host are counted from nothing. News of warm objects carry no totals. The table and the totals have modules of their own (_host_table, _usage_totals).

--- a/packages/core/src/cardamomquay/allowances/_fleet_quota.py
+++ b/packages/core/src/cardamomquay/allowances/_fleet_quota.py
@@ -225,6 +225,12 @@
         use.total = total
         use.charged_s = now_s
 
+    def note_peer_restart(self, host: str) -> None:
+        """Count the totals of a host from nothing again."""
+        use = self._peers.get(host)
+        if use is not None:
+            use.total = 0
+
     def forget_peer(self, host: str) -> None:
         """Stop charging a host that is gone for good."""
         self._peers.pop(host, None)
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
@@ -0,0 +1,103 @@
+"""The table of hosts in the platform's store."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from cardamomquay.fleet import HostRecord
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.platform import Unavailable
+from cardamomquay.platform import Write
+from cardamomquay_daemon.edge._events import ROW_REJECTED
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from cardamomquay_daemon.edge._platform_feed import PlatformFeed
+    from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
+
+HOSTS_TABLE = "hosts"
+RETRY_S = 0.5
+
+
+class HostRow(msgspec.Struct):
+    """A row of the table of hosts."""
+
+    caller_address: str
+    peer_ip: str
+    peer_port: int
+    zone: str
+    region: str
+
+
+class HostTable:
+    """Reads the hosts of the fleet, and registers this one.
+
+    Parameters
+    ----------
+    platform : PlatformFeed
+    own : HostRecord
+    telemetry : EdgeTelemetry
+    learn : callable
+        Gets the record of each host that was read.
+    """
+
+    def __init__(
+        self,
+        platform: PlatformFeed,
+        own: HostRecord,
+        telemetry: EdgeTelemetry,
+        learn: Callable[[HostRecord], object],
+    ) -> None:
+        self._platform = platform
+        self._own = own
+        self._telemetry = telemetry
+        self._learn = learn
+        self.is_registered = False
+
+    async def read_surely(self) -> None:
+        """Read the table, again until it succeeds."""
+        while not await self.read():
+            await asyncio.sleep(RETRY_S)
+
+    async def register(self) -> None:
+        """Write this host's row, again until the answer says that it stands."""
+        key = RowKey(HOSTS_TABLE, self._own.name)
+        write = Transaction((), (Write(key, msgspec.to_builtins(self._own_row())),))
+        while isinstance(await self._platform.transact(write), Unavailable):
+            await asyncio.sleep(RETRY_S)
+
+    def _own_row(self) -> HostRow:
+        own = self._own
+        return HostRow(
+            own.caller_address, own.peer_ip, own.peer_port, own.zone, own.region
+        )
+
+    async def read(self) -> bool:
+        """Read the table; return whether that succeeded."""
+        read = await self._platform.scan(HOSTS_TABLE)
+        if isinstance(read, Unavailable):
+            return False
+        for row in read.rows:
+            try:
+                host = msgspec.convert(row.value, HostRow)
+            except msgspec.ValidationError as exc:
+                self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
+                continue
+            if row.key.key == self._own.name:
+                self.is_registered = host == self._own_row()
+            self._learn(
+                HostRecord(
+                    row.key.key,
+                    host.caller_address,
+                    host.peer_ip,
+                    host.peer_port,
+                    host.zone,
+                    host.region,
+                )
+            )
+        return True
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -17,17 +17,15 @@
 
 from cardamomquay.fleet import HostPhase
 from cardamomquay.fleet import HostRecord
-from cardamomquay.platform import RowKey
-from cardamomquay.platform import Transaction
-from cardamomquay.platform import Unavailable
-from cardamomquay.platform import Write
 from cardamomquay_daemon.edge._events import PEER_LOST
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
+from cardamomquay_daemon.edge._host_table import HostTable
+from cardamomquay_daemon.edge._reports import LargeFleetReport
 from cardamomquay_daemon.edge._reports import News
 from cardamomquay_daemon.edge._reports import Report
 from cardamomquay_daemon.edge._reports import RolloutReport
-from cardamomquay_daemon.edge._reports import StoreReport
+from cardamomquay_daemon.edge._usage_totals import UsageTotals
 
 if TYPE_CHECKING:
     from cardamomquay.clock import Clock
@@ -42,7 +40,6 @@
     from cardamomquay_daemon.edge._upstream_news import UpstreamNews
     from cardamomquay_daemon.edge._warmth import WarmthNews
 
-HOSTS_TABLE = "hosts"
 REPORT_PERIOD_S = 1.0
 # Hosts that read the store for others tell their zone more often, so that what is told
 # stays well within the time for a drain.
@@ -51,22 +48,11 @@
 SILENT_PERIOD_S = 5.0
 # The table of hosts is read again this often, beside what hosts tell of themselves.
 HOSTS_PERIOD_S = 15.0
-RETRY_S = 0.5
 # Least time between two reports that do not wait for the period. A report takes up to
 # 0.06 s between regions; more of them would not agree the quotas much better.
 URGENT_SPACING_S = 0.1
 
 
-class HostRow(msgspec.Struct):
-    """A row of the table of hosts."""
-
-    caller_address: str
-    peer_ip: str
-    peer_port: int
-    zone: str
-    region: str
-
-
 class Peers(asyncio.DatagramProtocol):
     """Exchanges reports with all other hosts.
 
@@ -99,11 +85,11 @@
     ) -> None:
         self._feeds = feeds
         self._warmth = warmth
-        self._eligibility = eligibility
+        self._usage = UsageTotals(state, eligibility)
+        self._table = HostTable(platform, fleet.own, telemetry, self._learn)
         self._rollouts = rollouts
         self._fleet = fleet
         self._state = state
-        self._platform = platform
         self._clock = clock
         self._telemetry = telemetry
         self._incarnation = incarnation
@@ -145,7 +131,7 @@
             return
         is_new = report.incarnation != peer.incarnation
         if is_new:
-            self._forget_usage(peer.record.name)
+            self._usage.note_restart(peer.record.name)
         peer.incarnation = report.incarnation
         peer.phase = HostPhase(report.phase)
         peer.heard_s = now_s
@@ -153,16 +139,16 @@
         self._stamps[peer.record.name] = report.stamp
         if report.echo and report.evidence_ms >= 0:
             self._use_evidence(report)
-        if report.store is not None:
-            peer.orders_seen_s = now_s - report.store.orders_ms / 1000.0
+        if report.large is not None:
+            peer.orders_seen_s = now_s - report.large.orders_ms / 1000.0
             if report.echo:
-                self._use_store_report(peer, report.echo, report.store)
-        self._use_usage(peer, report, now_s)
+                self._use_store_news(peer, report.echo, report.large)
+        self._usage.apply(peer.record.name, report, now_s)
         self._warmth.apply(report.handled, report.warming)
         for rollout in report.rollouts:
             self._rollouts.note_view(peer.record.name, rollout.to_view())
         if is_new:
-            self._send(peer, now_s, News(self._usage()))
+            self._send(peer, now_s, News(self._usage.whole()))
 
     def _use_evidence(self, report: Report) -> None:
         config = self._state.config
@@ -173,7 +159,7 @@
         seen_s = (report.echo - report.evidence_ms) / 1000.0
         self._state.config_seen_s = max(self._state.config_seen_s, seen_s)
 
-    def _use_store_report(self, peer: Peer, echo: int, report: StoreReport) -> None:
+    def _use_store_news(self, peer: Peer, echo: int, report: LargeFleetReport) -> None:
         seen_s = (echo - report.orders_ms) / 1000.0
         self._feeds.note_orders(report.orders_changed, seen_s)
         if report.upstreams is not None:
@@ -181,37 +167,9 @@
             source = (peer.record.name, peer.incarnation)
             self._feeds.apply_news(source, report.upstreams, seen_s)
 
-    def _use_usage(self, peer: Peer, report: Report, now_s: float) -> None:
-        config = self._state.config
-        if config is None or config.version != report.config_version:
-            return
-        names = config.organisation_names
-        for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
-            quota = self._eligibility.quotas.get(names[index])
-            if quota is not None:
-                quota.note_peer(peer.record.name, total, now_s)
-        self._eligibility.heard.note(peer.record.name, now_s)
-
-    def _forget_usage(self, host: str) -> None:
-        if host not in self._eligibility.heard:
-            return
-        self._eligibility.heard.forget(host)
-        for quota in self._eligibility.quotas.values():
-            quota.forget_peer(host)
-
-    def _usage(self) -> list[int]:
-        config = self._state.config
-        usage: list[int] = []
-        for index, name in enumerate(config.organisation_names if config else ()):
-            quota = self._eligibility.quotas.get(name)
-            if quota is not None and quota.admitted:
-                usage += (index, quota.admitted)
-        return usage
-
     def note_admitted(self, organisation: str) -> None:
         """Report at once if other hosts should hear of an organisation's requests."""
-        quota = self._eligibility.quotas.get(organisation)
-        if quota is not None and quota.is_report_due:
+        if self._usage.is_due(organisation):
             self.report_soon()
 
     def report_soon(self) -> None:
@@ -231,8 +189,8 @@
         self._report_to_region(now_s)
 
     async def run(self) -> None:
-        """Register this host and report until cancelled."""
-        await self._register()
+        """Find the other hosts, register this one and report until cancelled."""
+        await self._find_hosts()
         read_s = self._clock.now_s()
         self.report()
         # Hosts start together; reports at the same moment would show the requests of a
@@ -242,7 +200,7 @@
             now_s = self._clock.now_s()
             if now_s - read_s > HOSTS_PERIOD_S and self._fleet.is_reader(now_s):
                 read_s = now_s
-                await self._read_hosts()
+                await self._table.read()
             self.report()
             await asyncio.sleep(REPORT_PERIOD_S - ZONE_PERIOD_S)
             self.report_to_zone()
@@ -258,18 +216,21 @@
             self._send(peer, now_s, news)
 
     def _news(self, now_s: float, rollouts: list[RolloutReport]) -> News:
-        return News(self._usage(), rollouts, upstreams=self._upstream_news(now_s))
+        whole = self._usage.whole()
+        return News(whole, rollouts, upstreams=self._upstream_news(now_s))
 
-    def _store_report(
-        self, peer: Peer, now_s: float, upstreams: UpstreamNews | None
-    ) -> StoreReport | None:
+    def _large_fleet_report(
+        self, peer: Peer, now_s: float, news: News
+    ) -> LargeFleetReport | None:
         state = self._state
         if not self._fleet.is_large or not state.orders_revision:
             return None
         orders_ms = int((now_s - state.orders_seen_s) * 1000.0)
         in_zone = peer.record.zone == self._fleet.own.zone
-        return StoreReport(
-            state.orders_changed, orders_ms, upstreams if in_zone else None
+        return LargeFleetReport(
+            state.orders_changed,
+            orders_ms,
+            news.upstreams if in_zone else None,
         )
 
     def _upstream_news(self, now_s: float) -> UpstreamNews | None:
@@ -291,8 +252,7 @@
                 for rollout in self._state.rollouts.values()
             ],
         )
-        for quota in self._eligibility.quotas.values():
-            quota.note_reported()
+        self._usage.note_told()
         for peer in self._fleet.peers.values():
             is_live = peer.is_live(now_s)
             self._note_liveness(peer, is_live)
@@ -307,7 +267,7 @@
         handled, warming = self._warmth.take()
         if not handled and not warming:
             return
-        news = News(self._usage(), [], handled, warming)
+        news = News(handled=handled, warming=warming)
         for peer in self._fleet.live(now_s):
             if peer.record.region == self._fleet.own.region:
                 self._send(peer, now_s, news)
@@ -315,7 +275,7 @@
     def _note_liveness(self, peer: Peer, is_live: bool) -> None:
         name = peer.record.name
         if not is_live and peer.is_gone(self._clock.now_s()):
-            self._forget_usage(name)
+            self._usage.forget(name)
         if is_live and name not in self._live:
             self._live.add(name)
             self._telemetry.log(PEER_REGAINED, peer=name, phase=peer.phase.name)
@@ -324,42 +284,17 @@
             silent_s = round(self._clock.now_s() - peer.heard_s, 1)
             self._telemetry.log(PEER_LOST, peer=name, silent_s=silent_s)
 
-    async def _register(self) -> None:
-        own = self._fleet.own
-        row = HostRow(
-            own.caller_address, own.peer_ip, own.peer_port, own.zone, own.region
-        )
-        key = RowKey(HOSTS_TABLE, own.name)
-        write = Transaction((), (Write(key, msgspec.to_builtins(row)),))
-        while True:
-            written = await self._platform.transact(write)
-            if not isinstance(written, Unavailable):
-                break
-            await asyncio.sleep(RETRY_S)
-        while not await self._read_hosts():
-            await asyncio.sleep(RETRY_S)
-
-    async def _read_hosts(self) -> bool:
-        read = await self._platform.scan(HOSTS_TABLE)
-        if isinstance(read, Unavailable):
-            return False
-        for row in read.rows:
-            try:
-                host = msgspec.convert(row.value, HostRow)
-            except msgspec.ValidationError as exc:
-                self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
-                continue
-            self._learn(
-                HostRecord(
-                    row.key.key,
-                    host.caller_address,
-                    host.peer_ip,
-                    host.peer_port,
-                    host.zone,
-                    host.region,
-                )
-            )
-        return True
+    async def _find_hosts(self) -> None:
+        # The answer to a write may be lost. A host that does not know of the others
+        # by then would spend the quotas that they share a second time.
+        await self._table.read_surely()
+        if self._fleet.peers:
+            self._state.knows_hosts = True
+            self.report()
+        if not self._table.is_registered:
+            await self._table.register()
+            await self._table.read_surely()
+        self._state.knows_hosts = True
 
     def _learn(self, record: HostRecord) -> Peer | None:
         peer = self._fleet.learn(record)
@@ -386,6 +321,7 @@
             int(now_s * 1000),
             self._stamps.get(name, 0),
             config.version if config else 0,
+            self._usage.names_digest,
             int(evidence_s * 1000) if config else -1,
             None
             if knows_us
@@ -394,7 +330,7 @@
             news.rollouts,
             news.handled,
             news.warming,
-            self._store_report(peer, now_s, news.upstreams),
+            self._large_fleet_report(peer, now_s, news),
         )
         self._reported_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -45,8 +45,8 @@
         )
 
 
-class StoreReport(msgspec.Struct, array_like=True):
-    """What a host of a large fleet knows of the store.
+class LargeFleetReport(msgspec.Struct, array_like=True):
+    """What only hosts of a large fleet tell: what they know of the store.
 
     Parameters
     ----------
@@ -76,18 +76,19 @@
     echo : int
         Latest stamp received from the other host; 0 without one.
     config_version : int
+    names_digest : int
+        Digest below 128 of the organisations' names, by which `usage` is told.
     evidence_ms : int
         Age of the proof that no newer version had been accepted; -1 without one.
     record : tuple or None
         Name and place of the sender, until the other host has answered.
-    usage : list of int
+    usage : list of int or None
         Index and running total of requests, in turn, of organisations in the order of
-        their names in the configuration of that version. Those left out have none.
+        their names. Those left out have none. None where the report does not tell.
     rollouts : list of RolloutReport
     handled, warming : list of int
         News of warm objects; see `WarmthNews`.
-    store : StoreReport or None
-        None where each host reads the store itself.
+    large : LargeFleetReport or None
     """
 
     incarnation: int
@@ -95,20 +96,29 @@
     stamp: int
     echo: int
     config_version: int
+    names_digest: int
     evidence_ms: int
     record: tuple[str, str, int, str, str] | None = None
-    usage: list[int] = []
+    usage: list[int] | None = None
     rollouts: list[RolloutReport] = []
     handled: list[int] = []
     warming: list[int] = []
-    store: StoreReport | None = None
+    large: LargeFleetReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class News:
-    """The parts of a report that are the same for all hosts."""
+    """The parts of a report that are the same for all hosts.
 
-    usage: list[int] = field(default_factory=list)
+    Parameters
+    ----------
+    usage : list of int or None
+    rollouts : list of RolloutReport
+    handled, warming : list of int
+    upstreams : UpstreamNews or None
+    """
+
+    usage: list[int] | None = None
     rollouts: list[RolloutReport] = field(default_factory=list)
     handled: list[int] = field(default_factory=list)
     warming: list[int] = field(default_factory=list)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_state.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_state.py
@@ -41,6 +41,9 @@
     rollouts : dict of str to Rollout
         By service.
     is_stopping : bool
+    knows_hosts : bool
+        Whether the table of hosts was read. Without the others' reports, a host would
+        spend limits that all share as if it were alone.
     """
 
     config: TrafficConfig | None = None
@@ -54,8 +57,10 @@
     evacuated_zones: set[str] = field(default_factory=set)
     rollouts: dict[str, Rollout] = field(default_factory=dict)
     is_stopping: bool = False
+    knows_hosts: bool = False
 
     @property
     def is_loaded(self) -> bool:
         """Whether requests can be judged at all."""
-        return self.config is not None and self.upstreams_seen_s > -math.inf
+        has_read = self.config is not None and self.upstreams_seen_s > -math.inf
+        return has_read and self.knows_hosts
--- /dev/null
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_totals.py
@@ -0,0 +1,90 @@
+"""Running totals of organisations' requests, as hosts tell them each other."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from cardamomquay.placement import token_of
+
+if TYPE_CHECKING:
+    from cardamomquay_daemon.edge._eligibility import Eligibility
+    from cardamomquay_daemon.edge._reports import Report
+    from cardamomquay_daemon.edge._state import HostState
+
+# Values of the digest of names; they take one byte in a report.
+DIGESTS = 128
+
+
+class UsageTotals:
+    """What this host tells of its requests, and what others tell of theirs.
+
+    A list of totals holds, in turn, the index of an organisation's name in the
+    configuration and the number of its requests since the host started.
+
+    Parameters
+    ----------
+    state : HostState
+    eligibility : Eligibility
+    """
+
+    def __init__(self, state: HostState, eligibility: Eligibility) -> None:
+        self._state = state
+        self._eligibility = eligibility
+        self._digested: tuple[tuple[str, ...], int] = ((), 0)
+
+    @property
+    def names_digest(self) -> int:
+        """Digest of the names that the indices stand for."""
+        names = self._names()
+        if names != self._digested[0]:
+            self._digested = (names, token_of("\0".join(names)) % DIGESTS)
+        return self._digested[1]
+
+    def _names(self) -> tuple[str, ...]:
+        config = self._state.config
+        return config.organisation_names if config else ()
+
+    def whole(self) -> list[int]:
+        """Return the totals of all organisations that have any."""
+        totals: list[int] = []
+        for index, name in enumerate(self._names()):
+            quota = self._eligibility.quotas.get(name)
+            if quota is not None and quota.admitted:
+                totals += (index, quota.admitted)
+        return totals
+
+    def note_told(self) -> None:
+        """Remember that all other hosts are told the totals now."""
+        for quota in self._eligibility.quotas.values():
+            quota.note_reported()
+
+    def is_due(self, organisation: str) -> bool:
+        """Whether other hosts should hear of an organisation's requests at once."""
+        quota = self._eligibility.quotas.get(organisation)
+        return quota is not None and quota.is_report_due
+
+    def apply(self, host: str, report: Report, now_s: float) -> None:
+        """Take over what another host tells."""
+        # Hosts that are cut off from the store keep an older configuration, and their
+        # requests count all the same as long as it names the same organisations.
+        if report.usage is None or report.names_digest != self.names_digest:
+            return
+        names = self._names()
+        for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
+            quota = self._eligibility.quotas.get(names[index])
+            if quota is not None:
+                quota.note_peer(host, total, now_s)
+        self._eligibility.heard.note(host, now_s)
+
+    def note_restart(self, host: str) -> None:
+        """Count the totals of a host from nothing again."""
+        for quota in self._eligibility.quotas.values():
+            quota.note_peer_restart(host)
+
+    def forget(self, host: str) -> None:
+        """Stop charging a host that is gone for good."""
+        if host not in self._eligibility.heard:
+            return
+        self._eligibility.heard.forget(host)
+        for quota in self._eligibility.quotas.values():
+            quota.forget_peer(host)
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -196,7 +196,7 @@
         self, clock: ManualClock, served: TrafficConfig, *upstreams: Upstream
     ) -> None:
         self.clock = clock
-        self.state = HostState()
+        self.state = HostState(knows_hosts=True)
         self.telemetry = FakeTelemetry()
         own = HostRecord("h0", "h0:80", LOOPBACK, 7000, "a", "A")
         self.fleet = FleetView(own)
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -131,7 +131,7 @@
 class FeedCase(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.clock = ManualClock(100.0)
-        self.state = HostState()
+        self.state = HostState(knows_hosts=True)
         self.platform = FakePlatform()
         self.listener = Listener()
         self.telemetry = FakeTelemetry()
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -1,7 +1,10 @@
 from __future__ import annotations
 
+import asyncio
 import unittest
+from dataclasses import replace
 from typing import Any
+from unittest import mock
 
 from edge.support import FakeTelemetry
 from edge.support import config
@@ -17,6 +20,11 @@
 from cardamomquay.placement import Distances
 from cardamomquay.placement import Placement
 from cardamomquay.placement import token_of
+from cardamomquay.platform import Committed
+from cardamomquay.platform import Row
+from cardamomquay.platform import RowKey
+from cardamomquay.platform import Transaction
+from cardamomquay.traffic import Organisation
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge._eligibility import Eligibility
 from cardamomquay_daemon.edge._feeds import StoreFeeds
@@ -36,7 +44,9 @@
         self.network = network
         network[name] = self
         self.address = (name, 7000)
-        self.state = HostState(config=config(), config_seen_s=clock.now_s())
+        self.state = HostState(
+            config=config(), config_seen_s=clock.now_s(), knows_hosts=True
+        )
         self.fleet = FleetView(HostRecord(name, f"{name}:80", name, 7000, "a", "A"))
         self.fleet.own_phase = HostPhase.READY
         self.telemetry = FakeTelemetry()
@@ -46,7 +56,7 @@
         )
         self.eligibility.note_config(clock.now_s())
         self.warmth = WarmthNews(self.placement, clock)
-        platform = FakePlatform()
+        platform = self.platform = FakePlatform()
         telemetry: Any = self.telemetry
         rollouts = RolloutControl(
             self.state, self.fleet, platform, clock, telemetry, 0.1
@@ -184,6 +194,96 @@
         self.two.deliver()
         self.assertIs(self.one.fleet.peers["h2"].phase, HostPhase.LEAVING)
 
+    def test_hosts_with_another_version_count_each_others_requests(self) -> None:
+        self.exchange()
+        self.two.state.config = config(version=2)
+        self.clock.advance(1.0)
+        organisation = config().organisations["salsa"]
+        self.two.eligibility.admit(organisation, self.clock.now_s())
+        self.exchange()
+        use = self.one.eligibility.quotas["salsa"]._peers["h2"]
+        self.assertEqual(use.total, 1)
+
+    def test_hosts_with_other_organisations_tell_nothing_of_them(self) -> None:
+        self.exchange()
+        before = config(version=2)
+        organisations = {"aero": Organisation("aero", 0, 9.0, 9.0)}
+        organisations |= before.organisations
+        self.two.state.config = replace(before, organisations=organisations)
+        self.two.eligibility.note_config(self.clock.now_s())
+        self.clock.advance(1.0)
+        for _ in range(5):
+            self.two.eligibility.admit(organisations["aero"], self.clock.now_s())
+        self.exchange()
+        self.assertNotIn("h2", self.one.eligibility.quotas["salsa"]._peers)
+
+    def test_a_restarted_host_is_charged_from_nothing(self) -> None:
+        self.exchange()
+        self.clock.advance(1.0)
+        organisation = config().organisations["salsa"]
+        quota = self.two.eligibility.quotas["salsa"]
+        for _ in range(7):
+            self.two.eligibility.admit(organisation, self.clock.now_s())
+        self.exchange()
+        self.two.peers._incarnation += 1
+        quota.admitted = 9
+        level = self.one.eligibility.quotas["salsa"]._level
+        self.two.peers.report()
+        self.two.deliver()
+        self.assertEqual(self.one.eligibility.quotas["salsa"]._level, level - 9)
+
+
+class StartTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a host that serves before it knows who shares its limits."""
+
+    def setUp(self) -> None:
+        self.host = Host("h1", ManualClock(100.0), {})
+        self.host.state.knows_hosts = False
+
+    def put_row(self, name: str) -> None:
+        content = {
+            "caller_address": f"{name}:80",
+            "peer_ip": name,
+            "peer_port": 7000,
+            "zone": "a",
+            "region": "A",
+        }
+        key = RowKey("hosts", name)
+        self.host.platform.rows[name] = Row(key, 1, content)
+
+    async def start(self) -> list[Transaction]:
+        """Let the host start while writes to the store are not answered."""
+        written: list[Transaction] = []
+
+        async def lose(transaction: Transaction) -> Committed:
+            written.append(transaction)
+            return await asyncio.get_running_loop().create_future()
+
+        with mock.patch.object(self.host.platform, "transact", lose):
+            task = asyncio.create_task(self.host.peers.run())
+            await asyncio.sleep(0.02)
+            task.cancel()
+        return written
+
+    async def test_others_are_told_though_the_registration_is_not_answered(
+        self,
+    ) -> None:
+        self.put_row("h2")
+        self.assertEqual(len(await self.start()), 1)
+        self.assertTrue(self.host.state.knows_hosts)
+        self.assertIn("h2", [name for _, name in self.host.sent])
+
+    async def test_a_restarted_host_does_not_write_again(self) -> None:
+        self.put_row("h1")
+        self.put_row("h2")
+        self.assertEqual(await self.start(), [])
+        self.assertTrue(self.host.state.knows_hosts)
+
+    async def test_a_first_host_waits_for_its_registration(self) -> None:
+        self.assertEqual(len(await self.start()), 1)
+        self.assertFalse(self.host.state.knows_hosts)
+        self.assertFalse(self.host.state.is_loaded)
+
 
 class LargeFleetTest(PeersTest):
     """Guards against hosts of a large fleet that are not told what one has read."""
