Tell only the totals that changed lately in a large fleet

Cause: with 82 organisations a host's list of totals takes about 250 bytes, and 80 hosts send it to 79 others each second and on every urgent report.

Change: a total is told for 2.2 s after it changed, and all of them every 8 s to hosts with the same configuration, and at once to one that has started anew. A host does not use a list of the latest before it has a whole one.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -48,6 +48,9 @@
 SILENT_PERIOD_S = 5.0
 # The table of hosts is read again this often, beside what hosts tell of themselves.
 HOSTS_PERIOD_S = 15.0
+# In a large fleet all totals are told this often, for hosts that have just started and
+# missed the first list; otherwise only the latest are.
+WHOLE_USAGE_PERIOD_S = 8.0
 # Least time between two reports that do not wait for the period. A report takes up to
 # 0.06 s between regions; more of them would not agree the quotas much better.
 URGENT_SPACING_S = 0.1
@@ -99,6 +102,7 @@
         self._stamps: dict[str, int] = {}
         self._reported_s: dict[str, float] = {}
         self._live: set[str] = set()
+        self._whole_usage_s: dict[str, float] = {}
         self._urgent_s = float("-inf")
         self._warmth_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
@@ -148,6 +152,7 @@
         for rollout in report.rollouts:
             self._rollouts.note_view(peer.record.name, rollout.to_view())
         if is_new:
+            self._whole_usage_s.pop(peer.record.name, None)
             self._send(peer, now_s, News(self._usage.whole()))
 
     def _use_evidence(self, report: Report) -> None:
@@ -217,10 +222,13 @@
 
     def _news(self, now_s: float, rollouts: list[RolloutReport]) -> News:
         whole = self._usage.whole()
-        return News(whole, rollouts, upstreams=self._upstream_news(now_s))
+        if not self._fleet.is_large:
+            return News(whole, whole, rollouts)
+        latest = self._usage.latest(whole, now_s)
+        return News(whole, latest, rollouts, upstreams=self._upstream_news(now_s))
 
     def _large_fleet_report(
-        self, peer: Peer, now_s: float, news: News
+        self, peer: Peer, now_s: float, news: News, is_whole: bool
     ) -> LargeFleetReport | None:
         state = self._state
         if not self._fleet.is_large or not state.orders_revision:
@@ -230,6 +238,7 @@
         return LargeFleetReport(
             state.orders_changed,
             orders_ms,
+            is_whole,
             news.upstreams if in_zone else None,
         )
 
@@ -314,6 +323,10 @@
         name = peer.record.name
         config = self._state.config
         evidence_s = now_s - self._state.config_seen_s
+        told_s = self._whole_usage_s.get(name, float("-inf"))
+        is_whole = news.usage is not None and now_s - told_s >= WHOLE_USAGE_PERIOD_S
+        if is_whole and config is not None and peer.config_version == config.version:
+            self._whole_usage_s[name] = now_s
         knows_us = self._stamps.get(name) is not None and peer.is_live(now_s)
         report = Report(
             self._incarnation,
@@ -326,11 +339,11 @@
             None
             if knows_us
             else (own.name, own.caller_address, own.peer_port, own.zone, own.region),
-            news.usage,
+            news.usage if is_whole else news.latest_usage,
             news.rollouts,
             news.handled,
             news.warming,
-            self._large_fleet_report(peer, now_s, news),
+            self._large_fleet_report(peer, now_s, news, is_whole),
         )
         self._reported_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -54,12 +54,15 @@
         Revision that includes the operator's latest order known to the host.
     orders_ms : int
         Age of the proof that there was no later one, in milliseconds.
+    is_usage_whole : bool
+        Whether the report's usage lists all organisations, not only the latest.
     upstreams : UpstreamNews or None
         From a host that reads the store for its availability zone.
     """
 
     orders_changed: int
     orders_ms: int
+    is_usage_whole: bool
     upstreams: UpstreamNews | None
 
 
@@ -84,7 +87,8 @@
         Name and place of the sender, until the other host has answered.
     usage : list of int or None
         Index and running total of requests, in turn, of organisations in the order of
-        their names. Those left out have none. None where the report does not tell.
+        their names. Those left out have none, or none lately. None where the report
+        does not tell.
     rollouts : list of RolloutReport
     handled, warming : list of int
         News of warm objects; see `WarmthNews`.
@@ -112,13 +116,15 @@
 
     Parameters
     ----------
-    usage : list of int or None
+    usage, latest_usage : list of int or None
+        Of all organisations, and of those whose total changed lately.
     rollouts : list of RolloutReport
     handled, warming : list of int
     upstreams : UpstreamNews or None
     """
 
     usage: list[int] | None = None
+    latest_usage: list[int] | None = None
     rollouts: list[RolloutReport] = field(default_factory=list)
     handled: list[int] = field(default_factory=list)
     warming: list[int] = field(default_factory=list)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_totals.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_totals.py
@@ -13,6 +13,9 @@
 
 # Values of the digest of names; they take one byte in a report.
 DIGESTS = 128
+# A total is among the latest for this long after it changed, so that two lost reports
+# do no harm.
+LATEST_S = 2.2
 
 
 class UsageTotals:
@@ -31,6 +34,7 @@
         self._state = state
         self._eligibility = eligibility
         self._digested: tuple[tuple[str, ...], int] = ((), 0)
+        self._told: dict[int, tuple[int, float]] = {}
 
     @property
     def names_digest(self) -> int:
@@ -53,6 +57,17 @@
                 totals += (index, quota.admitted)
         return totals
 
+    def latest(self, whole: list[int], now_s: float) -> list[int]:
+        """Return those of the totals that changed lately."""
+        latest: list[int] = []
+        for index, total in zip(whole[::2], whole[1::2], strict=True):
+            before = self._told.get(index)
+            if before is None or before[0] != total:
+                before = self._told[index] = (total, now_s)
+            if now_s - before[1] <= LATEST_S:
+                latest += (index, total)
+        return latest
+
     def note_told(self) -> None:
         """Remember that all other hosts are told the totals now."""
         for quota in self._eligibility.quotas.values():
@@ -69,6 +84,10 @@
         # requests count all the same as long as it names the same organisations.
         if report.usage is None or report.names_digest != self.names_digest:
             return
+        is_whole = report.large is None or report.large.is_usage_whole
+        if not is_whole and host not in self._eligibility.heard:
+            # A total cannot be told from an increase before the first whole list.
+            return
         names = self._names()
         for index, total in zip(report.usage[::2], report.usage[1::2], strict=False):
             quota = self._eligibility.quotas.get(names[index])
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -6,6 +6,7 @@
 from typing import Any
 from unittest import mock
 
+import msgspec
 from edge.support import FakeTelemetry
 from edge.support import config
 from edge.support import upstream
@@ -28,9 +29,12 @@
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge._eligibility import Eligibility
 from cardamomquay_daemon.edge._feeds import StoreFeeds
+from cardamomquay_daemon.edge._peers import WHOLE_USAGE_PERIOD_S
 from cardamomquay_daemon.edge._peers import Peers
+from cardamomquay_daemon.edge._reports import Report
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
+from cardamomquay_daemon.edge._usage_totals import LATEST_S
 from cardamomquay_daemon.edge._warmth import WarmthNews
 
 REGION_OF = {"a": "A"}
@@ -325,3 +329,40 @@
         self.two.peers.report()
         self.two.deliver()
         self.assertTrue(self.one.feeds._orders_missing.is_set())
+
+    def admit(self, host: Host, count: int) -> None:
+        organisation = config().organisations["salsa"]
+        for _ in range(count):
+            host.eligibility.admit(organisation, self.clock.now_s())
+
+    def counted(self) -> int:
+        """Requests of the other host that the first one has taken from the bucket."""
+        use = self.one.eligibility.quotas["salsa"]._peers.get("h2")
+        return use.total if use else 0
+
+    def test_only_what_changed_lately_is_told_again(self) -> None:
+        self.exchange()
+        self.clock.advance(1.0)
+        self.admit(self.two, 3)
+        self.exchange()
+        self.assertEqual(self.counted(), 3)
+        self.clock.advance(LATEST_S + 0.5)
+        self.two.peers.report()
+        sent = [data for data, name in self.two.sent if name == "h1"]
+        report = msgspec.msgpack.decode(sent[0], type=Report)
+        self.assertEqual(report.usage, [])
+
+    def test_a_total_before_the_first_whole_list_is_no_increase(self) -> None:
+        self.exchange()
+        self.clock.advance(1.0)
+        self.admit(self.two, 50)
+        # A host that starts anew does not know the others' totals.
+        self.one.eligibility.heard.forget("h2")
+        self.two.peers.report()
+        self.two.deliver()
+        self.assertEqual(self.counted(), 0)
+        self.clock.advance(WHOLE_USAGE_PERIOD_S)
+        level = self.one.eligibility.quotas["salsa"]._level
+        self.exchange()
+        self.assertEqual(self.counted(), 50)
+        self.assertGreaterEqual(self.one.eligibility.quotas["salsa"]._level, level)
