Add a lab that compares ways to choose upstreams

Cause: the load model could be played only from tests, with one baseline; a policy could not be weighed against others before the bench confirms it.

--- a/packages/core/tests/placement/test_choice.py
+++ b/packages/core/tests/placement/test_choice.py
@@ -5,15 +5,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from placement.load_model import REGION_OF
-from placement.load_model import upstream
-
 from cardamomquay.placement import Candidate
 from cardamomquay.placement import Distances
 from cardamomquay.placement import LoadReport
 from cardamomquay.placement import Placement
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import token_of
+from cardamomquay_dev.lab.load_model import REGION_OF
+from cardamomquay_dev.lab.load_model import upstream
 
 if TYPE_CHECKING:
     from cardamomquay.traffic import Upstream
--- a/packages/core/tests/placement/test_cold_storm.py
+++ b/packages/core/tests/placement/test_cold_storm.py
@@ -8,10 +8,10 @@
 
 import unittest
 
-from placement.load_model import LoadModel
-from placement.load_model import PlacementPolicy
-from placement.load_model import RandomPolicy
-from placement.load_model import uneven_regions
+from cardamomquay_dev.lab.load_model import LoadModel
+from cardamomquay_dev.lab.load_model import PlacementPolicy
+from cardamomquay_dev.lab.load_model import RandomPolicy
+from cardamomquay_dev.lab.load_model import uneven_regions
 
 ZONES = ["a", "a", "a", "b", "b", "b", "c", "c"]
 PER_S = 70.0
--- a/packages/core/tests/placement/test_late_queue.py
+++ b/packages/core/tests/placement/test_late_queue.py
@@ -11,15 +11,14 @@
 import unittest
 from typing import TYPE_CHECKING
 
-from placement.load_model import LoadModel
-from placement.load_model import PlacementPolicy
-from placement.load_model import uneven_regions
-from placement.load_model import upstream
-
 from cardamomquay.placement import CallerDeadlines
 from cardamomquay.placement import Candidate
 from cardamomquay.placement import OverloadGate
 from cardamomquay.placement import RequestTiming
+from cardamomquay_dev.lab.load_model import LoadModel
+from cardamomquay_dev.lab.load_model import PlacementPolicy
+from cardamomquay_dev.lab.load_model import uneven_regions
+from cardamomquay_dev.lab.load_model import upstream
 
 if TYPE_CHECKING:
     from cardamomquay.traffic import Upstream
--- a/packages/core/tests/placement/load_model.py
+++ b/packages/dev/src/cardamomquay_dev/lab/load_model.py
@@ -13,6 +13,8 @@
 from abc import abstractmethod
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
+from typing import TYPE_CHECKING
 
 from cardamomquay.placement import Candidate
 from cardamomquay.placement import Distances
@@ -22,10 +24,14 @@
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import RequestTiming
 from cardamomquay.placement import UpstreamRecord
+from cardamomquay.placement import rank_of
 from cardamomquay.placement import token_of
 from cardamomquay.traffic import Upstream
 from cardamomquay.traffic import UpstreamState
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 SLOTS = 3
 QUEUE = 9
 COLD_S = 0.88
@@ -59,6 +65,12 @@
     running: list[Work] = field(default_factory=list)
     queue: list[Work] = field(default_factory=list)
     warm: set[str] = field(default_factory=set)
+    busy_s: float = 0.0
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return len(self.running) + len(self.queue)
 
 
 @dataclass
@@ -66,6 +78,7 @@
     """What became of one request of a caller."""
 
     asked_s: float
+    zone: str = ""
     answered_s: float | None = None
     refused: bool = False
 
@@ -92,8 +105,31 @@
         return self._random.choice(servers).upstream
 
 
+class LeastLoadedPolicy(Policy):
+    """The least loaded upstream of the host's region, with its load known at once."""
+
+    def __init__(self, zones: list[str]) -> None:
+        self._zones = zones
+
+    def choose(
+        self, host: int, key: str, servers: list[Server], now_s: float
+    ) -> Candidate | Upstream | None:
+        region = REGION_OF[self._zones[host]]
+        near = [s for s in servers if REGION_OF[s.upstream.zone] == region]
+        return min(near or servers, key=lambda s: s.load).upstream
+
+
+class FixedPolicy(Policy):
+    """The first upstream of the object's rank, whatever its load."""
+
+    def choose(
+        self, host: int, key: str, servers: list[Server], now_s: float
+    ) -> Candidate | Upstream | None:
+        return max(servers, key=lambda s: rank_of(key, s.upstream.instance)).upstream
+
+
 class PlacementPolicy(Policy):
-    """The choice under test, one for each host."""
+    """The product's choice, one for each host."""
 
     def __init__(self, zones: list[str]) -> None:
         self.placements = [Placement(Distances(zone, REGION_OF)) for zone in zones]
@@ -135,10 +171,17 @@
         self._gate = gate or OverloadGate(self.random)
         self.now_s = 0.0
         self.outcomes: list[Outcome] = []
-        self._events: list[tuple[float, int, object]] = []
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = 0
+        self._outcomes_of: dict[int, Outcome] = {}
+        self._lost: list[Server] = []
 
-    def at(self, time_s: float, action: object) -> None:
+    @property
+    def busy_s(self) -> float:
+        """Time that all slots have spent on requests."""
+        return sum(server.busy_s for server in (*self.servers, *self._lost))
+
+    def at(self, time_s: float, action: Callable[[], None]) -> None:
         """Call an action at a time."""
         self._serial += 1
         heapq.heappush(self._events, (time_s, self._serial, action))
@@ -150,14 +193,15 @@
             time_s += self.random.expovariate(per_s)
             host = self.random.randrange(len(self.zones))
             key = f"{self.zones[host]}-{self.random.randrange(objects)}"
-            outcome = Outcome(time_s)
+            outcome = Outcome(time_s, self.zones[host])
             self.outcomes.append(outcome)
-            self.at(time_s, lambda h=host, k=key, o=outcome: self._ask(h, k, o, True))
+            self.at(time_s, partial(self._ask, host, key, outcome, True))
 
     def lose(self, time_s: float, zone: str) -> None:
         """Take the upstreams of a zone away."""
 
         def remove() -> None:
+            self._lost += [s for s in self.servers if s.upstream.zone == zone]
             self.servers = [s for s in self.servers if s.upstream.zone != zone]
 
         self.at(time_s, remove)
@@ -166,7 +210,7 @@
         """Play until nothing is left to do."""
         while self._events:
             self.now_s, _, action = heapq.heappop(self._events)
-            action()  # type: ignore[operator]
+            action()
 
     def in_objective(self, from_s: float, to_s: float) -> float:
         """Return the share of requests asked in a span that were in the objective."""
@@ -242,7 +286,6 @@
         self._start(server, outcome_of={id(work): outcome})
 
     def _start(self, server: Server, outcome_of: dict[int, Outcome]) -> None:
-        self._outcomes_of = getattr(self, "_outcomes_of", {})
         self._outcomes_of.update(outcome_of)
         while server.queue and len(server.running) < SLOTS:
             work = server.queue.pop(0)
@@ -254,7 +297,8 @@
             takes_s = mean_s * self.random.lognormvariate(0.0, SPREAD)
             done_s = min(self.now_s + takes_s, work.due_s)
             is_whole = done_s < work.due_s
-            self.at(done_s, lambda w=work, ok=is_whole: self._finish(server, w, ok))
+            server.busy_s += done_s - self.now_s
+            self.at(done_s, partial(self._finish, server, work, is_whole))
 
     def _finish(self, server: Server, work: Work, is_whole: bool) -> None:
         server.running.remove(work)
@@ -264,7 +308,7 @@
         self._start(server, {})
 
     def _end(self, server: Server, work: Work, answered_s: float | None) -> None:
-        outcome = getattr(self, "_outcomes_of", {}).pop(id(work), None)
+        outcome = self._outcomes_of.pop(id(work), None)
         if outcome is not None:
             outcome.answered_s = answered_s
         if work.candidate is None or not isinstance(self.policy, PlacementPolicy):
@@ -312,14 +356,16 @@
                 lambda other: other.note_warming_elsewhere(token, due_s),
             )
 
-    def _tell(self, host: int, upstream: Upstream, news: object) -> None:
+    def _tell(
+        self, host: int, upstream: Upstream, news: Callable[[UpstreamRecord], object]
+    ) -> None:
         assert isinstance(self.policy, PlacementPolicy)
         placements = self.policy.placements
 
         def apply() -> None:
             for other, placement in enumerate(placements):
                 if other != host:
-                    news(placement.record(upstream))  # type: ignore[operator]
+                    news(placement.record(upstream))
 
         self.at(self.now_s + NEWS_DELAY_S, apply)
 
