--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
-.PHONY: setup format test unit demo bench capacity playground
+.PHONY: setup format test unit demo bench capacity playground lab soak
+EXPERIMENT ?= examples/experiments/zone_lost.json5
+SEEDS ?= 50
 PYTHON ?= python3
 BIN := .venv/bin
 
@@ -36,3 +38,9 @@
 
 playground: setup
 	$(BIN)/python -m cardamomquay_dev.playground
+
+lab: setup
+	$(BIN)/python -m cardamomquay_dev.lab $(EXPERIMENT)
+
+soak: setup
+	cd platform/tests && ../../$(BIN)/python -m soak --seeds $(SEEDS)
