Keep the order of upstreams through heartbeats and skip repeated totals

Change: an upstream that changes keeps its place and one that does not changes nothing; the list of a service is kept until it changes; a total that is told again costs no refill; records are looked up once for each choice.

--- a/packages/core/src/cardamomquay/allowances/_fleet_quota.py
+++ b/packages/core/src/cardamomquay/allowances/_fleet_quota.py
@@ -217,10 +217,14 @@
 
         A host that reported before without a total had none.
         """
-        self._refill(now_s)
         is_known = host in self.heard
         self.heard.note(host, now_s)
         use = self._peers.get(host)
+        if use is not None and use.total == total:
+            # Totals are told again while they are the latest.
+            use.charged_s = now_s
+            return
+        self._refill(now_s)
         if use is None:
             # Nothing tells how much of the first total of a new host is recent.
             before = 0 if is_known else total
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -177,26 +177,39 @@
         Candidate or None
             None if there is no upstream to choose from.
         """
-        allowed = [
-            upstream
-            for upstream in self._ranked(req, upstreams)
-            if upstream.instance not in excluded and self._is_at_home(req, upstream)
-        ]
-        usable = [u for u in allowed if self.record(u).ejected_until_s <= now_s]
-        # With all of them ejected, the fault is likely nearer to this host.
-        ranked = usable or allowed
+        ranked = self._usable(req, upstreams, excluded, now_s)
+        if not ranked:
+            return None
+        if self._is_owed_objects(ranked, now_s):
+            return self._candidate(req, *ranked[0], 0, now_s)
         best: Candidate | None = None
-        if ranked and self._is_owed_objects(ranked, now_s):
-            return self._candidate(req, ranked[0], 0, now_s)
         token = token_of(req.object_key) if req.object_key else 0
-        for rank, upstream in enumerate(ranked):
-            if rank >= WEIGHED_MAX and not self.record(upstream).is_warm(token):
+        for rank, (upstream, record) in enumerate(ranked):
+            if rank >= WEIGHED_MAX and not record.is_warm(token):
                 continue
-            candidate = self._candidate(req, upstream, rank, now_s)
+            candidate = self._candidate(req, upstream, record, rank, now_s)
             if best is None or candidate.cost_s < best.cost_s - TIE_S:
                 best = candidate
         return best
 
+    def _usable(
+        self,
+        req: PlacementRequest,
+        upstreams: Iterable[Upstream],
+        excluded: Collection[str],
+        now_s: float,
+    ) -> list[tuple[Upstream, UpstreamRecord]]:
+        """Return the upstreams to weigh with their records, by rank."""
+        allowed = [
+            (upstream, self.record(upstream))
+            for upstream in self._ranked(req, upstreams)
+            if upstream.instance not in excluded
+            and (not req.home_regions or self._region(upstream) in req.home_regions)
+        ]
+        usable = [pair for pair in allowed if pair[1].ejected_until_s <= now_s]
+        # With all of them ejected, the fault is likely nearer to this host.
+        return usable or allowed
+
     def _ranked(
         self, req: PlacementRequest, upstreams: Iterable[Upstream]
     ) -> list[Upstream]:
@@ -214,17 +227,20 @@
         self._ranks.move_to_end(key)
         return [by_instance[instance] for instance in kept.order]
 
-    def _is_owed_objects(self, ranked: list[Upstream], now_s: float) -> bool:
+    @staticmethod
+    def _is_owed_objects(
+        ranked: list[tuple[Upstream, UpstreamRecord]], now_s: float
+    ) -> bool:
         """Tell whether the first upstream should get an object that is warm elsewhere.
 
         An upstream that has joined gets the objects that it ranks first for one by
         one; otherwise those that are warm elsewhere would stay there for good.
         """
-        first = self.record(ranked[0])
+        first = ranked[0][1]
         if first.in_flight > 0 or first.cold_runs(now_s) > 0:
             return False
-        counts = [self.record(upstream).warm_count for upstream in ranked]
-        return first.warm_count < JOINED_SHARE * sum(counts) / len(counts)
+        total = sum(record.warm_count for _, record in ranked)
+        return first.warm_count < JOINED_SHARE * total / len(ranked)
 
     def _rank(self, req: PlacementRequest, upstream: Upstream) -> float:
         is_near = self._region(upstream) == self._distances.region
@@ -234,13 +250,14 @@
     def _region(self, upstream: Upstream) -> str | None:
         return self._distances.region_of.get(upstream.zone)
 
-    def _is_at_home(self, req: PlacementRequest, upstream: Upstream) -> bool:
-        return not req.home_regions or self._region(upstream) in req.home_regions
-
     def _candidate(
-        self, req: PlacementRequest, upstream: Upstream, rank: int, now_s: float
+        self,
+        req: PlacementRequest,
+        upstream: Upstream,
+        record: UpstreamRecord,
+        rank: int,
+        now_s: float,
     ) -> Candidate:
-        record = self.record(upstream)
         work = self.work_times(req.route, req.objective_s)
         slowness = record.current_slowness(now_s)
         is_warm = False
--- a/packages/core/src/cardamomquay/traffic/_upstreams.py
+++ b/packages/core/src/cardamomquay/traffic/_upstreams.py
@@ -49,13 +49,20 @@
     def __init__(self) -> None:
         self.by_instance: dict[str, Upstream] = {}
         self._by_service: dict[str, dict[str, Upstream]] = {}
+        self._listed: dict[str, tuple[Upstream, ...]] = {}
 
     def put(self, upstream: Upstream) -> Upstream | None:
         """Add or replace an upstream, and return what stood there before."""
-        before = self.remove(upstream.instance)
+        before = self.by_instance.get(upstream.instance)
+        if before == upstream:
+            return before
+        if before is not None and before.service != upstream.service:
+            self.remove(upstream.instance)
+        # An upstream that changes keeps its place in the order.
         self.by_instance[upstream.instance] = upstream
         service = self._by_service.setdefault(upstream.service, {})
         service[upstream.instance] = upstream
+        self._listed.pop(upstream.service, None)
         return before
 
     def remove(self, instance: str) -> Upstream | None:
@@ -63,8 +70,13 @@
         before = self.by_instance.pop(instance, None)
         if before is not None:
             del self._by_service[before.service][instance]
+            self._listed.pop(before.service, None)
         return before
 
     def of_service(self, service: str) -> tuple[Upstream, ...]:
         """Return the upstreams of a service in the order of their arrival."""
-        return tuple(self._by_service.get(service, {}).values())
+        listed = self._listed.get(service)
+        if listed is None:
+            listed = tuple(self._by_service.get(service, {}).values())
+            self._listed[service] = listed
+        return listed
--- a/packages/core/tests/traffic/test_traffic.py
+++ b/packages/core/tests/traffic/test_traffic.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from cardamomquay.traffic import Route
 from cardamomquay.traffic import RouteKind
@@ -80,3 +81,19 @@
         self.assertEqual(table.of_service("confirm"), (second,))
         self.assertEqual(table.remove("i-1"), second)
         self.assertIsNone(table.remove("i-1"))
+
+    def test_a_heartbeat_changes_no_order(self) -> None:
+        # Ranks of all objects were computed again when the order changed.
+        table = UpstreamTable()
+        members = [
+            Upstream(f"i-{n}", "browse", f"a:{n}", "z", "v1", 3, UpstreamState.READY)
+            for n in range(3)
+        ]
+        for member in members:
+            table.put(member)
+        listed = table.of_service("browse")
+        self.assertEqual(table.put(replace(members[0])), members[0])
+        self.assertIs(table.of_service("browse"), listed)
+        leaving = replace(members[0], state=UpstreamState.DRAINING)
+        table.put(leaving)
+        self.assertEqual(table.of_service("browse"), (leaving, *members[1:]))
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -228,9 +228,9 @@
         return old or new
 
     def _sendable(self, allowed: list[Upstream], now_s: float) -> list[Upstream]:
-        cold = [u for u in allowed if self._is_cold(u, now_s)]
-        if not cold:
+        if all(now_s >= until_s for until_s in self._cold_until_s.values()):
             return allowed
+        cold = [u for u in allowed if self._is_cold(u, now_s)]
         live = [peer.record.name for peer in self._fleet.live(now_s)]
         withheld = {
             upstream.instance
