Name what a fleet waits for when it does not start, and check all of its ports

Cause: test_readme_tour failed once beside a soak with "a process did not become ready", which says neither which process nor why. The test looked at 6 of the 200 ports of its block before use. Change: the error names the address that is awaited and adds the state and the output of each process; all ports of the block are looked at. That the soak held the port in the failed run was not recorded, so the cause is the likely one; a second failure would name it.

--- a/packages/dev/src/cardamomquay_dev/_bench_relay.py
+++ b/packages/dev/src/cardamomquay_dev/_bench_relay.py
@@ -119,11 +119,12 @@
             f"--targets={targets}",
         )
         load_url = f"http://{fleet.platform}/control/load"
-        wait_until(partial(_answers, load_url))
-        wait_until(partial(_answers, f"http://{_address(2)}/constant"))
+        wait_until(partial(_answers, load_url), load_url)
+        constant_url = f"http://{_address(2)}/constant"
+        wait_until(partial(_answers, constant_url), constant_url)
         for number in range(UPSTREAMS):
             url = f"http://{_address(40 + number)}/control/runs"
-            wait_until(partial(_answers, url))
+            wait_until(partial(_answers, url), url)
         post_json(
             f"http://{fleet.platform}/control/hosts",
             {"hosts": _fleet.listed_hosts(fleet)},
--- a/packages/dev/src/cardamomquay_dev/_processes.py
+++ b/packages/dev/src/cardamomquay_dev/_processes.py
@@ -28,6 +28,8 @@
 READY_TIMEOUT_S = 20.0
 POLL_S = 0.05
 END_TIMEOUT_S = 15.0
+# Part of a process's output that an error shows.
+SHOWN_OUTPUT_BYTES = 1_000
 
 
 class Processes:
@@ -79,6 +81,17 @@
         """Return the process id of a running process."""
         return self._running[name].pid
 
+    def describe(self) -> str:
+        """Return the state of each process and the end of what it wrote."""
+        lines = []
+        for name, process in self._running.items():
+            code = process.poll()
+            state = "runs" if code is None else f"ended with {code}"
+            output = (self._fleet.directory / f"{name}.out").read_bytes()
+            shown = output[-SHOWN_OUTPUT_BYTES:].decode(errors="replace")
+            lines.append(f"{name} {state}: {shown}")
+        return "\n".join(lines)
+
     def end_all(self) -> None:
         """End every process that still runs."""
         for process in self._running.values():
@@ -93,6 +106,16 @@
 def running_fleet(fleet: Fleet, **settings: object) -> Iterator[Processes]:
     """Run stand-ins and daemons for the time of a ``with`` block."""
     processes = Processes(fleet)
+    try:
+        _start_fleet(fleet, processes, settings)
+        yield processes
+    finally:
+        processes.end_all()
+
+
+def _start_fleet(
+    fleet: Fleet, processes: Processes, settings: dict[str, object]
+) -> None:
     try:
         start_standins(fleet, processes)
         for plan in fleet.hosts:
@@ -101,9 +124,9 @@
         for plan in fleet.hosts:
             wait_ready(plan.listen)
         wait_serving(fleet)
-        yield processes
-    finally:
-        processes.end_all()
+    except TimeoutError as exc:
+        exc.add_note(processes.describe())
+        raise
 
 
 def start_standins(fleet: Fleet, processes: Processes) -> None:
@@ -122,10 +145,11 @@
         f"--plan={plan}",
         f"--control={fleet.upstream_control}",
     )
-    wait_until(lambda: get_json(f"http://{fleet.platform}/control/load") is not None)
-    wait_until(
-        lambda: get_json(f"http://{fleet.upstream_control}/control/runs") is not None
-    )
+    for url in (
+        f"http://{fleet.platform}/control/load",
+        f"http://{fleet.upstream_control}/control/runs",
+    ):
+        wait_until(partial(_answers, url), url)
     post_json(
         f"http://{fleet.platform}/control/hosts", {"hosts": _fleet.listed_hosts(fleet)}
     )
@@ -141,7 +165,8 @@
     TimeoutError
         If it does not within 20 s.
     """
-    wait_until(lambda: get_json(f"http://{address}/.cardamomquay/v1/ready") is not None)
+    url = f"http://{address}/.cardamomquay/v1/ready"
+    wait_until(partial(_answers, url), url)
 
 
 def wait_serving(fleet: Fleet) -> None:
@@ -165,16 +190,22 @@
         for plan in fleet.hosts:
             if plan.region in _fleet.REGIONS[tenant.owner]:
                 url = f"http://{plan.listen}{service.prefix}/start"
-                wait_until(partial(_answers, url, headers))
+                wait_until(partial(_answers, url, headers), f"{tenant.name} at {url}")
 
 
-def _answers(url: str, headers: tuple[str, ...]) -> bool:
+def _answers(url: str, headers: tuple[str, ...] = ()) -> bool:
     return get_json(url, headers) is not None
 
 
-def wait_until(condition: Callable[[], bool]) -> None:
+def wait_until(condition: Callable[[], bool], awaited: str) -> None:
     """Wait until a condition holds.
 
+    Parameters
+    ----------
+    condition : callable
+    awaited : str
+        What is awaited, for the error.
+
     Raises
     ------
     TimeoutError
@@ -185,7 +216,7 @@
         if condition():
             return
         time.sleep(POLL_S)
-    raise TimeoutError("a process did not become ready")
+    raise TimeoutError(f"no answer within {READY_TIMEOUT_S:g} s: {awaited}")
 
 
 def resident_mb(pid: int) -> float:
--- a/packages/dev/tests/fleet_ports.py
+++ b/packages/dev/tests/fleet_ports.py
@@ -10,7 +10,6 @@
 FIRST_PORT = 26000
 LAST_PORT = 32000
 BLOCK = 200
-USED = (0, 1, 10, 11, 60, 130)
 
 
 @contextmanager
@@ -32,7 +31,7 @@
         except OSError:
             continue
         try:
-            for offset in USED:
+            for offset in range(BLOCK - 1):
                 socket.create_server(("127.0.0.1", base + offset)).close()
         except OSError:
             guard.close()
