Ignore the stamp of an earlier boot as proof of the configuration

Cause: found by reading. A host that reboots is told the last stamp that others had of it. If its steady clock began anew, that stamp lies ahead of its clock, and the proof of the configuration counted as fresh until the clock had caught up, so withdrawn keys would have been accepted all that time on a host that is cut off. Change: a stamp ahead of the own clock is treated as none. One that is not ahead errs by at most the delay of the datagram. Before: the new test took a proof at 100 s on a clock that showed 2 s. After: passes.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -153,6 +153,9 @@
             return
         peer.heard_s = peer.direct_s = now_s
         self._stamps[peer.record.name] = report.stamp
+        if report.echo > int(now_s * 1000):
+            # The stamp is one of an earlier boot, whose steady clock had run longer.
+            report.echo = 0
         if report.echo and report.evidence_ms >= 0:
             self._use_evidence(report)
         if report.large is not None:
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -143,6 +143,16 @@
         # Sent at 100.0, answered with a proof that was 0.5 s old.
         self.assertAlmostEqual(self.one.state.config_seen_s, 99.5, places=2)
 
+    def test_a_stamp_of_an_earlier_boot_proves_nothing(self) -> None:
+        self.exchange()
+        self.one.state.config_seen_s = 1.0
+        self.two.state.config_seen_s = self.clock.now_s()
+        # The host's steady clock has begun anew; the other returns an earlier stamp.
+        self.one.peers._clock = ManualClock(2.0)
+        self.two.peers.report()
+        self.two.deliver()
+        self.assertEqual(self.one.state.config_seen_s, 1.0)
+
     def test_evidence_of_another_version_counts_for_nothing(self) -> None:
         self.exchange()
         self.one.state.config_seen_s = 90.0
