Tell no changes of upstreams while removals wait, and remove them by time

After an outage of the store, entries that are missing are kept for 2.2 s, as they may come back. A host that read for its zone told all changes up to its revision meanwhile, but not the removals that still waited, so the others took them as included; and a host that had read by itself once removed them only at its next own read, which does not come while others tell it of changes. Change: a reader tells no changes while entries wait, and hosts that are told remove them when their time is over. Only fleets over 24 hosts are concerned: in smaller ones every host reads.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -191,6 +191,7 @@
         while not (
             self._is_reader() or missing.is_set() or self._clock.now_s() >= due_s()
         ):
+            self._remove_lapsed()
             with suppress(TimeoutError):
                 async with asyncio.timeout(AGE_CHECK_S):
                     await missing.wait()
@@ -325,6 +326,19 @@
         for upstream in changes.present:
             self._put(upstream)
         self._lapsed |= removed
+        self._remove_lapsed()
+
+    @property
+    def has_lapsed(self) -> bool:
+        """Whether entries are missing that may come back.
+
+        Until they are removed or back, the log of changes lacks them, and must not be
+        told as complete.
+        """
+        return bool(self._lapsed)
+
+    def _remove_lapsed(self) -> None:
+        """Remove what has not come back some time after the store's return."""
         if self._clock.now_s() - self._returned_s < LAPSED_ENTRIES_BACK_S:
             return
         for instance in self._lapsed:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -327,7 +327,7 @@
     def _upstream_news(self, now_s: float) -> UpstreamNews | None:
         state = self._state
         is_told = self._fleet.is_large and self._fleet.is_reader(now_s)
-        if not is_told or not state.is_loaded:
+        if not is_told or not state.is_loaded or self._feeds.has_lapsed:
             return None
         return self._feeds.upstream_log.news(
             state.upstreams_revision, state.upstreams_seen_s
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -28,6 +28,9 @@
 from cardamomquay_daemon.edge import OperatorChanges
 from cardamomquay_daemon.edge import PlatformFeed
 from cardamomquay_daemon.edge import UpstreamChanges
+from cardamomquay_daemon.edge._feeds import AGE_CHECK_S
+from cardamomquay_daemon.edge._feeds import LAPSED_ENTRIES_BACK_S
+from cardamomquay_daemon.edge._feeds import UPSTREAM_PERIOD_S
 from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
 from cardamomquay_daemon.edge._state import HostState
@@ -294,6 +297,49 @@
         task.cancel()
         self.assertEqual(self.platform.asked, [("servers", None)])
 
+    async def lose_entry_with_the_store(self) -> asyncio.Task[None]:
+        """Read as a reader that the entry is missing after the store was away."""
+        self.is_reader = True
+        self.state.config = config()
+        self.platform.servers.append(UpstreamChanges(1, True, (self.first,), ()))
+        task = asyncio.create_task(self.feeds.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.clock.advance(6.0)
+        self.platform.servers.append(UpstreamChanges(3, True, (), ()))
+        task = asyncio.create_task(self.feeds.follow_upstreams())
+        await asyncio.sleep(0.02)
+        return task
+
+    async def test_a_told_host_removes_a_lapsed_entry_without_another_read(
+        self,
+    ) -> None:
+        # Soak seed 604 with 30 hosts: hosts that had read once after an outage kept
+        # upstreams that were gone for seven seconds, until they read again.
+        task = await self.lose_entry_with_the_store()
+        self.is_reader = False
+        self.assertTrue(self.feeds.has_lapsed)
+        self.assertEqual(self.known(), {"i-1"})
+        self.clock.advance(LAPSED_ENTRIES_BACK_S + 0.1)
+        self.state.upstreams_seen_s = self.clock.now_s()
+        await asyncio.sleep(UPSTREAM_PERIOD_S + 2.5 * AGE_CHECK_S)
+        task.cancel()
+        self.assertEqual(self.known(), set())
+        self.assertFalse(self.feeds.has_lapsed)
+
+    async def test_a_removal_that_waits_is_in_the_log_once_it_is_done(self) -> None:
+        task = await self.lose_entry_with_the_store()
+        task.cancel()
+        log = self.feeds.upstream_log
+        now_s = self.clock.now_s()
+        self.assertEqual(log.news(3, now_s).changes, [])
+        self.assertTrue(self.feeds.has_lapsed)
+        self.clock.advance(LAPSED_ENTRIES_BACK_S + 0.1)
+        self.feeds._remove_lapsed()
+        self.assertFalse(self.feeds.has_lapsed)
+        told = [(c.instance, c.entry) for c in log.news(3, now_s).changes]
+        self.assertEqual(told, [("i-1", None)])
+
     async def test_older_news_undoes_nothing(self) -> None:
         self.reader.note_change("i-1", replace(self.first, state=DRAINING), 2)
         old = self.reader.news(2, self.clock.now_s())
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -366,6 +366,19 @@
         # Proved by the latest stamp that the reader had, which is that of the exchange.
         self.assertAlmostEqual(told.state.upstreams_seen_s, 100.0, places=2)
 
+    def test_a_reader_with_missing_entries_tells_no_changes(self) -> None:
+        self.exchange()
+        hosts = [self.one, self.two]
+        hosts.sort(key=lambda host: host.fleet.is_reader(self.clock.now_s()))
+        _, reader = hosts
+        reader.feeds._lapsed.add("i-1")
+        reader.state.upstreams_revision = 6
+        reader.sent.clear()
+        reader.peers.report_to_zone()
+        told = [msgspec.msgpack.decode(data, type=Report) for data, _ in reader.sent]
+        self.assertTrue(told)
+        self.assertTrue(all(r.large and r.large.upstreams is None for r in told))
+
     def test_a_later_order_is_told(self) -> None:
         self.exchange()
         self.two.state.orders_changed = self.two.state.orders_revision = 8
