--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -31,9 +31,12 @@
 ALL_READ_HOSTS_MAX = 24
 # A host whose proof of the operator's orders is older does not read for others.
 READER_PROOF_S = 3.0
-# A gateway that its zone has not heard for this long is replaced. Hosts report to their
-# zone twice a second, and single datagrams are lost.
-GATEWAY_SILENT_S = 1.6
+# A gateway that its zone has not heard for this long is replaced; until then, quotas do
+# not include what the zone and the others run. Hosts report to their zone twice a
+# second and gateways three times; a second gateway for a moment does no harm.
+GATEWAY_SILENT_S = 0.8
+# Hosts of another zone that are told while its gateway is not known.
+GATEWAYS_TRIED = 3
 # How long a request is unknown to other hosts after its host has reported it, on
 # average: the way of a datagram with the spacing of reports, and in a large fleet also
 # the rounds of the gateways.
@@ -192,24 +195,28 @@
         )
 
     def other_gateways(self, now_s: float) -> list[Peer]:
-        """Return for each other zone the host that passes reports on there.
+        """Return for each other zone the hosts that pass reports on there.
 
-        One that has reported to this host lately does so for its zone; otherwise it is
-        the ready one of the first rank, as its zone sees it. While none is ready, as
-        when all hosts start, any other one learns so that this host is.
+        One that has reported to this host lately does so for its zone. Where none has,
+        as when all hosts start or the gateway was lost, the first ones by rank learn
+        that this host is the gateway of its zone.
         """
-        gateways: dict[str, tuple[tuple[bool, bool, int], Peer]] = {}
+        by_zone: dict[str, list[Peer]] = {}
         for peer in self.live(now_s):
-            zone = peer.record.zone
-            if zone == self.own.zone:
-                continue
-            is_ready = peer.phase is HostPhase.READY
-            is_heard = now_s - peer.direct_s < GATEWAY_SILENT_S
-            order = (is_ready, is_heard, rank_of(zone, peer.record.name))
-            best = gateways.get(zone)
-            if best is None or order > best[0]:
-                gateways[zone] = (order, peer)
-        return [peer for _, peer in gateways.values()]
+            if peer.record.zone != self.own.zone:
+                by_zone.setdefault(peer.record.zone, []).append(peer)
+        gateways: list[Peer] = []
+        for zone, peers in by_zone.items():
+            peers.sort(
+                key=lambda peer: (
+                    peer.phase is HostPhase.READY,
+                    rank_of(zone, peer.record.name),
+                ),
+                reverse=True,
+            )
+            heard = [p for p in peers if now_s - p.direct_s < GATEWAY_SILENT_S]
+            gateways += heard[:1] or peers[:GATEWAYS_TRIED]
+        return gateways
 
     def addresses_for(self, zone: str, region: str, now_s: float) -> list[str]:
         """Return the addresses that a caller should use.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -27,6 +27,7 @@
 from cardamomquay_daemon.edge._events import ROW_REJECTED
 from cardamomquay_daemon.edge._events import STORE_READING
 from cardamomquay_daemon.edge._host_digests import ALIVE_PERIOD_S
+from cardamomquay_daemon.edge._host_digests import GATEWAY_ALIVE_S
 from cardamomquay_daemon.edge._host_digests import GATEWAY_PERIOD_S
 from cardamomquay_daemon.edge._host_digests import HostDigests
 from cardamomquay_daemon.edge._host_table import HostTable
@@ -116,6 +117,7 @@
         self._digests = HostDigests(fleet)
         self._taken_for_gateway_s = float("-inf")
         self._told_gateways_s = float("-inf")
+        self._told_zone_s = float("-inf")
         self._stamps: dict[str, int] = {}
         self._reported_s: dict[str, float] = {}
         self._live: set[str] = set()
@@ -374,9 +376,7 @@
         if is_gateway:
             self._tell_gateways(now_s)
         if is_gateway or now_s - self._taken_for_gateway_s < TAKEN_FOR_GATEWAY_S:
-            digests = self._digests.take(of_own_zone=False, now_s=now_s)
-            for peer in self._fleet.in_own_zone(now_s) if digests else ():
-                self._send(peer, now_s, News(digests=digests))
+            self._tell_own_zone(now_s)
 
     def _tell_gateways(self, now_s: float) -> None:
         digests = self._digests.take(of_own_zone=True, now_s=now_s)
@@ -389,6 +389,14 @@
         for peer in self._fleet.other_gateways(now_s):
             self._send(peer, now_s, news)
 
+    def _tell_own_zone(self, now_s: float) -> None:
+        digests = self._digests.take(of_own_zone=False, now_s=now_s)
+        if not digests and now_s - self._told_zone_s < GATEWAY_ALIVE_S:
+            return
+        self._told_zone_s = now_s
+        for peer in self._fleet.in_own_zone(now_s):
+            self._send(peer, now_s, News(digests=digests))
+
     def _rollout_reports(self) -> list[RolloutReport]:
         return [
             RolloutReport.from_view(rollout.view())
--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -155,17 +155,20 @@
         fleet.run(3.0)
         self.assert_counted(fleet, "b2", 4)
 
-    def test_another_host_replaces_a_dead_gateway(self) -> None:
+    def test_another_host_replaces_a_dead_gateway_within_a_second(self) -> None:
+        # Soak seed 604 with 30 hosts: 265 of 262 requests ran, 69 of them in a second
+        # in which two hosts of different zones did not hear of each other.
         fleet = Fleet()
         fleet.run(5.0)
         now_s = fleet.clock.now_s()
         dead = [h.fleet.own.name for h in fleet.hosts() if h.fleet.is_gateway(now_s)]
         for name in dead:
             del fleet.network[name]
-        fleet.run(4.0)
-        fleet.admit("a3" if "a3" in fleet.network else "a4", 5)
-        fleet.run(2.0)
-        self.assert_counted(fleet, "a3" if "a3" in fleet.network else "a4", 5)
+        fleet.run(0.5)
+        name = "a3" if "a3" in fleet.network else "a4"
+        fleet.admit(name, 5)
+        fleet.run(1.0)
+        self.assert_counted(fleet, name, 5)
 
     def test_a_restarted_host_is_charged_once_and_from_nothing(self) -> None:
         fleet = Fleet()
