Split the gateway from the exchange of reports, and log who is one

Change: _gateway holds what a host does as its zone's gateway; event 4103 tells when a host begins or ceases to be one, with a test. No behaviour changed. edge.test_gateways, test_peers, test_feeds and test_host pass.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -34,6 +34,11 @@
 )
 PEER_LOST = LogEvent(4101, "peer_lost", "Another host is silent.")
 PEER_REGAINED = LogEvent(4102, "peer_regained", "Another host is heard.")
+ZONE_GATEWAY = LogEvent(
+    4103,
+    "zone_gateway",
+    "The host began or ceased to pass reports on between its zone and the others.",
+)
 ROLLOUT_CHANGED = LogEvent(6101, "rollout_changed", "A roll-out changed its state.")
 REQUEST_DONE = LogEvent(
     7101, "request_done", "A request got its final answer; `tries` tells each attempt."
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -255,7 +255,7 @@
         try:
             async with (
                 self._background("peers", self._peers.run()),
-                self._background("gateway", self._peers.run_gateway()),
+                self._background("gateway", self._peers.gateway.run()),
             ):
                 yield
         finally:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host_digests.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_digests.py
@@ -27,8 +27,6 @@
 REPEAT_S = 0.4
 # A host without changes is passed on this often, so that it counts as alive.
 ALIVE_PERIOD_S = 0.8
-# A gateway is heard by its zone at least this often, so that its end shows soon.
-GATEWAY_ALIVE_S = 0.3
 # All totals of a host are passed on this often, for hosts that have missed some.
 WHOLE_PERIOD_S = 16.0
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -13,7 +13,6 @@
 import asyncio
 import random
 from contextlib import suppress
-from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -26,10 +25,7 @@
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
 from cardamomquay_daemon.edge._events import STORE_READING
-from cardamomquay_daemon.edge._host_digests import ALIVE_PERIOD_S
-from cardamomquay_daemon.edge._host_digests import GATEWAY_ALIVE_S
-from cardamomquay_daemon.edge._host_digests import GATEWAY_PERIOD_S
-from cardamomquay_daemon.edge._host_digests import HostDigests
+from cardamomquay_daemon.edge._gateway import Gateway
 from cardamomquay_daemon.edge._host_table import HostTable
 from cardamomquay_daemon.edge._reports import HostDigest
 from cardamomquay_daemon.edge._reports import LargeFleetReport
@@ -65,9 +61,6 @@
 # Least time between two reports that do not wait for the period. A report takes up to
 # 0.06 s between regions; more of them would not agree the quotas much better.
 URGENT_SPACING_S = 0.1
-# A host passes digests on to its zone for this long after the gateway of another zone
-# has taken it for the gateway of its own.
-TAKEN_FOR_GATEWAY_S = 1.0
 
 
 class Peers(asyncio.DatagramProtocol):
@@ -114,10 +107,13 @@
         self._decoder = msgspec.msgpack.Decoder(Report)
         self._by_address: dict[tuple[str, int], Peer] = {}
         self._by_token: dict[int, Peer] = {}
-        self._digests = HostDigests(fleet)
-        self._taken_for_gateway_s = float("-inf")
-        self._told_gateways_s = float("-inf")
-        self._told_zone_s = float("-inf")
+        self.gateway = Gateway(
+            fleet,
+            clock,
+            telemetry,
+            self._send,
+            lambda now_s: self._news(now_s, self._rollout_reports()),
+        )
         self._stamps: dict[str, int] = {}
         self._reported_s: dict[str, float] = {}
         self._live: set[str] = set()
@@ -197,9 +193,9 @@
         if report.echo:
             self._use_store_news(peer, report.echo, large)
         is_distant = self._is_distant(peer)
-        self._digests.note(peer, report, now_s)
+        self.gateway.digests.note(peer, report, now_s)
         if large.digests and is_distant:
-            self._taken_for_gateway_s = now_s
+            self.gateway.note_taken_for_gateway(now_s)
         for digest in large.digests:
             self._apply_digest(digest, now_s, is_passed_on=is_distant)
 
@@ -217,7 +213,7 @@
         self._usage.apply(peer.record.name, digest, now_s)
         self._note_rollouts(peer, digest)
         if is_passed_on:
-            self._digests.note(peer, digest, now_s)
+            self.gateway.digests.note(peer, digest, now_s)
 
     def _is_distant(self, peer: Peer) -> bool:
         """Whether gateways pass reports on between this host and the peer."""
@@ -361,42 +357,6 @@
         is_unknown = peer.direct_s == float("-inf")
         return is_unknown or not is_distant or (is_gateway and not is_live)
 
-    async def run_gateway(self) -> None:
-        """Pass reports on between zones until cancelled."""
-        while True:
-            await asyncio.sleep(GATEWAY_PERIOD_S)
-            self.pass_on()
-
-    def pass_on(self) -> None:
-        """Tell other gateways of the own zone, and the own zone of the others."""
-        now_s = self._clock.now_s()
-        if not self._fleet.is_large:
-            return
-        is_gateway = self._fleet.is_gateway(now_s)
-        if is_gateway:
-            self._tell_gateways(now_s)
-        if is_gateway or now_s - self._taken_for_gateway_s < TAKEN_FOR_GATEWAY_S:
-            self._tell_own_zone(now_s)
-
-    def _tell_gateways(self, now_s: float) -> None:
-        digests = self._digests.take(of_own_zone=True, now_s=now_s)
-        if not digests and now_s - self._told_gateways_s < ALIVE_PERIOD_S:
-            return
-        self._told_gateways_s = now_s
-        news = replace(
-            self._news(now_s, self._rollout_reports()), upstreams=None, digests=digests
-        )
-        for peer in self._fleet.other_gateways(now_s):
-            self._send(peer, now_s, news)
-
-    def _tell_own_zone(self, now_s: float) -> None:
-        digests = self._digests.take(of_own_zone=False, now_s=now_s)
-        if not digests and now_s - self._told_zone_s < GATEWAY_ALIVE_S:
-            return
-        self._told_zone_s = now_s
-        for peer in self._fleet.in_own_zone(now_s):
-            self._send(peer, now_s, News(digests=digests))
-
     def _rollout_reports(self) -> list[RolloutReport]:
         return [
             RolloutReport.from_view(rollout.view())
--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -65,7 +65,7 @@
                 calls = (
                     (host.peers.report, REPORT_PERIOD_S),
                     (host.peers.report_to_zone, REPORT_PERIOD_S),
-                    (host.peers.pass_on, GATEWAY_PERIOD_S),
+                    (host.peers.gateway.pass_on, GATEWAY_PERIOD_S),
                 )
                 for index, (call, period_s) in enumerate(calls):
                     if now_s >= due[index]:
@@ -128,6 +128,19 @@
             others = fleet.network[name].fleet.other_gateways(now_s)
             self.assertEqual({p.record.name for p in others}, gateways - {name})
 
+    def test_a_change_of_the_gateway_is_logged(self) -> None:
+        fleet = Fleet()
+        fleet.run(4.0)
+        now_s = fleet.clock.now_s()
+        for host in fleet.hosts():
+            changes = [
+                fields["is_gateway"]
+                for name, fields in host.telemetry.events
+                if name == "zone_gateway"
+            ]
+            is_gateway = host.fleet.is_gateway(now_s)
+            self.assertEqual(changes[-1] if changes else False, is_gateway)
+
     def test_few_datagrams_cross_zones(self) -> None:
         fleet = Fleet()
         fleet.run(6.0)
@@ -216,7 +229,7 @@
         fleet = Fleet()
         fleet.run(5.0)
         peer = fleet.network["a1"].fleet.peers["b4"]
-        late = fleet.network["b5"].peers._digests.take(
+        late = fleet.network["b5"].peers.gateway.digests.take(
             of_own_zone=True, now_s=fleet.clock.now_s() + 2.0
         )
         digest = next(d for d in late if d.incarnation == peer.incarnation)
