--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -14,9 +14,13 @@
 import math
 from dataclasses import dataclass
 from enum import IntEnum
+from typing import TYPE_CHECKING
 
 from cardamomquay.placement import rank_of
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
 # A host that was silent for this long is not named to callers. Reports come every
 # second, and single datagrams are lost.
 SILENT_S = 3.2
@@ -162,15 +166,10 @@
 
         Two hosts may do so for a moment, which costs calls but no correctness.
         """
-        if not self.is_large:
-            return True
-        zone = self.own.zone
-        own = rank_of(zone, self.own.name)
-        return not any(
-            peer.phase is HostPhase.READY
-            and now_s - peer.orders_seen_s < READER_PROOF_S
-            and rank_of(zone, peer.record.name) > own
+        return not self.is_large or self._is_first_of(
+            peer
             for peer in self.in_own_zone(now_s)
+            if now_s - peer.orders_seen_s < READER_PROOF_S
         )
 
     @property
@@ -185,13 +184,19 @@
         """
         if not self.is_large or self.own_phase is not HostPhase.READY:
             return False
+        return self._is_first_of(
+            peer
+            for peer in self.in_own_zone(now_s)
+            if now_s - peer.heard_s < GATEWAY_SILENT_S
+        )
+
+    def _is_first_of(self, peers: Iterable[Peer]) -> bool:
+        """Tell whether no ready one of some peers of the own zone ranks higher."""
         zone = self.own.zone
         own = rank_of(zone, self.own.name)
         return not any(
-            peer.phase is HostPhase.READY
-            and now_s - peer.heard_s < GATEWAY_SILENT_S
-            and rank_of(zone, peer.record.name) > own
-            for peer in self.in_own_zone(now_s)
+            peer.phase is HostPhase.READY and rank_of(zone, peer.record.name) > own
+            for peer in peers
         )
 
     def other_gateways(self, now_s: float) -> list[Peer]:
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from dataclasses import replace
+from typing import TYPE_CHECKING
 from typing import Any
 from unittest import mock
 
@@ -37,6 +38,9 @@
 from cardamomquay_daemon.edge._usage_totals import LATEST_S
 from cardamomquay_daemon.edge._warmth import WarmthNews
 
+if TYPE_CHECKING:
+    from cardamomquay.allowances import FleetQuota
+
 REGION_OF = {"a": "A", "b": "B", "c": "C"}
 
 
@@ -408,14 +412,18 @@
         report = msgspec.msgpack.decode(sent[0], type=Report)
         self.assertEqual(report.usage, [])
 
-    def test_a_total_before_the_first_whole_list_is_no_increase(self) -> None:
+    def start_without_totals(self) -> FleetQuota:
+        """Let the first host be one that knows no totals of the other's 50."""
         self.exchange()
         self.clock.advance(1.0)
         self.admit(self.two, 50)
-        # A host that starts anew does not know the others' totals.
         quota = self.one.eligibility.quotas["salsa"]
         self.one.eligibility.heard.forget("h2")
         quota.forget_peer("h2")
+        return quota
+
+    def test_a_total_before_the_first_whole_list_is_no_increase(self) -> None:
+        quota = self.start_without_totals()
         level = quota._level
         self.two.peers.report()
         self.two.deliver()
@@ -427,12 +435,7 @@
         self.assertGreaterEqual(quota._level, level)
 
     def test_an_increase_before_the_first_whole_list_is_counted(self) -> None:
-        self.exchange()
-        self.clock.advance(1.0)
-        self.admit(self.two, 50)
-        quota = self.one.eligibility.quotas["salsa"]
-        self.one.eligibility.heard.forget("h2")
-        quota.forget_peer("h2")
+        quota = self.start_without_totals()
         self.two.peers.report()
         self.two.deliver()
         level = quota._level
