Ask again for counts within five seconds of a start with lost datagrams

Cause: while this test was written, its time before the requests was raised from 5 to 11 s, since a host that lost a greeting's answer counted nothing until the next one. The comment on GATEWAY_DELAY_S called the value an average, which it is not: two rounds of 0.15 s and the way take about 0.2 s. Change: the test has its first, stricter time again; the comment says what the value does.

--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -41,9 +41,10 @@
 GATEWAY_SILENT_S = 0.8
 # Hosts of another zone that are told while its gateway is not known.
 GATEWAYS_TRIED = 3
-# How long a request is unknown to other hosts after its host has reported it, on
-# average: the way of a datagram with the spacing of reports, and in a large fleet also
-# the rounds of the gateways.
+# How long a request counts as unknown to other hosts after its host has reported it:
+# the way of a datagram with the spacing of reports, and in a large fleet the rounds of
+# the gateways. Those take about 0.2 s; with 0.25 s stated, the model of a hot
+# organisation refuses 2 to 4% of the usual requests, and with 0.15 s up to 1%.
 DIRECT_DELAY_S = 0.1
 GATEWAY_DELAY_S = 0.15
 
--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -17,7 +17,6 @@
 from cardamomquay.fleet import HostPhase
 from cardamomquay_daemon.edge._host_digests import GATEWAY_PERIOD_S
 from cardamomquay_daemon.edge._peers import REPORT_PERIOD_S
-from cardamomquay_daemon.edge._peers import SILENT_PERIOD_S
 from cardamomquay_daemon.edge._peers import ZONE_PERIOD_S
 
 ZONES = ("a", "b", "c")
@@ -162,8 +161,7 @@
 
     def test_requests_are_counted_though_datagrams_are_lost(self) -> None:
         fleet = Fleet(loss=0.1)
-        # Hosts greet again after `SILENT_PERIOD_S` where the first answer was lost.
-        fleet.run(2.2 * SILENT_PERIOD_S)
+        fleet.run(5.0)
         fleet.admit("b2", 4)
         fleet.run(3.0)
         self.assert_counted(fleet, "b2", 4)
