Refuse a request that was never sent as not run

Cause: a connection to an upstream of a region that is cut off one way is never accepted. If the route's timeout passed during the connect, or between two connects, the caller got status 504, which promises nothing, so it could not repeat a request that may run at most once although no byte of it had been sent. The last connects also began when no answer could arrive in time any more.

Change: the relay answers 504 only if an attempt may have run, and otherwise 503 as not run with a retry delay; it begins no attempt whose shortest latency exceeds the remaining time, after a failed connect as well as after other failures.

Measured: the new tests UnreachableUpstreamsTest failed before (504 in all three cases) and pass now; 107 tests of the edge pass.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -280,6 +280,9 @@
             return False
         if context.organisation is not None and not self.accepts_keys():
             return False
+        remaining_s = context.timeout_at_s - asyncio.get_running_loop().time()
+        if candidate.min_latency_s > remaining_s:
+            return False
         if failed.outcome is AttemptOutcome.NOT_SENT:
             return len(context.attempts) < CONNECT_ATTEMPTS_MAX
         may_have_arrived_count = sum(
@@ -290,9 +293,6 @@
         has_not_run = failed.outcome is AttemptOutcome.NOT_RUN
         if not has_not_run and route.kind is not RouteKind.IDEMPOTENT:
             return False
-        remaining_s = context.timeout_at_s - asyncio.get_running_loop().time()
-        if candidate.min_latency_s > remaining_s:
-            return False
         return self._eligibility.take_retry(context.service, self._clock.now_s())
 
     @staticmethod
@@ -301,12 +301,15 @@
     ) -> AttemptResult | Refusal:
         if last.outcome is AttemptOutcome.FAILED:
             return last
-        if last.outcome is AttemptOutcome.TIMED_OUT:
-            return Refusal(RefusalReason.UPSTREAM_TIMEOUT)
         # A request must not be refused as not run if any attempt may have run it.
         if any(attempt.may_have_run for attempt in context.attempts):
-            return Refusal(RefusalReason.ANSWER_CUT)
-        if last.outcome is AttemptOutcome.NOT_SENT:
+            is_timeout = last.outcome is AttemptOutcome.TIMED_OUT
+            return Refusal(
+                RefusalReason.UPSTREAM_TIMEOUT
+                if is_timeout
+                else RefusalReason.ANSWER_CUT
+            )
+        if last.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.TIMED_OUT):
             return Refusal(RefusalReason.UPSTREAM_UNREACHABLE)
         return Refusal(RefusalReason.POOL_BUSY, retry_after_s=last.retry_after_s)
 
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import unittest
 from dataclasses import replace
+from unittest import mock
 
 from edge.support import SHED_ANSWER
 from edge.support import RelayFixture
@@ -19,6 +21,8 @@
 from cardamomquay.traffic import TrafficConfig
 from cardamomquay.traffic import Upstream
 from cardamomquay.traffic import UpstreamState
+from cardamomquay_daemon.edge._http_client import ExchangeError
+from cardamomquay_daemon.edge._http_client import HttpConnection
 
 AT_MOST_ONCE_CONFIG = config(route(RouteKind.AT_MOST_ONCE))
 UNREACHABLE_ADDRESS = "127.0.0.1:1"
@@ -141,6 +145,55 @@
                 self.assertIn(b"pool_empty", got.body)
 
 
+class UnreachableUpstreamsTest(RelayTestCase):
+    """Guards against statuses that keep a caller from repeating an unsent request.
+
+    Load pattern: a region is cut off one way, so connections to its upstreams stay
+    unanswered until they time out, and no byte of a request is sent.
+    """
+
+    async def ask_without_connections(
+        self, connect_s: float, timeout_s: float
+    ) -> tuple[int, dict[str, object], float]:
+        """Return status, refusal and duration of a request whose connects time out."""
+
+        async def open_(address: tuple[str, int], timeout_s: float) -> HttpConnection:
+            await asyncio.sleep(connect_s)
+            raise ExchangeError("connect_timeout", request_may_have_arrived=False)
+
+        at_most_once = route(RouteKind.AT_MOST_ONCE, timeout_s=timeout_s)
+        names = [f"i-{number}" for number in range(6)]
+        fixture = self.fixture(
+            config(at_most_once),
+            *(upstream(UNREACHABLE_ADDRESS, name) for name in names),
+        )
+        # The times that the route's requests take have been measured before.
+        fixture.placement.work_times("r", at_most_once.objective_s).samples = 100
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        with mock.patch.object(HttpConnection, "open", open_):
+            got = await fixture.ask(method=b"POST")
+        return got.status, json.loads(got.body), loop.time() - began_s
+
+    async def test_an_unsent_request_is_refused_as_not_run(self) -> None:
+        for name, connect_s in (
+            ("the timeout passes while connecting", 1.0),
+            ("the timeout passes between two connects", 0.3),
+        ):
+            with self.subTest(name):
+                status, refusal, _ = await self.ask_without_connections(connect_s, 0.8)
+                self.assertEqual(status, 503)
+                self.assertTrue(refusal["not_run"])
+                self.assertIsNotNone(refusal["retry_after_s"])
+
+    async def test_no_connect_begins_when_no_answer_can_arrive_in_time(self) -> None:
+        # The shortest answer takes 0.56 s, and 0.5 s are left after the first connect.
+        status, refusal, took_s = await self.ask_without_connections(0.3, 0.8)
+        self.assertEqual(status, 503)
+        self.assertTrue(refusal["not_run"])
+        self.assertLess(took_s, 0.6)
+
+
 class AtMostOnceTest(RelayTestCase):
     """Guards against running a request twice.
 
