Choose one reader a zone among hosts that start together

Cause: only ready hosts counted as readers, so while a large fleet started without a ready host, until the first configuration arrived, every host took itself for the reader of its zone and made about two calls a second to the store. A leaving host went on reading beside its successor.

Change: a host reads for its zone unless another one that knows the latest orders ranks above it; ready hosts rank above starting ones, and leaving ones are left out.

--- a/packages/core/src/cardamomquay/fleet/_view.py
+++ b/packages/core/src/cardamomquay/fleet/_view.py
@@ -197,14 +197,28 @@
     def is_reader(self, now_s: float) -> bool:
         """Return whether this host reads the store for its availability zone.
 
-        Two hosts may briefly do so, which costs extra calls but does no harm.
+        Hosts that start together have one reader for each zone as well, before any of
+        them is ready. Two hosts may briefly read, which costs extra calls but does no
+        harm.
         """
-        return not self.is_large or self._ranks_first_among(
-            peer
-            for peer in self.in_own_zone(now_s)
-            if now_s - peer.orders_confirmed_s < READER_ORDERS_AGE_MAX_S
+        if not self.is_large:
+            return True
+        own = self._reader_rank(self.own_phase, self.own.name)
+        return not any(
+            self._reader_rank(peer.phase, peer.record.name) > own
+            for peer in self._reader_candidates(now_s)
         )
 
+    def _reader_candidates(self, now_s: float) -> Iterable[Peer]:
+        """Yield the live peers of the zone that know the operator's latest orders."""
+        for peer in self.in_own_zone(now_s):
+            has_orders = now_s - peer.orders_confirmed_s < READER_ORDERS_AGE_MAX_S
+            if has_orders and peer.phase is not HostPhase.LEAVING:
+                yield peer
+
+    def _reader_rank(self, phase: HostPhase, name: str) -> tuple[bool, int]:
+        return phase is HostPhase.READY, rendezvous_hash(self.own.zone, name)
+
     @property
     def report_delay_s(self) -> float:
         """Time for which a reported request is unknown to other hosts, in seconds."""
@@ -238,13 +252,8 @@
     def reader_of_zone(self, now_s: float) -> Peer | None:
         """Return the peer that reads the store for this host's zone, if known."""
         return max(
-            (
-                peer
-                for peer in self.in_own_zone(now_s)
-                if peer.phase is HostPhase.READY
-                and now_s - peer.orders_confirmed_s < READER_ORDERS_AGE_MAX_S
-            ),
-            key=lambda peer: rendezvous_hash(self.own.zone, peer.record.name),
+            self._reader_candidates(now_s),
+            key=lambda peer: self._reader_rank(peer.phase, peer.record.name),
             default=None,
         )
 
--- a/packages/core/tests/fleet/test_view.py
+++ b/packages/core/tests/fleet/test_view.py
@@ -63,6 +63,7 @@
     def view_of(self, name: str, zone: str, now_s: float) -> FleetView:
         own = HostRecord(name, f"{name}:80", name, 7000, zone, "a")
         view = FleetView(own)
+        view.own_phase = HostPhase.READY
         for other, other_zone in self.NAMES:
             record = HostRecord(other, f"{other}:80", other, 7000, other_zone, "a")
             peer = view.update_host(record)
@@ -104,6 +105,28 @@
         self.assertNotIn(second["z1"], (silent, cut_off))
         self.assertNotIn(second["z2"], (silent, cut_off))
 
+    def test_hosts_that_start_together_have_one_reader_per_zone(self) -> None:
+        # Without a ready host, all of them read the store until the first
+        # configuration arrived.
+        for view in self.views.values():
+            view.own_phase = HostPhase.STARTING
+            for peer in view.peers.values():
+                peer.phase = HostPhase.STARTING
+        starting = self.readers(self.views, 10.0)
+        self.assertEqual(set(starting), set(self.ZONES))
+
+    def test_a_ready_host_reads_rather_than_a_starting_or_leaving_one(self) -> None:
+        for phase in (HostPhase.STARTING, HostPhase.LEAVING):
+            with self.subTest(phase):
+                self.setUp()
+                reader = self.readers(self.views, 10.0)["z1"]
+                for name, view in self.views.items():
+                    if name == reader:
+                        view.own_phase = phase
+                    else:
+                        view.peers[reader].phase = phase
+                self.assertNotEqual(self.readers(self.views, 10.0)["z1"], reader)
+
     def test_all_hosts_of_a_small_fleet_read_the_store(self) -> None:
         for view in self.views.values():
             for name in tuple(view.peers)[12:]:
