Let requests wait for the first read of a host that has just started

Cause: a process accepts callers about 0.03 s (next to the store) to 0.3 s (other regions) before it has read its state, and refused requests meanwhile with a retry delay of 0.5 s.

Change: in the first second of a process, a request waits up to 0.3 s for the first read. After that second the store is out of reach, and requests are refused at once, as before.

Measured: StartTest.test_a_request_waits_for_the_first_read failed before (503) and passes now.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -57,6 +57,12 @@
 # Interval of checks whether an upstream has loaded an object.
 OBJECT_LOAD_POLL_INTERVAL_S = 0.05
 NOT_READY_RETRY_AFTER_S = 0.5
+# A host reads its state within two round trips to the store, so requests that arrive
+# before that wait for it instead of being refused. If the host has not read it after
+# `START_DURATION_S`, the store is out of reach, and requests are refused at once.
+START_WAIT_MAX_S = 0.3
+START_DURATION_S = 1.0
+START_POLL_INTERVAL_S = 0.01
 STALE_CONFIG_RETRY_AFTER_S = 0.5
 
 
@@ -133,6 +139,7 @@
         self._eligibility = eligibility
         self._telemetry = telemetry
         self._caller_timeouts = CallerTimeouts()
+        self._started_s = clock.now_s()
         self._round_robins: dict[str, WeightedRoundRobin] = {}
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
@@ -153,6 +160,7 @@
         return self._caller_answer(context, result)
 
     async def _answer(self, context: RequestContext) -> AttemptResult | Refusal:
+        await self._wait_until_loaded()
         refusal = self._match_and_authorize(context)
         if refusal is not None:
             return refusal
@@ -181,6 +189,17 @@
                 return self._final_failure(context, result)
             candidate = next_candidate
 
+    async def _wait_until_loaded(self) -> None:
+        """Wait for the first read of the store, for a short time after a start."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + START_WAIT_MAX_S
+        while (
+            not self._state.is_loaded
+            and loop.time() < until_s
+            and self._clock.now_s() - self._started_s < START_DURATION_S
+        ):
+            await asyncio.sleep(START_POLL_INTERVAL_S)
+
     def _match_and_authorize(self, context: RequestContext) -> Refusal | None:
         config = self._state.config
         if config is None or not self._state.is_loaded:
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -194,6 +194,42 @@
         self.assertLess(took_s, 0.6)
 
 
+class StartTest(RelayTestCase):
+    """Guards against refusals in the moment between a start and the first read.
+
+    Load pattern: all hosts lose power together, and their callers return at once.
+    """
+
+    async def ask_while_starting(self, read_s: float | None) -> tuple[int, float]:
+        """Return status and duration of a request; the state is read after `read_s`."""
+        async with scripted_server(answer()) as server:
+            fixture = self.fixture(config(), upstream(server.address))
+            loaded, fixture.state.config = fixture.state.config, None
+            loop = asyncio.get_running_loop()
+            began_s = loop.time()
+            if read_s is not None:
+                loop.call_later(read_s, setattr, fixture.state, "config", loaded)
+            got = await fixture.ask()
+            return got.status, loop.time() - began_s
+
+    async def test_a_request_waits_for_the_first_read(self) -> None:
+        status, _ = await self.ask_while_starting(0.05)
+        self.assertEqual(status, 200)
+
+    async def test_a_request_does_not_wait_long(self) -> None:
+        status, took_s = await self.ask_while_starting(None)
+        self.assertEqual(status, 503)
+        self.assertLess(took_s, 0.6)
+
+    async def test_no_request_waits_if_the_host_could_not_read(self) -> None:
+        fixture = self.fixture(config())
+        fixture.state.config = None
+        self.clock.advance(1.0)
+        began_s = asyncio.get_running_loop().time()
+        self.assertEqual((await fixture.ask()).status, 503)
+        self.assertLess(asyncio.get_running_loop().time() - began_s, 0.2)
+
+
 class AtMostOnceTest(RelayTestCase):
     """Guards against running a request twice.
 
