--- a/packages/core/src/cardamomquay/fleet_limits/_warm_up_limiter.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_warm_up_limiter.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cardamomquay.placement import rendezvous_hash
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
 
 # Number of hosts that may use one cold upstream.
@@ -21,6 +23,9 @@
 # Share of the tolerated rate that is used: hosts notice membership changes at different
 # times, and one more host may then send requests.
 USED_SHARE = 0.6
+# Time for which the choice of the hosts of an upstream is reused. Ranking hundreds of
+# hosts for each cold upstream and request would take longer than the rest of a choice.
+CHOICE_PERIOD_S = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,17 +67,19 @@
     def __init__(self, host: str) -> None:
         self._host = host
         self._next_send_s: dict[str, float] = {}
+        # Whether this host may use the upstream, and when that was determined.
+        self._is_chosen: dict[str, tuple[bool, float]] = {}
 
     def may_send(
-        self, instance: str, live_peers: Collection[str], now_s: float
+        self, instance: str, live_peers: Callable[[], Collection[str]], now_s: float
     ) -> bool:
         """Return whether this host may send a request to a cold upstream now.
 
         Parameters
         ----------
         instance : str
-        live_peers : collection of str
-            Names of the other live hosts.
+        live_peers : callable
+            Returns the names of the other live hosts.
         now_s : float
 
         Returns
@@ -81,6 +88,13 @@
         """
         if now_s < self._next_send_s.get(instance, 0.0):
             return False
+        is_chosen, chosen_s = self._is_chosen.get(instance, (False, -math.inf))
+        if not chosen_s <= now_s < chosen_s + CHOICE_PERIOD_S:
+            is_chosen = self._ranks_among_first(instance, live_peers())
+            self._is_chosen[instance] = (is_chosen, now_s)
+        return is_chosen
+
+    def _ranks_among_first(self, instance: str, live_peers: Collection[str]) -> bool:
         own = rendezvous_hash(instance, self._host)
         higher_ranked = 0
         for host in live_peers:
@@ -101,3 +115,4 @@
     def clear_upstream(self, instance: str) -> None:
         """Remove an upstream that no longer exists."""
         self._next_send_s.pop(instance, None)
+        self._is_chosen.pop(instance, None)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from functools import partial
 from typing import TYPE_CHECKING
 
 from cardamomquay.fleet_limits import FleetQuota
@@ -251,14 +252,18 @@
         if all(now_s >= until_s for until_s in self._cold_until_s.values()):
             return allowed
         cold = [u for u in allowed if self._is_cold(u, now_s)]
-        live_hosts = [peer.record.name for peer in self._fleet.live(now_s)]
         withheld = {
             upstream.instance
             for upstream in cold
-            if not self._warm_up_limiter.may_send(upstream.instance, live_hosts, now_s)
+            if not self._warm_up_limiter.may_send(
+                upstream.instance, partial(self._live_peers, now_s), now_s
+            )
         }
         return [u for u in allowed if u.instance not in withheld]
 
+    def _live_peers(self, now_s: float) -> list[str]:
+        return [peer.record.name for peer in self._fleet.live(now_s)]
+
     def _is_cold(self, upstream: Upstream, now_s: float) -> bool:
         return now_s < self._cold_until_s.get(upstream.instance, -math.inf)
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_totals.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_totals.py
@@ -42,7 +42,8 @@
     def names_hash(self) -> int:
         """Hash of the names to which the indices refer."""
         names = self._names()
-        if names != self._names_and_hash[0]:
+        # A configuration keeps its tuple of names.
+        if names is not self._names_and_hash[0]:
             self._names_and_hash = (
                 names,
                 short_id("\0".join(names)) % NAMES_HASH_VALUES,
