Bound the bytes that a host reads of one answer and of all answers

Cause: an upstream that sent bytes without end was read until the timeout of the route. Bodies were buffered whole without a limit, which can exceed the memory of a host within a second on a fast link; interim answers and answers to other requests were parsed one after the other without a pause; a list of one-byte chunks took forty times their size.

Change: AnswerLimits bounds head, chunk header and trailers (16 KiB), body (8 MiB), interim answers (16) and answers to other requests that are skipped (4); AnswerBuffers bounds the bodies that are being read in the whole process (48 MiB). Beyond a limit the connection is closed, the upstream counts as faulty and the caller gets 502, which does not say that the request has not run. After each 64 parsed events other tasks run. The same limits hold for answers of the store.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -8,11 +8,22 @@
 
 import h11
 
+from cardamomquay_daemon.edge._answer_limits import AnswerBuffers
+from cardamomquay_daemon.edge._answer_limits import AnswerLimits
+from cardamomquay_daemon.edge._answer_limits import AnswerTooLargeError
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._byte_stream import connect
 
 Headers = list[tuple[bytes, bytes]]
 
+# After this many parsed events, other tasks run before more bytes are parsed: an answer
+# in chunks of one byte has tens of thousands of events in one read.
+EVENTS_PER_TURN = 64
+# Limits for the answers of upstreams and of the store, and the bytes buffered of them
+# in this process.
+ANSWER_LIMITS = AnswerLimits()
+ANSWER_BUFFERS = AnswerBuffers()
+
 
 @dataclass(slots=True)
 class HttpAnswer:
@@ -66,6 +77,8 @@
     stream : ByteStream
     connect_duration_s : float
         Time that it took to open the connection, about one round trip.
+    limits : AnswerLimits
+    buffers : AnswerBuffers
 
     Attributes
     ----------
@@ -78,8 +91,16 @@
         the current request.
     """
 
-    def __init__(self, stream: ByteStream, connect_duration_s: float) -> None:
+    def __init__(
+        self,
+        stream: ByteStream,
+        connect_duration_s: float,
+        limits: AnswerLimits = ANSWER_LIMITS,
+        buffers: AnswerBuffers = ANSWER_BUFFERS,
+    ) -> None:
         self._stream = stream
+        self._limits = limits
+        self._buffers = buffers
         self.connect_duration_s = connect_duration_s
         self.exchange_count = 0
         self.idle_since_s = 0.0
@@ -146,20 +167,26 @@
         Raises
         ------
         ExchangeError
-            If the connection ends, or the server violates the protocol, before the
-            answer is complete.
+            If the connection ends, or the server violates the protocol or sends more
+            than the limits allow, before the answer is complete.
         """
-        parser, data = _start_request(request, body)
+        parser, data = self._start_request(request, body)
         self.exchange_count += 1
         try:
             self._stream.write(data)
-            while True:
+            for _ in range(1 + self._limits.foreign_answers):
                 answer = await self._read_answer(parser)
                 if request_id is None:
                     break
                 if answer.header(request_id[0]) in (None, request_id[1]):
                     break
-                parser = _restart_parser(parser, request, body)
+                parser = self._restart_parser(parser, request, body)
+            else:
+                raise AnswerTooLargeError
+        except AnswerTooLargeError as exc:
+            raise ExchangeError(
+                "answer_too_large", request_may_have_arrived=True
+            ) from exc
         except h11.RemoteProtocolError as exc:
             raise ExchangeError(
                 "answer_malformed", request_may_have_arrived=True
@@ -183,43 +210,55 @@
 
     async def _read_answer(self, parser: h11.Connection) -> HttpAnswer:
         answer: HttpAnswer | None = None
-        chunks: list[bytes] = []
-        while True:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                parser.receive_data(await self._stream.read())
-            elif isinstance(event, h11.Response):
-                answer = HttpAnswer(event.status_code, list(event.headers))
-            elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage) and answer is not None:
-                answer.body = b"".join(chunks)
-                return answer
-            elif not isinstance(event, h11.InformationalResponse):
-                raise h11.RemoteProtocolError(
-                    "connection ended before the answer was complete"
-                )
-
-
-def _start_request(request: h11.Request, body: bytes) -> tuple[h11.Connection, bytes]:
-    parser = h11.Connection(h11.CLIENT)
-    data = parser.send(request) or b""
-    if body:
-        data += parser.send(h11.Data(data=body)) or b""
-    data += parser.send(h11.EndOfMessage()) or b""
-    return parser, data
-
-
-def _restart_parser(
-    parser: h11.Connection, request: h11.Request, body: bytes
-) -> h11.Connection:
-    """Return a parser for the next answer; the request is not sent again."""
-    if parser.their_state is not h11.DONE:
-        raise h11.RemoteProtocolError("connection ended before the answer was complete")
-    rest, has_ended = parser.trailing_data
-    next_parser, _ = _start_request(request, body)
-    if rest:
-        next_parser.receive_data(rest)
-    if has_ended:
-        next_parser.receive_data(b"")
-    return next_parser
+        event_count = interim_count = 0
+        with self._buffers.buffer(self._limits.body_bytes) as buffer:
+            while True:
+                event = parser.next_event()
+                event_count += 1
+                if event_count % EVENTS_PER_TURN == 0:
+                    await asyncio.sleep(0)
+                if event is h11.NEED_DATA:
+                    parser.receive_data(await self._stream.read())
+                elif isinstance(event, h11.Response):
+                    answer = HttpAnswer(event.status_code, list(event.headers))
+                elif isinstance(event, h11.Data):
+                    buffer.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage) and answer is not None:
+                    answer.body = buffer.body()
+                    return answer
+                elif isinstance(event, h11.InformationalResponse):
+                    interim_count += 1
+                    if interim_count > self._limits.interim_answers:
+                        raise AnswerTooLargeError
+                else:
+                    raise h11.RemoteProtocolError(
+                        "connection ended before the answer was complete"
+                    )
+
+    def _start_request(
+        self, request: h11.Request, body: bytes
+    ) -> tuple[h11.Connection, bytes]:
+        parser = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self._limits.head_bytes
+        )
+        data = parser.send(request) or b""
+        if body:
+            data += parser.send(h11.Data(data=body)) or b""
+        data += parser.send(h11.EndOfMessage()) or b""
+        return parser, data
+
+    def _restart_parser(
+        self, parser: h11.Connection, request: h11.Request, body: bytes
+    ) -> h11.Connection:
+        """Return a parser for the next answer; the request is not sent again."""
+        if parser.their_state is not h11.DONE:
+            raise h11.RemoteProtocolError(
+                "connection ended before the answer was complete"
+            )
+        rest, has_ended = parser.trailing_data
+        next_parser, _ = self._start_request(request, body)
+        if rest:
+            next_parser.receive_data(rest)
+        if has_ended:
+            next_parser.receive_data(b"")
+        return next_parser
