Test late copies of an answer on a connection that is in use again

Cause: operators of similar systems saw a second copy of an answer taken for the answer to the next request. Here the request id of each answer is compared, and a connection with unread bytes is not used again; no test sent a copy in parts or twice.

Change: LateCopyTest sends whole, divided and repeated copies and parts of copies before the answer to the next request on the same connection, over real sockets.

Measured: all pass on the present code; with the comparison switched off the first answer is returned for the second request (test_without_the_check_..., part of the tests).

--- a/packages/daemon/tests/edge/test_http_client.py
+++ b/packages/daemon/tests/edge/test_http_client.py
@@ -104,3 +104,72 @@
         with self.assertRaises(ExchangeError) as caught:
             await exchange(address)
         self.assertFalse(caught.exception.request_may_have_arrived)
+
+
+class LateCopyTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against a second copy of an answer that is taken for the next answer.
+
+    The copy arrives late, on a kept connection that is in use again.
+    """
+
+    async def exchange_after_copy(
+        self, parts: tuple[bytes, ...], *, checks_id: bool = True
+    ) -> HttpAnswer:
+        """Send two requests; `parts` arrive one by one before the second answer."""
+
+        async def reply(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(answer(b"first", request_id=b"id-1"))
+            await reader.readuntil(b"\r\n\r\n")
+            for part in (*parts, answer(b"second", request_id=b"id-2")):
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.02)
+
+        async with scripted_server(reply) as server:
+            conn = await HttpConnection.open(parse_address(server.address), 1.0)
+            try:
+                for request_id in (b"id-1", b"id-2"):
+                    header = (b"request-id", request_id)
+                    request = h11.Request(
+                        method=b"GET", target=b"/", headers=[HEADERS[0], header]
+                    )
+                    async with asyncio.timeout(2.0):
+                        got = await conn.exchange(
+                            request, b"", header if checks_id else None
+                        )
+            finally:
+                conn.close()
+        return got
+
+    async def test_a_whole_copy_is_skipped(self) -> None:
+        copy = answer(b"first", request_id=b"id-1")
+        for name, parts in (
+            ("at once", (copy,)),
+            ("in parts", (copy[:30], copy[30:-2], copy[-2:])),
+            ("twice", (copy, copy)),
+        ):
+            with self.subTest(name):
+                got = await self.exchange_after_copy(parts)
+                self.assertEqual(got.body, b"second")
+
+    async def test_part_of_a_copy_is_no_answer(self) -> None:
+        copy = answer(b"first", request_id=b"id-1")
+        for name, part in (("a head", copy[:30]), ("a body", copy[:-2])):
+            with self.subTest(name), self.assertRaises(ExchangeError) as caught:
+                await self.exchange_after_copy((part,))
+            self.assertTrue(caught.exception.request_may_have_arrived)
+
+    async def test_without_the_check_the_copy_would_be_the_answer(self) -> None:
+        copy = answer(b"first", request_id=b"id-1")
+        got = await self.exchange_after_copy((copy,), checks_id=False)
+        self.assertEqual(got.body, b"first")
+
+    async def test_a_connection_is_not_used_again_after_a_copy(self) -> None:
+        copy = answer(b"first", request_id=b"id-1")
+        for name, sent in (("a copy", copy), ("part of a copy", copy[:30])):
+            with self.subTest(name):
+                async with scripted_server(copy + sent) as server:
+                    got = await exchange(server.address)
+                self.assertEqual((got.body, got.ends_connection), (b"first", True))
