Test a planned stop with callers whose requests are half read or unread

Cause: operators of similar systems saw requests cut off that had just been accepted when a planned stop began under load. Here one running request was tested.

Change: StopUnderLoadTest stops a host, with a second signal to stop, while 60 requests are half read and 60 are sent but not yet read, over real sockets, and while the configuration changes.

--- a/packages/daemon/tests/edge/test_host.py
+++ b/packages/daemon/tests/edge/test_host.py
@@ -18,6 +18,7 @@
 from edge.support import upstream
 from edge.test_feeds import FakePlatform
 
+from cardamomquay.traffic import TrafficConfig
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge import CallerProtocol
 from cardamomquay_daemon.edge import EdgeHost
@@ -177,6 +178,81 @@
             self.assertEqual(await self.get(0, b"/a/1"), 200)
 
 
+class StopUnderLoadTest(HostCase):
+    """Guards against connections that a planned stop ends without an answer.
+
+    Load pattern: at the moment of the stop, requests of many callers are running, half
+    read, or accepted by the kernel and not read yet.
+    """
+
+    CALLERS = 60
+    HEAD = b"GET /a/1 HTTP/1.1\r\nhost: shop.example\r\nrequest-id: id-1\r\n"
+
+    async def status_of(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> int:
+        """Return the status of a complete answer, 0 without one."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            length = int(head.lower().split(b"content-length:")[1].split()[0])
+            await reader.readexactly(length)
+        except (OSError, EOFError):
+            return 0
+        finally:
+            writer.close()
+        return int(head.split()[1])
+
+    async def connect(self, sent: bytes) -> Any:
+        reader, writer = await asyncio.open_connection(LOOPBACK, self.ports[0])
+        writer.write(sent)
+        return reader, writer
+
+    async def test_every_accepted_request_gets_a_whole_answer(self) -> None:
+        async with (
+            scripted_server(*[slow_answer] * (3 * self.CALLERS)) as served,
+            self.running(served) as host,
+        ):
+            running = [await self.connect(self.HEAD + b"\r\n") for _ in range(3)]
+            while len(served.requests) < 3:
+                await asyncio.sleep(0.01)
+            half_read = [
+                await self.connect(self.HEAD[: 20 + number % 40])
+                for number in range(self.CALLERS)
+            ]
+            await asyncio.sleep(0.05)
+            # The event loop of the host runs in this task, so it has not read these.
+            unread = []
+            for _ in range(self.CALLERS):
+                sock = socket.create_connection((LOOPBACK, self.ports[0]))
+                sock.sendall(self.HEAD + b"\r\n")
+                unread.append(sock)
+            host.stop()
+            host.stop()
+            for number, (_, writer) in enumerate(half_read):
+                writer.write(self.HEAD[20 + number % 40 :] + b"\r\n")
+            accepted = [await asyncio.open_connection(sock=sock) for sock in unread]
+            statuses = await asyncio.gather(
+                *(self.status_of(*pair) for pair in (*running, *half_read, *accepted))
+            )
+        self.assertEqual(statuses[:3], [200] * 3)
+        self.assertNotIn(0, statuses)
+
+    async def test_a_change_of_the_configuration_during_the_stop(self) -> None:
+        async with (
+            scripted_server(slow_answer, slow_answer) as served,
+            self.running(served) as host,
+        ):
+            running = await self.connect(self.HEAD + b"\r\n")
+            while not served.requests:
+                await asyncio.sleep(0.01)
+            host.stop()
+            # The version that comes during the stop has no routes.
+            host._feeds._apply_config(TrafficConfig(2))
+            late = await self.connect(self.HEAD + b"\r\n")
+            statuses = [await self.status_of(*pair) for pair in (running, late)]
+        self.assertEqual(statuses, [200, 404])
+
+
 class StaleHostTest(HostCase):
     """Guards against callers that are directed to a host which refuses their keys."""
 
