--- a/packages/core/src/cardamomquay/fleet_limits/__init__.py
+++ b/packages/core/src/cardamomquay/fleet_limits/__init__.py
@@ -6,6 +6,7 @@
 from cardamomquay.fleet_limits._fleet_quota import HostReportTimes
 from cardamomquay.fleet_limits._fleet_quota import QuotaBounds
 from cardamomquay.fleet_limits._retry_budget import FleetRetryBudget
+from cardamomquay.fleet_limits._upstream_rate_limits import UpstreamRateLimits
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimit
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimiter
 
@@ -14,6 +15,7 @@
     "FleetRetryBudget",
     "HostReportTimes",
     "QuotaBounds",
+    "UpstreamRateLimits",
     "WarmUpLimit",
     "WarmUpLimiter",
 ]
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -11,7 +11,9 @@
 import h11
 
 from cardamomquay.placement import short_id
+from cardamomquay_daemon.edge._events import UPSTREAM_RATE_LIMIT
 from cardamomquay_daemon.edge._headers import parse_load_report
+from cardamomquay_daemon.edge._headers import parse_rate_limit
 from cardamomquay_daemon.edge._headers import upstream_request_headers
 from cardamomquay_daemon.edge._http_client import ExchangeError
 from cardamomquay_daemon.edge._http_client import HttpAnswer
@@ -25,14 +27,18 @@
     from cardamomquay.placement import Placement
     from cardamomquay.placement import UpstreamRecord
     from cardamomquay.placement import ZoneLatencies
+    from cardamomquay.traffic import Upstream
     from cardamomquay_daemon.edge._eligibility import Eligibility
     from cardamomquay_daemon.edge._header_names import HeaderNames
     from cardamomquay_daemon.edge._relay import RequestContext
     from cardamomquay_daemon.edge._state import HostState
+    from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
     from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
     from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
 
 MISDIRECTED_STATUS = 421
+# Detail of an attempt that reached another instance at the upstream's former address.
+OTHER_INSTANCE = "other_instance"
 SERVER_ERROR_STATUS_MIN = 500
 # Retry delay of a request that is refused because upstreams have shed it.
 SHED_RETRY_AFTER_S = 0.3
@@ -87,6 +93,8 @@
         Status of the answer, or reason of a failure.
     took_s : float
         Duration of the attempt.
+    rate_limit_per_s : float or None
+        The upstream's rate limit as this host knew it when the attempt began.
     """
 
     instance: str
@@ -99,6 +107,7 @@
     outcome: AttemptOutcome | None = None
     detail: str = ""
     took_s: float = 0.0
+    rate_limit_per_s: float | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -107,7 +116,7 @@
 
     def as_fields(self) -> dict[str, Any]:
         """Return the attempt as fields of a log event."""
-        return {
+        fields = {
             "upstream": self.instance,
             "zone": self.zone,
             "warm": self.is_warm,
@@ -117,6 +126,10 @@
             "detail": self.detail,
             "took_s": round(self.took_s, 4),
         }
+        # Few upstreams name a limit, so the field is left out otherwise.
+        if self.rate_limit_per_s is not None:
+            fields["rate_limit"] = self.rate_limit_per_s
+        return fields
 
 
 @dataclass(slots=True)
@@ -150,6 +163,7 @@
     eligibility : Eligibility
     state : HostState
     warm_objects : WarmObjectReports
+    telemetry : EdgeTelemetry
     on_new_version_fault : callable
         Called after each attempt with the new version of a roll-out that failed, timed
         out or was slow.
@@ -165,10 +179,12 @@
         eligibility: Eligibility,
         state: HostState,
         warm_objects: WarmObjectReports,
+        telemetry: EdgeTelemetry,
         on_new_version_fault: Callable[[], None],
     ) -> None:
         self._on_new_version_fault = on_new_version_fault
         self._warm_objects = warm_objects
+        self._telemetry = telemetry
         self._eligibility = eligibility
         self._state = state
         self._connections = connections
@@ -201,6 +217,9 @@
             candidate.expected_latency_s,
             record.estimated_load(self._clock.now_s()),
             loop.time(),
+            rate_limit_per_s=self._eligibility.rate_limits.limit_per_s(
+                upstream.instance
+            ),
         )
         context.attempts.append(attempt)
         record.in_flight += 1
@@ -266,7 +285,7 @@
         attempt.detail = str(answer.status)
         if answer.status == MISDIRECTED_STATUS:
             # Another instance now has the address that the upstream had.
-            attempt.detail = "other_instance"
+            attempt.detail = OTHER_INSTANCE
             return AttemptResult(AttemptOutcome.NOT_RUN, answer)
         if answer.header(self._names.not_executed) is not None:
             attempt.detail = "shed"
@@ -288,6 +307,8 @@
     ) -> None:
         now_s = self._clock.now_s()
         self._count_for_rollout(candidate, attempt, result)
+        if result.answer is not None and attempt.detail != OTHER_INSTANCE:
+            self._record_rate_limit(candidate.upstream, result, now_s)
         report: LoadReport | None = None
         if result.answer is not None:
             report = parse_load_report(result.answer.header(self._names.load))
@@ -298,7 +319,7 @@
             self._record_speed(candidate, context, record, attempt, now_s)
         elif (
             result.outcome is AttemptOutcome.NOT_SENT
-            or attempt.detail == "other_instance"
+            or attempt.detail == OTHER_INSTANCE
         ):
             record.record_unreachable(now_s)
             self._eligibility.record_unreachable(candidate.upstream, now_s)
@@ -318,6 +339,31 @@
         else:
             record.record_failure(now_s)
 
+    def _record_rate_limit(
+        self, upstream: Upstream, result: AttemptResult, now_s: float
+    ) -> None:
+        assert result.answer is not None
+        value = result.answer.header(self._names.rate_limit)
+        per_s = parse_rate_limit(value)
+        if value is None and result.outcome is AttemptOutcome.NOT_RUN:
+            # Only an answer with the upstream's signature proves that a limit ended.
+            return
+        if value is not None and per_s is None:
+            # An unreadable limit says nothing about the one named before.
+            self._telemetry.count("upstreams.rate_limit_malformed")
+            return
+        limits = self._eligibility.rate_limits
+        before_per_s = limits.limit_per_s(upstream.instance)
+        if limits.record_answer(upstream.instance, per_s, now_s):
+            self._telemetry.log(
+                UPSTREAM_RATE_LIMIT,
+                instance=upstream.instance,
+                service=upstream.service,
+                per_s=per_s,
+                before_per_s=before_per_s,
+                source="answer",
+            )
+
     def _count_for_rollout(
         self, candidate: Candidate, attempt: Attempt, result: AttemptResult
     ) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -11,6 +11,7 @@
 from cardamomquay.fleet_limits import FleetRetryBudget
 from cardamomquay.fleet_limits import HostReportTimes
 from cardamomquay.fleet_limits import QuotaBounds
+from cardamomquay.fleet_limits import UpstreamRateLimits
 from cardamomquay.fleet_limits import WarmUpLimit
 from cardamomquay.fleet_limits import WarmUpLimiter
 from cardamomquay.outcomes import Refusal
@@ -79,6 +80,7 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._overload_control = OverloadControl(random.Random())
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
+        self.rate_limits = UpstreamRateLimits()
         self._cold_until_s: dict[str, float] = {}
         self._accepted_versions: dict[str, set[str]] = {}
 
@@ -167,7 +169,10 @@
             if before is not None:
                 self._cold_until_s.pop(before.instance, None)
                 self._warm_up_limiter.clear_upstream(before.instance)
+                self.rate_limits.clear_upstream(before.instance)
             return
+        if before is not None and before.started_at_ms != after.started_at_ms:
+            self.rate_limits.clear_upstream(after.instance)
         if after.warm_up_left_s > 0.0:
             until_s = now_s + after.warm_up_left_s + WARM_UP_MARGIN_S
             self._cold_until_s[after.instance] = until_s
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -31,6 +31,11 @@
 UPSTREAM_CHANGED = LogEvent(
     2201, "upstream_changed", "An upstream was registered, changed or removed."
 )
+UPSTREAM_RATE_LIMIT = LogEvent(
+    2202,
+    "upstream_rate_limit",
+    "An upstream named another rate limit than before; null if it named none.",
+)
 STORE_LOST = LogEvent(3101, "store_lost", "Calls to the store fail.")
 STORE_REGAINED = LogEvent(3102, "store_regained", "Calls to the store succeed again.")
 STORE_READING = LogEvent(
@@ -64,6 +69,9 @@
     "store.operator_failed": "Reads of the operator's rows without a usable answer.",
     "store.upstreams_calls": "Reads of the upstreams' entries.",
     "store.upstreams_failed": "Reads of the upstreams' entries without an answer.",
+    "upstreams.rate_limit_malformed": (
+        "Answers with a rate limit that could not be read."
+    ),
     "tasks.failed": "Tasks and requests that raised an exception.",
 }
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_header_names.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_header_names.py
@@ -29,6 +29,9 @@
         separated by commas.
     not_executed : bytes
         Present if the upstream has not run the request.
+    rate_limit : bytes
+        Requests a second that the upstream accepts from all hosts together, as a
+        decimal number; absent while it names no limit.
     """
 
     request_id: bytes
@@ -39,3 +42,4 @@
     expected_instance: bytes
     load: bytes
     not_executed: bytes
+    rate_limit: bytes
--- a/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import TYPE_CHECKING
 
 from cardamomquay.placement import LoadReport
@@ -31,6 +32,7 @@
 )
 BEARER_PREFIX = b"bearer "
 LOAD_FIELD_COUNT = 3
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -82,6 +84,14 @@
     return LoadReport(running, waiting, slots)
 
 
+def parse_rate_limit(value: bytes | None) -> float | None:
+    """Parse a rate limit in requests a second; return None without a valid one."""
+    text = (value or b"").strip().decode("latin-1")
+    if DECIMAL_NUMBER.fullmatch(text) is None:
+        return None
+    return float(text)
+
+
 def upstream_request_headers(
     request: CallerRequest,
     names: HeaderNames,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -140,6 +140,7 @@
             self._eligibility,
             self._state,
             self._warm_objects,
+            telemetry,
             self._peers.report_urgently,
         )
         self._relay = Relay(
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -47,6 +47,7 @@
     expected_instance=b"expected-instance",
     load=b"load",
     not_executed=b"not-executed",
+    rate_limit=b"rate-limit",
 )
 
 
@@ -232,6 +233,7 @@
             self.eligibility,
             self.state,
             WarmObjectReports(self.placement, clock),
+            self.telemetry,  # type: ignore[arg-type]
             lambda: self.new_version_faults.append(clock.now_s()),
         )
         self.admitted: list[str] = []
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -80,6 +80,50 @@
         self.assertEqual(server.connection_count, 1)
 
 
+class RateLimitRecordTest(RelayTestCase):
+    """Guards against limits named by upstreams that leave no trace in the logs."""
+
+    async def limits_after(self, *answers: bytes) -> list[float | None]:
+        async with scripted_server(*answers) as server:
+            fixture = self.fixture(config(), upstream(server.address))
+            for _ in answers:
+                await fixture.ask()
+                self.clock.advance(1.0)
+        self.events = fixture.telemetry.events
+        self.counters = fixture.telemetry.counters
+        return [
+            fields["per_s"]
+            for name, fields in self.events
+            if name == "upstream_rate_limit"
+        ]
+
+    async def test_each_change_is_logged_once(self) -> None:
+        limited = answer(headers=b"signature: s\r\nrate-limit: 1.8\r\n")
+        lower = answer(headers=b"signature: s\r\nrate-limit: 1\r\n")
+        changes = await self.limits_after(limited, limited, lower, answer())
+        self.assertEqual(changes, [1.8, 1.0, None])
+        attempts = [
+            fields["tries"][0].get("rate_limit")
+            for name, fields in self.events
+            if name == "request_done"
+        ]
+        self.assertEqual(attempts, [None, 1.8, 1.8, 1.0])
+
+    async def test_a_refusal_without_a_limit_does_not_end_it(self) -> None:
+        limited = answer(headers=b"signature: s\r\nrate-limit: 1.8\r\n")
+        self.assertEqual(await self.limits_after(limited, SHED_ANSWER), [1.8])
+
+    async def test_unreadable_limits_change_nothing(self) -> None:
+        for value in (b"-1", b"nan", b"inf", b"1e3", b"", b"1,5", b"0x2"):
+            with self.subTest(value):
+                headers = b"signature: s\r\nrate-limit: %s\r\n" % value
+                limited = answer(headers=b"signature: s\r\nrate-limit: 2.5\r\n")
+                self.assertEqual(
+                    await self.limits_after(limited, answer(headers=headers)), [2.5]
+                )
+                self.assertEqual(self.counters["upstreams.rate_limit_malformed"], 1)
+
+
 class RefusalTest(RelayTestCase):
     """Guards against requests that run without permission, and wrong statuses."""
 
