--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -30,7 +30,9 @@
 class Fleet:
     """Hosts of three zones with a manual clock and datagrams that may be lost."""
 
-    def __init__(self, loss_share: float = 0.0) -> None:
+    def __init__(
+        self, loss_share: float = 0.0, hosts_per_zone: int = HOSTS_PER_ZONE
+    ) -> None:
         self.clock = ManualClock(100.0)
         self.network: dict[str, Any] = {}
         self.rng = Random(7)
@@ -39,7 +41,7 @@
         # Next times of `report`, `report_to_zone` and `forward`, by host.
         self.due: dict[str, list[float]] = {}
         for zone in ZONES:
-            for number in range(HOSTS_PER_ZONE):
+            for number in range(hosts_per_zone):
                 host = Host(f"{zone}{number}", self.clock, self.network, zone)
                 self.start(host)
         for host in self.hosts():
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -109,6 +109,17 @@
         ]
         self.assertEqual(attempts, [None, 1.8, 1.8, 1.0])
 
+    async def test_one_host_sends_no_more_than_the_limit(self) -> None:
+        # Without other hosts, 1.8 requests a second allow 8 in 4 s, and one at once.
+        limited = answer(headers=b"signature: s\r\nrate-limit: 1.8\r\n")
+        async with scripted_server(*[limited] * 41) as server:
+            fixture = self.fixture(config(), upstream(server.address))
+            await fixture.ask()
+            for _ in range(40):
+                self.clock.advance(0.1)
+                await fixture.ask()
+        self.assertLessEqual(len(server.requests) - 1, 9)
+
     async def test_a_refusal_without_a_limit_does_not_end_it(self) -> None:
         limited = answer(headers=b"signature: s\r\nrate-limit: 1.8\r\n")
         self.assertEqual(await self.limits_after(limited, SHED_ANSWER), [1.8])
