--- a/packages/core/src/cardamomquay/fleet_limits/__init__.py
+++ b/packages/core/src/cardamomquay/fleet_limits/__init__.py
@@ -6,6 +6,8 @@
 from cardamomquay.fleet_limits._fleet_quota import HostReportTimes
 from cardamomquay.fleet_limits._fleet_quota import QuotaBounds
 from cardamomquay.fleet_limits._retry_budget import FleetRetryBudget
+from cardamomquay.fleet_limits._upstream_rate_limits import RateLimitObservation
+from cardamomquay.fleet_limits._upstream_rate_limits import SharingHost
 from cardamomquay.fleet_limits._upstream_rate_limits import UpstreamRateLimits
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimit
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimiter
@@ -15,6 +17,8 @@
     "FleetRetryBudget",
     "HostReportTimes",
     "QuotaBounds",
+    "RateLimitObservation",
+    "SharingHost",
     "UpstreamRateLimits",
     "WarmUpLimit",
     "WarmUpLimiter",
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -217,7 +217,7 @@
             if upstream.instance not in excluded
             and (
                 not request.allowed_regions
-                or self._region(upstream) in request.allowed_regions
+                or self.region_of(upstream) in request.allowed_regions
             )
         ]
         usable = [pair for pair in allowed if pair[1].ejected_until_s <= now_s]
@@ -259,11 +259,12 @@
         return first.object_count < UNDERFILLED_SHARE * total / len(ranked)
 
     def _rank_score(self, request: PlacementRequest, upstream: Upstream) -> float:
-        is_same_region = self._region(upstream) == self._zone_latencies.region
+        is_same_region = self.region_of(upstream) == self._zone_latencies.region
         weight = OWN_REGION_WEIGHT if is_same_region else 1.0
         return weighted_rendezvous_score(request.object_key, upstream.instance, weight)
 
-    def _region(self, upstream: Upstream) -> str | None:
+    def region_of(self, upstream: Upstream) -> str | None:
+        """Return the region of an upstream; None if its zone is unknown."""
         return self._zone_latencies.region_of.get(upstream.zone)
 
     def _make_candidate(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -164,9 +164,8 @@
     state : HostState
     warm_objects : WarmObjectReports
     telemetry : EdgeTelemetry
-    on_new_version_fault : callable
-        Called after each attempt with the new version of a roll-out that failed, timed
-        out or was slow.
+    report_urgently : callable
+        Reports to the other hosts ahead of the period.
     """
 
     def __init__(
@@ -180,9 +179,9 @@
         state: HostState,
         warm_objects: WarmObjectReports,
         telemetry: EdgeTelemetry,
-        on_new_version_fault: Callable[[], None],
+        report_urgently: Callable[[], None],
     ) -> None:
-        self._on_new_version_fault = on_new_version_fault
+        self._report_urgently = report_urgently
         self._warm_objects = warm_objects
         self._telemetry = telemetry
         self._eligibility = eligibility
@@ -363,6 +362,9 @@
                 before_per_s=before_per_s,
                 source="answer",
             )
+            # Most hosts get no answer from this upstream before they would exceed the
+            # limit.
+            self._report_urgently()
 
     def _count_for_rollout(
         self, candidate: Candidate, attempt: Attempt, result: AttemptResult
@@ -384,7 +386,7 @@
         if is_new:
             # Other hosts need this tally to detect a bad version. The next periodic
             # report is up to 1 s away, and more requests would fail until then.
-            self._on_new_version_fault()
+            self._report_urgently()
 
     def _record_speed(
         self,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -7,16 +7,20 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from cardamomquay.fleet import HostPhase
 from cardamomquay.fleet_limits import FleetQuota
 from cardamomquay.fleet_limits import FleetRetryBudget
 from cardamomquay.fleet_limits import HostReportTimes
 from cardamomquay.fleet_limits import QuotaBounds
+from cardamomquay.fleet_limits import RateLimitObservation
+from cardamomquay.fleet_limits import SharingHost
 from cardamomquay.fleet_limits import UpstreamRateLimits
 from cardamomquay.fleet_limits import WarmUpLimit
 from cardamomquay.fleet_limits import WarmUpLimiter
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.placement import OverloadControl
+from cardamomquay.placement import short_id
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
@@ -43,6 +47,8 @@
 # An unreachable upstream may be replaced by a cold one, whose entry takes up to this
 # long to arrive.
 ENTRY_DELAY_S = 2.5
+# Number of upstreams whose rate limits fit into one report beside its other content.
+RATE_LIMITS_MAX = 60
 
 
 class Eligibility:
@@ -80,7 +86,8 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._overload_control = OverloadControl(random.Random())
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
-        self.rate_limits = UpstreamRateLimits()
+        self.rate_limits = UpstreamRateLimits(fleet.own.name)
+        self._by_short_id: dict[int, str] = {}
         self._cold_until_s: dict[str, float] = {}
         self._accepted_versions: dict[str, set[str]] = {}
 
@@ -146,11 +153,53 @@
 
     def record_sent(self, upstream: Upstream, now_s: float) -> None:
         """Record that a request is sent to an upstream."""
+        self.rate_limits.record_sent(upstream.instance)
         if self._is_cold(upstream, now_s):
             self._warm_up_limiter.record_sent(
                 upstream.instance, self._warm_up_limit_of(upstream), now_s
             )
 
+    def rate_limit_entries(self, now_s: float) -> list[int]:
+        """Return the rate limits to include in a report; see `Report.rate_limits`."""
+        entries: list[int] = []
+        for latest in self.rate_limits.due_for_report(now_s)[:RATE_LIMITS_MAX]:
+            entries += (
+                short_id(latest.instance),
+                -1 if latest.per_s is None else round(latest.per_s * 1000.0),
+                max(0, int((now_s - latest.observed_s) * 1000.0)),
+            )
+        return entries
+
+    def apply_rate_limit_entries(
+        self, entries: list[int], now_s: float
+    ) -> list[RateLimitObservation]:
+        """Apply the rate limits of another host's report.
+
+        Parameters
+        ----------
+        entries : list of int
+            As in `Report.rate_limits`. Upstreams that this host does not know are left
+            out.
+        now_s : float
+
+        Returns
+        -------
+        list of RateLimitObservation
+            The limits that are new to this host.
+        """
+        reported = [
+            RateLimitObservation(
+                self._by_short_id[upstream_id],
+                None if per_ks < 0 else per_ks / 1000.0,
+                now_s - age_ms / 1000.0,
+            )
+            for upstream_id, per_ks, age_ms in zip(
+                entries[::3], entries[1::3], entries[2::3], strict=False
+            )
+            if upstream_id in self._by_short_id
+        ]
+        return [item for item in reported if self.rate_limits.apply_report(item, now_s)]
+
     def record_unreachable(self, upstream: Upstream, now_s: float) -> None:
         """Record that an upstream is unreachable; it may be cold when it returns."""
         self._assume_cold(upstream, now_s)
@@ -167,10 +216,12 @@
         """Apply a change of an upstream's entry; None means that there is no entry."""
         if after is None:
             if before is not None:
+                self._by_short_id.pop(short_id(before.instance), None)
                 self._cold_until_s.pop(before.instance, None)
                 self._warm_up_limiter.clear_upstream(before.instance)
                 self.rate_limits.clear_upstream(before.instance)
             return
+        self._by_short_id[short_id(after.instance)] = after.instance
         if before is not None and before.started_at_ms != after.started_at_ms:
             self.rate_limits.clear_upstream(after.instance)
         if after.warm_up_left_s > 0.0:
@@ -208,10 +259,17 @@
             and upstream.zone not in self._state.evacuated_zones
         ]
         upstreams = self._within_warm_up_limits(allowed, now_s)
-        candidate = self._placement.choose(request, upstreams, tried, now_s)
+        # Passed on as excluded, since the ranking of an object is computed again when
+        # the set of upstreams changes.
+        waits_s = self._rate_limit_waits_s(upstreams, now_s)
+        candidate = self._placement.choose(
+            request, upstreams, {*tried, *waits_s} if waits_s else tried, now_s
+        )
         if candidate is None:
             reason = RefusalReason.POOL_BUSY if allowed else RefusalReason.POOL_EMPTY
-            return Refusal(reason, retry_after_s=RETRY_AFTER_MAX_S / 2)
+            retry_after_s = min((RETRY_AFTER_MAX_S / 2, *waits_s.values()))
+            detail = "rate limits named by upstreams" if waits_s else ""
+            return Refusal(reason, detail, max(RETRY_AFTER_MIN_S, retry_after_s))
         retry_delay_s = self._overload_control.retry_delay_s(candidate, timing)
         if retry_delay_s is not None and not tried:
             detail = (
@@ -266,6 +324,36 @@
         }
         return [u for u in allowed if u.instance not in withheld]
 
+    def _rate_limit_waits_s(
+        self, upstreams: list[Upstream], now_s: float
+    ) -> dict[str, float]:
+        """Return the upstreams whose rate limit is used up, with the time to wait."""
+        if not len(self.rate_limits):
+            return {}
+        waits_s = {
+            upstream.instance: self.rate_limits.wait_s(
+                upstream.instance, partial(self._sharing_hosts, upstream, now_s), now_s
+            )
+            for upstream in upstreams
+            if upstream.instance in self.rate_limits
+        }
+        return {instance: wait_s for instance, wait_s in waits_s.items() if wait_s > 0}
+
+    def _sharing_hosts(self, upstream: Upstream, now_s: float) -> list[SharingHost]:
+        """Return the hosts that may use a part of an upstream's rate limit."""
+        region = self._placement.region_of(upstream)
+        fleet = self._fleet
+        hosts = [
+            SharingHost(
+                peer.record.name, peer.record.region == region, peer.is_live(now_s)
+            )
+            for peer in fleet.peers.values()
+            if peer.phase is not HostPhase.LEAVING and not peer.is_gone(now_s)
+        ]
+        if fleet.own_phase is not HostPhase.LEAVING:
+            hosts.append(SharingHost(fleet.own.name, fleet.own.region == region, True))
+        return hosts
+
     def _live_peers(self, now_s: float) -> list[str]:
         return [peer.record.name for peer in self._fleet.live(now_s)]
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -27,6 +27,7 @@
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
 from cardamomquay_daemon.edge._events import STORE_READING
+from cardamomquay_daemon.edge._events import UPSTREAM_RATE_LIMIT
 from cardamomquay_daemon.edge._gateway import Gateway
 from cardamomquay_daemon.edge._host_table import HostTable
 from cardamomquay_daemon.edge._reports import HostDigest
@@ -98,6 +99,7 @@
     ) -> None:
         self._feeds = feeds
         self._warm_objects = warm_objects
+        self._eligibility = eligibility
         self._usage = UsageTotals(state, eligibility)
         self._host_table = HostTable(platform, fleet.own, telemetry, self._update_host)
         self._rollouts = rollouts
@@ -170,6 +172,7 @@
         if self._is_via_gateway(peer):
             self.gateway.forward_warm_objects(report.now_warm, report.warming, now_s)
         self._apply_rollouts(peer, report)
+        self._apply_rate_limits(peer, report, now_s)
         if is_new or (report.sender is not None and self._is_via_gateway(peer)):
             # The other host has no totals of this one, or the first report was lost.
             self._full_usage_sent_s.pop(peer.record.name, None)
@@ -197,6 +200,18 @@
         for rollout in report.rollouts:
             self._rollouts.apply_peer_snapshot(peer.record.name, rollout.to_snapshot())
 
+    def _apply_rate_limits(self, peer: Peer, report: Report, now_s: float) -> None:
+        for limit in self._eligibility.apply_rate_limit_entries(
+            report.rate_limits, now_s
+        ):
+            self._telemetry.log(
+                UPSTREAM_RATE_LIMIT,
+                instance=limit.instance,
+                per_s=limit.per_s,
+                age_s=round(now_s - limit.observed_s, 2),
+                source=f"reported by {peer.record.name}",
+            )
+
     def _apply_large_fleet_report(
         self, peer: Peer, report: Report, large: LargeFleetReport, now_s: float
     ) -> None:
@@ -502,6 +517,7 @@
             content.now_warm,
             content.warming,
             self._large_fleet_report(peer, now_s, content, is_full),
+            self._eligibility.rate_limit_entries(now_s),
         )
         self._sent_s[name] = now_s
         data = self._encoder.encode(report)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -139,6 +139,10 @@
     now_warm, warming : list of int
         Changes of warm objects; see `WarmObjectReports.take`.
     large : LargeFleetReport or None
+    rate_limits : list of int
+        Rate limits that upstreams named, in groups of three: short identifier of the
+        upstream, limit in requests in 1,000 seconds or -1 if it names none any more,
+        and age of the answer in milliseconds.
     """
 
     incarnation: int
@@ -154,6 +158,7 @@
     now_warm: list[int] = []
     warming: list[int] = []
     large: LargeFleetReport | None = None
+    rate_limits: list[int] = []
 
     @property
     def is_usage_full(self) -> bool:
--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -38,6 +38,8 @@
         self.rng = Random(7)
         self.loss_share = loss_share
         self.cross_zone_datagrams = 0
+        # Zone that gets no datagrams from the others, nor they from it.
+        self.cut_zone = ""
         # Next times of `report`, `report_to_zone` and `forward`, by host.
         self.due: dict[str, list[float]] = {}
         for zone in ZONES:
@@ -84,7 +86,10 @@
         for data, name in host.sent:
             if name not in self.network:
                 continue
-            self.cross_zone_datagrams += name[0] != host.fleet.own.zone
+            zones = {name[0], host.fleet.own.zone}
+            self.cross_zone_datagrams += len(zones) > 1
+            if len(zones) > 1 and self.cut_zone in zones:
+                continue
             if self.rng.random() >= self.loss_share:
                 kept.append((data, name))
         host.sent = kept
--- a/packages/daemon/tests/edge/test_upstream_rate_limits.py
+++ b/packages/daemon/tests/edge/test_upstream_rate_limits.py
@@ -8,20 +8,22 @@
 import unittest
 from collections import deque
 from dataclasses import dataclass
+from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
 from edge.support import upstream
 from edge.test_gateways import STEP_S
 from edge.test_gateways import Fleet
+from edge.test_peers import Host
 
+from cardamomquay.fleet import HostPhase
 from cardamomquay.outcomes import Refusal
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import RequestTiming
 
 if TYPE_CHECKING:
-    from edge.test_peers import Host
-
     from cardamomquay.traffic import Upstream
 
 UPSTREAMS = 16
@@ -69,8 +71,8 @@
             for number in range(UPSTREAMS)
         ]
         self._answers: deque[tuple[float, Host, Upstream]] = deque()
-        # Hosts that neither handle requests nor send or receive reports.
-        self.paused: set[str] = set()
+        # Hosts that get no requests from callers.
+        self.idle_hosts: set[str] = set()
         for host in fleet.hosts():
             self.add_upstreams(host)
 
@@ -86,7 +88,9 @@
         while self.fleet.clock.now_s() < until_s - ROUNDING_S:
             self.fleet.run(STEP_S)
             self._deliver_answers()
-            hosts = [h for h in self.fleet.hosts() if h.address[0] not in self.paused]
+            hosts = [
+                h for h in self.fleet.hosts() if h.address[0] not in self.idle_hosts
+            ]
             mean = self.requests_per_s * STEP_S
             for _ in range(int(mean + self.rng.random())):
                 self._request(self.rng.choice(hosts))
@@ -150,15 +154,27 @@
     return int(TOLERATED_FACTOR * per_s * WINDOW_S + TOLERATED_REQUESTS)
 
 
-class UpstreamRateLimitTest(unittest.TestCase):
-    """Guards against more requests to an upstream than the limit that it has named."""
+class RateLimitTestCase(unittest.TestCase):
+    """Checks what upstreams with a limit have got."""
 
     def assert_within_limits(self, load: LimitedLoad) -> None:
+        self.assertTrue(load.limits)
         for instance, per_s in load.limits.items():
             self.assertLessEqual(
                 load.worst_window(instance), tolerated(per_s), (instance, per_s)
             )
 
+    def assert_used(self, load: LimitedLoad, from_s: float, share: float) -> None:
+        """Check that limited upstreams get at least a share of their limits."""
+        until_s = load.fleet.clock.now_s()
+        for instance, per_s in load.limits.items():
+            got = load.count(instance, from_s, until_s)
+            self.assertGreaterEqual(got, share * per_s * (until_s - from_s), instance)
+
+
+class UpstreamRateLimitTest(RateLimitTestCase):
+    """Guards against more requests to an upstream than the limit that it has named."""
+
     def test_a_small_fleet_keeps_to_the_limit(self) -> None:
         load = LimitedLoad(Fleet(hosts_per_zone=4))
         load.run(3.0)
@@ -172,3 +188,171 @@
         load.limits = {"i-3": 1.8, "i-7": 2.4}
         load.run(15.0)
         self.assert_within_limits(load)
+
+    def test_hosts_learn_of_the_limit_before_they_exceed_it(self) -> None:
+        for hosts_per_zone in (4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = LimitedLoad(Fleet(0.05, hosts_per_zone))
+                load.run(3.0)
+                load.limits = {"i-3": 1.8, "i-7": 2.4}
+                load.run(10.0)
+                for instance, per_s in load.limits.items():
+                    from_s = load.named_s[instance] + 1.5
+                    got = load.count(instance, from_s, from_s + WINDOW_S)
+                    self.assertLessEqual(got, tolerated(per_s), instance)
+
+    def test_limits_of_other_sizes(self) -> None:
+        for hosts_per_zone in (1, 4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = LimitedLoad(Fleet(0.05, hosts_per_zone), 200.0)
+                load.run(3.0)
+                load.limits = {"i-1": 0.0, "i-3": 0.3, "i-7": 5.0, "i-9": 12.0}
+                load.run(15.0)
+                self.assert_within_limits(load)
+
+    def test_requests_beyond_the_limits_of_all_upstreams_are_refused(self) -> None:
+        load = LimitedLoad(Fleet(hosts_per_zone=4))
+        load.run(3.0)
+        load.limits = {entry.instance: 2.0 for entry in load.upstreams}
+        load.run(4.0)
+        load.refused = 0
+        load.sent.clear()
+        load.run(10.0)
+        self.assert_within_limits(load)
+        self.assertGreater(load.refused, 300)
+        self.assertGreater(len(load.sent), 0.6 * 2.0 * UPSTREAMS * 10.0)
+
+    def test_an_upstream_with_a_limit_is_still_used(self) -> None:
+        for hosts_per_zone in (4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = LimitedLoad(Fleet(hosts_per_zone=hosts_per_zone), 200.0)
+                load.run(3.0)
+                load.limits = {"i-3": 1.8, "i-7": 2.4}
+                load.run(4.0)
+                from_s = load.fleet.clock.now_s()
+                load.run(15.0)
+                self.assert_used(load, from_s, 0.5)
+
+    def test_all_hosts_use_the_upstream_again_when_the_limit_ends(self) -> None:
+        for hosts_per_zone in (4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = LimitedLoad(Fleet(0.05, hosts_per_zone))
+                load.run(3.0)
+                load.limits = {"i-3": 1.0}
+                load.run(10.0)
+                load.limits = {}
+                load.run(4.0)
+                for host in load.fleet.hosts():
+                    limits = host.eligibility.rate_limits
+                    self.assertIsNone(limits.limit_per_s("i-3"), host.address)
+                from_s = load.fleet.clock.now_s()
+                load.run(10.0)
+                after = load.count("i-3", from_s, from_s + 10.0)
+                # Sixteen upstreams share the requests.
+                self.assertGreater(after, 0.5 * REQUESTS_PER_S * 10.0 / UPSTREAMS)
+
+    def test_the_end_of_a_limit_is_noticed_without_any_answer(self) -> None:
+        load = LimitedLoad(Fleet(hosts_per_zone=4))
+        load.run(3.0)
+        load.limits = {"i-3": 1.0}
+        load.run(5.0)
+        load.fleet.run(16.0)
+        for host in load.fleet.hosts():
+            now_s = load.fleet.clock.now_s()
+            wait_s = host.eligibility.rate_limits.wait_s("i-3", list, now_s)
+            self.assertEqual(wait_s, 0.0)
+
+
+class RateLimitUnderFaultsTest(RateLimitTestCase):
+    """Guards against limits that are exceeded or forgotten while hosts come and go."""
+
+    def users(self, load: LimitedLoad, instance: str) -> set[str]:
+        """Return the hosts that have sent requests to an upstream in the last 3 s."""
+        now_s = load.fleet.clock.now_s()
+        return {
+            sent.host
+            for sent in load.sent
+            if sent.instance == instance and sent.at_s > now_s - 3.0
+        }
+
+    def limited(self, hosts_per_zone: int) -> LimitedLoad:
+        load = LimitedLoad(Fleet(0.02, hosts_per_zone), 200.0)
+        load.run(3.0)
+        load.limits = {"i-3": 1.8, "i-7": 2.4}
+        load.run(8.0)
+        return load
+
+    def test_other_hosts_stand_in_for_those_that_died(self) -> None:
+        for hosts_per_zone in (4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = self.limited(hosts_per_zone)
+                for name in self.users(load, "i-3"):
+                    del load.fleet.network[name]
+                load.run(4.0)
+                from_s = load.fleet.clock.now_s()
+                load.run(30.0)
+                self.assert_within_limits(load)
+                self.assert_used(load, from_s, 0.3)
+
+    def test_both_sides_of_a_cut_keep_to_the_limit_together(self) -> None:
+        for hosts_per_zone in (4, 9):
+            with self.subTest(hosts_per_zone=hosts_per_zone):
+                load = self.limited(hosts_per_zone)
+                load.fleet.cut_zone = "b"
+                load.run(15.0)
+                load.fleet.cut_zone = ""
+                load.run(8.0)
+                self.assert_within_limits(load)
+
+    def test_a_host_that_starts_learns_of_the_limit(self) -> None:
+        load = self.limited(4)
+        fleet = load.fleet
+        name = next(iter(self.users(load, "i-3")))
+        zone = fleet.network[name].fleet.own.zone
+        after = Host(name, fleet.clock, fleet.network, zone)
+        after.peers._incarnation += 1
+        fleet.start(after)
+        load.add_upstreams(after)
+        for host in fleet.hosts():
+            after.peers._update_host(host.fleet.own)
+        after.peers.report()
+        load.idle_hosts = {name}
+        load.run(5.0)
+        load.idle_hosts = set()
+        self.assertEqual(after.eligibility.rate_limits.limit_per_s("i-3"), 1.8)
+        load.run(8.0)
+        self.assert_within_limits(load)
+
+    def test_a_host_that_leaves_hands_its_part_on(self) -> None:
+        load = self.limited(4)
+        leaving = self.users(load, "i-3")
+        for name in leaving:
+            load.fleet.network[name].fleet.own_phase = HostPhase.LEAVING
+            load.fleet.network[name].peers.report()
+        load.run(2.0)
+        from_s = load.fleet.clock.now_s()
+        load.run(10.0)
+        self.assertFalse(self.users(load, "i-3") & leaving)
+        self.assert_within_limits(load)
+        self.assert_used(load, from_s, 0.5)
+
+    def test_hosts_without_rate_limits_in_their_reports_are_understood(self) -> None:
+        # Hosts of an earlier version send shorter reports.
+        load = self.limited(4)
+        host = load.fleet.hosts()[0]
+        host.peers.report()
+        data, name = host.sent[0]
+        fields = msgspec.msgpack.decode(data)
+        shorter = msgspec.msgpack.encode(fields[:-1])
+        receiver = load.fleet.network[name]
+        receiver.peers.datagram_received(shorter, host.address)
+        self.assertNotIn("peers.malformed", receiver.telemetry.counters)
+
+    def test_a_restarted_upstream_starts_without_a_limit(self) -> None:
+        load = self.limited(4)
+        host = load.fleet.hosts()[0]
+        before = host.state.upstreams.by_instance["i-3"]
+        after = replace(before, started_at_ms=before.started_at_ms + 1)
+        now_s = load.fleet.clock.now_s()
+        host.eligibility.apply_upstream_change(before, after, now_s)
+        self.assertIsNone(host.eligibility.rate_limits.limit_per_s("i-3"))
