--- a/packages/dev/src/cardamomquay_dev/standins/row_store.py
+++ b/packages/dev/src/cardamomquay_dev/standins/row_store.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 from urllib.parse import parse_qs
@@ -41,6 +43,14 @@
     is_removed: bool = False
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Rows of a store at one version, from which it can be restored."""
+
+    version: int
+    rows: dict[RowId, StoredRow]
+
+
 @dataclass
 class RowStore:
     """Rows with transactions and a feed of changes.
@@ -55,6 +65,8 @@
         Feed reads after an older version get 410.
     calls : list of str
         Paths of all calls so far.
+    era : int
+        Sent with each answer; rises by one with each `restore`.
     """
 
     version: int = 0
@@ -63,6 +75,7 @@
     unanswered_writes_left: int = 0
     oldest_feed_version: int = 0
     calls: list[str] = field(default_factory=list)
+    era: int = 1
     address: tuple[str, int] = ("", 0)
     _change_event: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -82,8 +95,27 @@
         self.rows[(table, "", key)] = StoredRow("", self.version, is_removed=True)
         self._wake_feeds()
 
+    def make_copy(self) -> StoreCopy:
+        """Return a copy for `restore`."""
+        return StoreCopy(self.version, copy.deepcopy(self.rows))
+
+    def restore(self, source: StoreCopy) -> None:
+        """Return to the state of a copy; what was written since is lost.
+
+        The versions since then are given out again.
+        """
+        self.version = source.version
+        self.rows = copy.deepcopy(source.rows)
+        self.era += 1
+        self._wake_feeds()
+
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         """Answer one call."""
+        answer = await self._handle(request)
+        era_header = (b"store-era", b"%d" % self.era)
+        return replace(answer, headers=[*answer.headers, era_header])
+
+    async def _handle(self, request: CallerRequest) -> CallerAnswer:
         parts = urlsplit(request.target.decode())
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         self.calls.append(parts.path)
@@ -112,7 +144,7 @@
 
     async def _feed(self, query: dict[str, str]) -> CallerAnswer:
         after = int(query["after"])
-        if after < self.oldest_feed_version:
+        if after < self.oldest_feed_version or after > self.version:
             return CallerAnswer(410)
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + int(query.get("waitMs", 0)) / 1000.0
