--- a/packages/core/src/cardamomquay/platform/__init__.py
+++ b/packages/core/src/cardamomquay/platform/__init__.py
@@ -21,6 +21,9 @@
 from cardamomquay.platform._memory import MemoryObjectStore
 from cardamomquay.platform._memory import MemoryTableService
 from cardamomquay.platform._memory import TransactionFault
+from cardamomquay.platform._revisions import make_revision
+from cardamomquay.platform._revisions import revision_era
+from cardamomquay.platform._revisions import revision_version
 
 __all__ = [
     "Committed",
@@ -42,4 +45,7 @@
     "TransactionFault",
     "Unavailable",
     "Write",
+    "make_revision",
+    "revision_era",
+    "revision_version",
 ]
--- a/packages/core/src/cardamomquay/rollouts/_rollout.py
+++ b/packages/core/src/cardamomquay/rollouts/_rollout.py
@@ -9,9 +9,11 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from cardamomquay.placement import rendezvous_hash
+from cardamomquay.platform import revision_era
 from cardamomquay.rollouts._orders import RolloutOutcome
 from cardamomquay.rollouts._tally import VersionTallies
 
@@ -122,6 +124,22 @@
             return CANARY_USED_SHARE * self.canary_share
         return STEP_SHARES[self.step - 1]
 
+    def is_continued_by(self, order: RolloutOrder) -> bool:
+        """Return whether an order is this one, as found in a restored store.
+
+        The restored store either still has the order, or the operator has written it
+        again, at another revision.
+        """
+        return revision_era(order.revision) > revision_era(
+            self.order.revision
+        ) and order == replace(self.order, revision=order.revision)
+
+    def continue_as(self, order: RolloutOrder) -> None:
+        """Go on with the same order in a restored store, whose row may be older."""
+        self.order = order
+        self.row_version = 0
+        self.is_recorded = self.is_row_read = False
+
     def uses_new_version(self, object_key: str) -> bool:
         """Return whether requests for an object go to the new version."""
         share = self.share
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -41,6 +41,9 @@
 STORE_READING = LogEvent(
     3103, "store_reading", "The host began or stopped reading the store for its zone."
 )
+STORE_RESTORED = LogEvent(
+    3104, "store_restored", "The store came back from a copy and is in a later era."
+)
 PEER_LOST = LogEvent(4101, "peer_lost", "Another host no longer reports.")
 PEER_REGAINED = LogEvent(4102, "peer_regained", "Another host reports again.")
 ZONE_GATEWAY = LogEvent(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -18,10 +18,13 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.platform import Unavailable
+from cardamomquay.platform import revision_era
+from cardamomquay.platform import revision_version
 from cardamomquay_daemon.edge._events import CONFIG_IN_FORCE
 from cardamomquay_daemon.edge._events import CONFIG_OLDER
 from cardamomquay_daemon.edge._events import STORE_LOST
 from cardamomquay_daemon.edge._events import STORE_REGAINED
+from cardamomquay_daemon.edge._events import STORE_RESTORED
 from cardamomquay_daemon.edge._events import UPSTREAM_CHANGED
 from cardamomquay_daemon.edge._events import ZONE_EVACUATED
 from cardamomquay_daemon.edge._platform_store import RevisionCompacted
@@ -287,6 +290,15 @@
 
     def _apply_operator_changes(self, changes: OperatorChanges, began_s: float) -> None:
         state = self._state
+        if state.orders_revision and (
+            revision_era(changes.revision) > revision_era(state.orders_revision)
+        ):
+            self._telemetry.log(
+                STORE_RESTORED,
+                era=revision_era(changes.revision),
+                version=revision_version(changes.revision),
+                version_before=revision_version(state.orders_revision),
+            )
         state.orders_revision = max(state.orders_revision, changes.revision)
         if (
             changes.is_snapshot
--- a/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
@@ -12,6 +12,7 @@
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay.platform import revision_version
 from cardamomquay.rollouts import Rollout
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay_daemon.edge._events import ROLLOUT_CHANGED
@@ -41,7 +42,10 @@
 
 
 class RolloutRow(msgspec.Struct):
-    """A row of the table of roll-outs; `revision` is the revision of the order."""
+    """A row of the table of roll-outs; `revision` is the store's version of the order.
+
+    Without the era: a restored store has the rows of its orders at the same versions.
+    """
 
     revision: int
     outcome: RolloutOutcome
@@ -87,6 +91,12 @@
         known = self._state.rollouts.get(service)
         if known is not None and known.order.revision >= order.revision:
             return
+        if known is not None and known.is_continued_by(order):
+            known.continue_as(order)
+            self._log(known, "restored")
+            self._rows_read_s = float("-inf")
+            self._has_running_rollouts.set()
+            return
         self._state.rollouts[service] = Rollout(
             order,
             self._clock.now_s(),
@@ -111,7 +121,7 @@
         """Decide on steps and outcomes until cancelled."""
         while True:
             await self._has_running_rollouts.wait()
-            if not self._running_rollouts():
+            if not self._unfinished_rollouts():
                 self._has_running_rollouts.clear()
                 continue
             now_s = self._clock.now_s()
@@ -121,15 +131,16 @@
             )
             if now_s - self._rows_read_s >= period_s:
                 await self._read_rows()
-            for rollout in self._running_rollouts():
+            for rollout in self._unfinished_rollouts():
                 await self._advance(rollout)
             await asyncio.sleep(DECISION_PERIOD_S)
 
-    def _running_rollouts(self) -> list[Rollout]:
+    def _unfinished_rollouts(self) -> list[Rollout]:
+        """Return the roll-outs that run, or whose outcome is not in the store."""
         return [
             rollout
             for rollout in self._state.rollouts.values()
-            if rollout.outcome is RolloutOutcome.RUNNING
+            if rollout.outcome is RolloutOutcome.RUNNING or not rollout.is_recorded
         ]
 
     async def _advance(self, rollout: Rollout) -> None:
@@ -137,7 +148,9 @@
             return
         is_controller = self._is_controller()
         if is_controller and not rollout.is_recorded:
-            await self._commit(rollout, RolloutOutcome.RUNNING)
+            await self._commit(rollout, rollout.outcome)
+        if rollout.outcome is not RolloutOutcome.RUNNING:
+            return
         step = rollout.step
         outcome = rollout.next_outcome(self._clock.now_s(), is_controller)
         if rollout.step != step:
@@ -149,7 +162,7 @@
             await self._commit(rollout, outcome)
 
     async def _commit(self, rollout: Rollout, outcome: RolloutOutcome) -> None:
-        row = RolloutRow(rollout.order.revision, outcome)
+        row = RolloutRow(revision_version(rollout.order.revision), outcome)
         key = RowKey(ROLLOUTS_TABLE, rollout.order.service)
         written = await self._platform.commit_rollout(
             rollout.order.service,
@@ -177,6 +190,7 @@
             rollout.is_row_read = True
             row = rows.get(service)
             if row is None:
+                rollout.row_version = 0
                 continue
             rollout.row_version = row.version
             try:
@@ -184,7 +198,14 @@
             except msgspec.ValidationError as exc:
                 self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
                 continue
-            if stored.revision != rollout.order.revision:
+            if stored.revision != revision_version(rollout.order.revision):
+                continue
+            if (
+                stored.outcome is RolloutOutcome.RUNNING
+                and rollout.outcome is not RolloutOutcome.RUNNING
+            ):
+                # The row is from a copy of the store made before the outcome.
+                rollout.is_recorded = False
                 continue
             rollout.is_recorded = True
             if stored.outcome is not rollout.outcome:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_state.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_state.py
@@ -18,6 +18,8 @@
 class HostState:
     """State that is written by the store feeds and read while requests are handled.
 
+    Revisions include the era of the store; see `cardamomquay.platform.make_revision`.
+
     Parameters
     ----------
     config : TrafficConfig or None
