--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from abc import ABC
 from abc import abstractmethod
 from contextlib import suppress
@@ -66,6 +67,9 @@
 # Entries that lapsed during an outage of the store are removed this long after its end.
 # Upstreams that still run write them again within about 2 s.
 LAPSED_ENTRY_TIMEOUT_S = 2.2
+# After a restore of the store, orders that it has lost stay in force for this long. The
+# operator writes them again; one that is still missing then was withdrawn.
+RESTORED_ORDERS_TIMEOUT_S = 3.0
 
 
 class FeedListener(ABC):
@@ -138,6 +142,9 @@
         self._delta_sequence = 0
         self._failing_feeds: dict[str, str] = {}
         self._store_regained_s = float("-inf")
+        self._restored_s = float("-inf")
+        # Time at which orders still missing in the restored store are withdrawn.
+        self._lost_orders_due_s = math.inf
         # Instances without an entry in the store that are still in this host's state.
         self._lapsed: set[str] = set()
 
@@ -147,10 +154,10 @@
         retry_s = RETRY_DELAY_MIN_S
         while True:
             if after_revision is not None:
-                await self._wait_until_due(
-                    self._orders_missing,
-                    lambda: self._state.orders_confirmed_s + self._orders_age_max_s,
-                )
+                await self._wait_until_due(self._orders_missing, self._orders_due_s)
+            if self._clock.now_s() >= self._lost_orders_due_s:
+                self._lost_orders_due_s = math.inf
+                after_revision = None
             began_s = self._clock.now_s()
             is_long_poll = after_revision is not None and self._is_reader()
             wait_s = self._operator_long_poll_s if is_long_poll else 0.0
@@ -167,6 +174,11 @@
             after_revision = changes.revision
             self._apply_operator_changes(changes, began_s)
 
+    def _orders_due_s(self) -> float:
+        """Return the time at which a host that is not a reader reads the orders."""
+        confirmed_s = self._state.orders_confirmed_s
+        return min(confirmed_s + self._orders_age_max_s, self._lost_orders_due_s)
+
     async def follow_upstreams(self) -> None:
         """Read and apply the upstreams' entries until cancelled."""
         has_snapshot = False
@@ -293,6 +305,7 @@
         if state.orders_revision and (
             revision_era(changes.revision) > revision_era(state.orders_revision)
         ):
+            self._restored_s = self._clock.now_s()
             self._telemetry.log(
                 STORE_RESTORED,
                 era=revision_era(changes.revision),
@@ -310,10 +323,7 @@
         if changes.config is not None:
             self._apply_config(changes.config)
         if changes.is_snapshot:
-            for zone in state.evacuated_zones - set(changes.evacuated):
-                changes.evacuated[zone] = False
-            for service in set(state.rollouts) - set(changes.rollouts):
-                changes.rollouts[service] = None
+            self._withdraw_missing_orders(changes)
         for zone, is_evacuated in changes.evacuated.items():
             if is_evacuated == (zone in state.evacuated_zones):
                 continue
@@ -328,6 +338,20 @@
         state.config_confirmed_s = max(state.config_confirmed_s, began_s)
         state.orders_confirmed_s = max(state.orders_confirmed_s, began_s)
 
+    def _withdraw_missing_orders(self, changes: OperatorChanges) -> None:
+        """Add the withdrawal of orders that a snapshot does not contain.
+
+        After a restore of the store they may have been lost with the latest writes.
+        """
+        zones = self._state.evacuated_zones - set(changes.evacuated)
+        services = set(self._state.rollouts) - set(changes.rollouts)
+        due_s = self._restored_s + RESTORED_ORDERS_TIMEOUT_S
+        if (zones or services) and self._clock.now_s() < due_s:
+            self._lost_orders_due_s = due_s
+            return
+        changes.evacuated.update(dict.fromkeys(zones, False))
+        changes.rollouts.update(dict.fromkeys(services))
+
     def _apply_config(self, config: TrafficConfig) -> None:
         before = self._state.config
         if before is not None and config.version < before.version:
