--- a/packages/core/src/cardamomquay/traffic/_upstreams.py
+++ b/packages/core/src/cardamomquay/traffic/_upstreams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import StrEnum
 
 
@@ -30,6 +31,9 @@
         Reported time for which it is still cold.
     started_at_ms : int
         Unix time of its start in milliseconds; 0 if unknown.
+    sequence : int
+        Number of the report since that start; upstreams that differ only in it compare
+        as equal.
     """
 
     instance: str
@@ -41,6 +45,11 @@
     state: UpstreamState
     warm_up_left_s: float = 0.0
     started_at_ms: int = 0
+    sequence: int = field(default=0, compare=False)
+
+    def is_same_start(self, other: Upstream) -> bool:
+        """Whether both are known to be reports of the same start."""
+        return self.started_at_ms == other.started_at_ms != 0
 
 
 class UpstreamTable:
@@ -55,6 +64,7 @@
         """Add or replace an upstream, and return the previous one."""
         previous = self.by_instance.get(upstream.instance)
         if previous == upstream:
+            self.by_instance[upstream.instance] = upstream
             return previous
         if previous is not None and previous.service != upstream.service:
             self.remove(upstream.instance)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -67,6 +67,12 @@
 # Entries that lapsed during an outage of the store are removed this long after its end.
 # Upstreams that still run write them again within about 2 s.
 LAPSED_ENTRY_TIMEOUT_S = 2.2
+# Entries in a restored store that are older than the known state of their upstreams are
+# not applied for this many heartbeats. Upstreams that still run write them again, and
+# the store removes the others after three heartbeats.
+OUTDATED_ENTRY_HEARTBEATS = 4.0
+# Upstreams that left are remembered for this long; a copy of the store is younger.
+LEFT_UPSTREAM_TIMEOUT_S = 60.0
 # After a restore of the store, orders that it has lost stay in force for this long. The
 # operator writes them again; one that is still missing then was withdrawn.
 RESTORED_ORDERS_TIMEOUT_S = 3.0
@@ -127,6 +133,7 @@
         self._clock = clock
         self._telemetry = telemetry
         self._heartbeat_s = heartbeat_s
+        self._outdated_entry_timeout_s = OUTDATED_ENTRY_HEARTBEATS * heartbeat_s
         self._listener = listener
         self._operator_long_poll_s = min(OPERATOR_LONG_POLL_S, bounds.revoke_s / 4)
         self._upstream_read_period_s = min(UPSTREAM_READ_PERIOD_S, bounds.drain_s / 3)
@@ -147,6 +154,11 @@
         self._lost_orders_due_s = math.inf
         # Instances without an entry in the store that are still in this host's state.
         self._lapsed: set[str] = set()
+        self._entries_restored_s = float("-inf")
+        # Entries in the restored store that are older than the known state.
+        self._outdated: dict[str, Upstream] = {}
+        # Last state of upstreams that left, and when they were removed.
+        self._left: dict[str, tuple[Upstream, float]] = {}
 
     async def follow_operator(self) -> None:
         """Read and apply the operator's changes until cancelled."""
@@ -223,9 +235,9 @@
         while not (
             self._is_reader() or missing.is_set() or self._clock.now_s() >= due_s()
         ):
-            self._remove_lapsed()
+            self._apply_deferred_changes()
             wait_s = due_s() - self._clock.now_s()
-            if self._lapsed:
+            if self._lapsed or self._outdated:
                 wait_s = AGE_CHECK_PERIOD_S
             with suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -378,7 +390,12 @@
             expected_gap_s = max(
                 expected_gap_s, self._upstreams_age_max_s + RETRY_DELAY_MAX_S
             )
-        if state.is_loaded and gap_s > expected_gap_s:
+        was_restored = bool(state.upstreams_revision) and (
+            revision_era(changes.revision) > revision_era(state.upstreams_revision)
+        )
+        if was_restored:
+            self._entries_restored_s = self._clock.now_s()
+        if was_restored or (state.is_loaded and gap_s > expected_gap_s):
             self._store_regained_s = self._clock.now_s()
         state.upstreams_confirmed_s = max(state.upstreams_confirmed_s, began_s)
         state.upstreams_revision = changes.revision
@@ -392,9 +409,13 @@
             present = {upstream.instance for upstream in changes.present}
             removed |= set(state.upstreams.by_instance) - present
         for upstream in changes.present:
-            self._put(upstream)
+            if self._is_outdated(upstream):
+                self._lapsed.discard(upstream.instance)
+                self._outdated[upstream.instance] = upstream
+            else:
+                self._put(upstream)
         self._lapsed |= removed
-        self._remove_lapsed()
+        self._apply_deferred_changes()
 
     @property
     def has_lapsed_entries(self) -> bool:
@@ -405,31 +426,63 @@
         """
         return bool(self._lapsed)
 
-    def _remove_lapsed(self) -> None:
-        """Remove upstreams without an entry in the store.
+    def _is_outdated(self, upstream: Upstream) -> bool:
+        """Whether an entry in a restored store is older than the known state."""
+        now_s = self._clock.now_s()
+        if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
+            return False
+        known = self._state.upstreams.by_instance.get(upstream.instance)
+        if known is not None:
+            return upstream.is_same_start(known) and upstream.sequence < known.sequence
+        left, _ = self._left.get(upstream.instance, (None, 0.0))
+        return (
+            left is not None
+            and upstream.is_same_start(left)
+            and upstream.sequence <= left.sequence
+        )
+
+    def _apply_deferred_changes(self) -> None:
+        """Remove upstreams without an entry, and apply entries that seemed outdated.
 
         After an outage of the store, upstreams first have `LAPSED_ENTRY_TIMEOUT_S` to
-        write their entries again.
+        write their entries again. An outdated entry that is still there after
+        `OUTDATED_ENTRY_HEARTBEATS` is renewed by its upstream.
         """
-        if self._clock.now_s() - self._store_regained_s < LAPSED_ENTRY_TIMEOUT_S:
-            return
-        for instance in self._lapsed:
-            self._remove(instance)
-        self._lapsed.clear()
+        now_s = self._clock.now_s()
+        if now_s - self._store_regained_s >= LAPSED_ENTRY_TIMEOUT_S:
+            for instance in self._lapsed:
+                self._remove(instance)
+            self._lapsed.clear()
+        if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
+            for upstream in tuple(self._outdated.values()):
+                self._put(upstream)
 
     def _put(self, upstream: Upstream) -> None:
         self._lapsed.discard(upstream.instance)
+        self._outdated.pop(upstream.instance, None)
+        self._left.pop(upstream.instance, None)
         before = self._state.upstreams.put(upstream)
         if before != upstream:
             self._record_change(upstream.instance, upstream)
             self._notify_and_log(before, upstream)
 
     def _remove(self, instance: str) -> None:
+        self._outdated.pop(instance, None)
         before = self._state.upstreams.remove(instance)
         if before is not None:
+            self._record_left(before)
             self._record_change(instance, None)
             self._notify_and_log(before, None)
 
+    def _record_left(self, upstream: Upstream) -> None:
+        now_s = self._clock.now_s()
+        oldest_s = now_s - LEFT_UPSTREAM_TIMEOUT_S
+        for instance, (_, removed_s) in tuple(self._left.items()):
+            if removed_s >= oldest_s:
+                break
+            del self._left[instance]
+        self._left[upstream.instance] = (upstream, now_s)
+
     def _record_change(self, instance: str, upstream: Upstream | None) -> None:
         revision = self._state.upstreams_revision
         self.upstream_change_log.record_change(instance, upstream, revision)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_deltas.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_deltas.py
@@ -32,6 +32,7 @@
     is_ready: bool
     warm_up_left_s: float
     started_at_ms: int
+    sequence: int = 0
 
     @classmethod
     def from_upstream(cls, upstream: Upstream) -> UpstreamEntry:
@@ -45,6 +46,7 @@
             upstream.state is UpstreamState.READY,
             upstream.warm_up_left_s,
             upstream.started_at_ms,
+            upstream.sequence,
         )
 
     def to_upstream(self, instance: str) -> Upstream:
@@ -60,6 +62,7 @@
             state,
             self.warm_up_left_s,
             self.started_at_ms,
+            self.sequence,
         )
 
 
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -340,7 +340,7 @@
         self.assertEqual(log.delta(3, now_s).changes, [])
         self.assertTrue(self.feeds.has_lapsed_entries)
         self.clock.advance(LAPSED_ENTRY_TIMEOUT_S + 0.1)
-        self.feeds._remove_lapsed()
+        self.feeds._apply_deferred_changes()
         self.assertFalse(self.feeds.has_lapsed_entries)
         logged = [(c.instance, c.entry) for c in log.delta(3, now_s).changes]
         self.assertEqual(logged, [("i-1", None)])
