--- a/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
@@ -66,10 +66,24 @@
 
     async def register(self) -> None:
         """Write this host's row, and retry until the store confirms it."""
+        while not await self._write_own_row():
+            await asyncio.sleep(RETRY_DELAY_S)
+
+    async def register_again(self) -> bool:
+        """Write this host's row if it is missing; return False if a call fails.
+
+        A store that was restored from a copy has lost the rows of hosts that started
+        after the copy was made. Hosts that start later would not find them.
+        """
+        if not await self.read():
+            return False
+        return self.is_registered or await self._write_own_row()
+
+    async def _write_own_row(self) -> bool:
         key = RowKey(HOSTS_TABLE, self._own.name)
         write = Transaction((), (Write(key, msgspec.to_builtins(self._own_row())),))
-        while isinstance(await self._platform.transact(write), Unavailable):
-            await asyncio.sleep(RETRY_DELAY_S)
+        written = await self._platform.transact(write)
+        return not isinstance(written, Unavailable)
 
     def _own_row(self) -> HostRow:
         own = self._own
@@ -82,6 +96,7 @@
         result = await self._platform.scan(HOSTS_TABLE)
         if isinstance(result, Unavailable):
             return False
+        self.is_registered = False
         for row in result.rows:
             try:
                 host = msgspec.convert(row.value, HostRow)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -23,6 +23,7 @@
 from cardamomquay.fleet import HostPhase
 from cardamomquay.fleet import HostRecord
 from cardamomquay.placement import short_id
+from cardamomquay.platform import revision_era
 from cardamomquay_daemon.edge._events import PEER_LOST
 from cardamomquay_daemon.edge._events import PEER_REGAINED
 from cardamomquay_daemon.edge._events import ROW_REJECTED
@@ -307,6 +308,7 @@
         """Find other hosts, register this one and send reports until cancelled."""
         await self._discover_hosts()
         read_s = self._clock.now_s()
+        era = revision_era(self._state.orders_revision)
         self.report()
         # Hosts may start together. If all reported at the same moment, the requests of
         # a whole period would be counted at once.
@@ -318,6 +320,12 @@
             ):
                 read_s = now_s
                 await self._host_table.read()
+            # The era of the first read counts as known.
+            latest_era = revision_era(self._state.orders_revision)
+            if latest_era != era and (
+                not era or await self._host_table.register_again()
+            ):
+                era = latest_era
             self.report()
             await asyncio.sleep(REPORT_PERIOD_S - ZONE_REPORT_LEAD_S)
             self.report_to_zone()
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -26,6 +26,8 @@
 from cardamomquay.platform import Row
 from cardamomquay.platform import RowKey
 from cardamomquay.platform import Transaction
+from cardamomquay.platform import Unavailable
+from cardamomquay.platform import make_revision
 from cardamomquay.traffic import Organisation
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge._eligibility import Eligibility
@@ -323,6 +325,44 @@
         self.assertEqual(await self.start(), [])
         self.assertTrue(self.host.state.has_read_hosts)
 
+    async def run_until_idle(self) -> None:
+        """Run reports without pauses for a moment."""
+        sleep = asyncio.sleep
+        with mock.patch(
+            "cardamomquay_daemon.edge._peers.asyncio.sleep", lambda _: sleep(0.001)
+        ):
+            task = asyncio.create_task(self.host.peers.run())
+            await sleep(0.02)
+            self.host.state.orders_revision = make_revision(2, 5)
+            self.host.platform.rows = dict(self.restored_rows)
+            await sleep(0.05)
+            task.cancel()
+
+    async def test_a_host_whose_row_was_lost_registers_again(self) -> None:
+        self.put_row("h2")
+        self.restored_rows = dict(self.host.platform.rows)
+        self.put_row("h1")
+        for name, lost_answers, expected in (("at once", 0, 1), ("later", 2, 3)):
+            with self.subTest(name):
+                lost = [Unavailable("no_answer")] * lost_answers
+                transact = mock.AsyncMock(side_effect=[*lost, Committed(1)])
+                self.host.state.orders_revision = make_revision(1, 9)
+                self.put_row("h1")
+                with mock.patch.object(self.host.platform, "transact", transact):
+                    await self.run_until_idle()
+                written = [call.args[0] for call in transact.call_args_list]
+                keys = [transaction.writes[0].key.key for transaction in written]
+                self.assertEqual(keys, ["h1"] * expected)
+
+    async def test_a_host_whose_row_was_kept_does_not_write_again(self) -> None:
+        self.put_row("h1")
+        self.restored_rows = dict(self.host.platform.rows)
+        self.host.state.orders_revision = make_revision(1, 9)
+        transact = mock.AsyncMock()
+        with mock.patch.object(self.host.platform, "transact", transact):
+            await self.run_until_idle()
+        transact.assert_not_called()
+
     async def test_a_first_host_waits_for_its_registration(self) -> None:
         self.assertEqual(len(await self.start()), 1)
         self.assertFalse(self.host.state.has_read_hosts)
