--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -67,6 +67,12 @@
 # Entries that lapsed during an outage of the store are removed this long after its end.
 # Upstreams that still run write them again within about 2 s.
 LAPSED_ENTRY_TIMEOUT_S = 2.2
+# A host may have read its first configuration from a store that was restored from an
+# older copy. It hears from all other hosts within this time after its start.
+FIRST_REPORTS_S = 3.0
+# Reads that do not show the newest version reported by another host are no evidence for
+# this long; the operator writes it to the store again.
+REPORTED_CONFIG_TIMEOUT_S = 10.0
 # Entries in a restored store that are older than the known state of their upstreams are
 # not applied for this many heartbeats. Upstreams that still run write them again, and
 # the store removes the others after three heartbeats.
@@ -154,6 +160,9 @@
         self._lost_orders_due_s = math.inf
         # Instances without an entry in the store that are still in this host's state.
         self._lapsed: set[str] = set()
+        self._started_s = clock.now_s()
+        # Newest version that another host has reported, and when it was first reported.
+        self._reported_config = (0, math.inf)
         self._entries_restored_s = float("-inf")
         # Entries in the restored store that are older than the known state.
         self._outdated: dict[str, Upstream] = {}
@@ -263,6 +272,29 @@
             self._state.orders_confirmed_s, confirmed_s
         )
 
+    def record_reported_config(self, version: int) -> None:
+        """Record the version of the configuration that another host has in force.
+
+        Parameters
+        ----------
+        version : int
+            0 if it has none.
+        """
+        now_s = self._clock.now_s()
+        if version > self._reported_config[0]:
+            self._reported_config = (version, now_s)
+        has_started = now_s - self._started_s >= FIRST_REPORTS_S
+        if not has_started and self._is_config_outdated():
+            self._state.config_confirmed_s = -math.inf
+
+    def _is_config_outdated(self, before_s: float = math.inf) -> bool:
+        """Whether another host reported a newer configuration, before a given time."""
+        config = self._state.config
+        version, reported_s = self._reported_config
+        is_recent = self._clock.now_s() - reported_s < REPORTED_CONFIG_TIMEOUT_S
+        is_older = config is not None and config.version < version
+        return is_older and is_recent and reported_s < before_s
+
     def apply_upstream_delta(
         self, source: tuple[str, int], delta: UpstreamDelta, confirmed_s: float
     ) -> None:
@@ -347,7 +379,9 @@
             self._telemetry.log(ZONE_EVACUATED, zone=zone, is_evacuated=is_evacuated)
         for service, order in changes.rollouts.items():
             self._listener.on_rollout(service, order)
-        state.config_confirmed_s = max(state.config_confirmed_s, began_s)
+        # A read that does not show what other hosts had read before proves nothing.
+        if not self._is_config_outdated(began_s):
+            state.config_confirmed_s = max(state.config_confirmed_s, began_s)
         state.orders_confirmed_s = max(state.orders_confirmed_s, began_s)
 
     def _withdraw_missing_orders(self, changes: OperatorChanges) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from contextlib import suppress
 from dataclasses import replace
@@ -195,6 +196,7 @@
             peer.report_clock_ms = report.report_clock_ms
         peer.phase = HostPhase(report.phase)
         peer.config_version = report.config_version
+        self._feeds.record_reported_config(report.config_version)
         return True
 
     def _apply_rollouts(self, peer: Peer, report: Report | HostDigest) -> None:
@@ -497,7 +499,8 @@
         own = self._fleet.own
         name = peer.record.name
         config = self._state.config
-        evidence_age_s = now_s - self._state.config_confirmed_s
+        confirmed_s = self._state.config_confirmed_s
+        has_evidence = config is not None and confirmed_s > -math.inf
         full_sent_s = self._full_usage_sent_s.get(name, float("-inf"))
         is_full = (
             content.usage is not None and now_s - full_sent_s >= FULL_USAGE_PERIOD_S
@@ -516,7 +519,7 @@
             self._clock_to_echo_ms.get(name, 0),
             config.version if config else 0,
             self._usage.names_hash,
-            int(evidence_age_s * 1000) if config else -1,
+            int((now_s - confirmed_s) * 1000) if has_evidence else -1,
             None
             if has_reported
             else (own.name, own.caller_address, own.peer_port, own.zone, own.region),
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -127,7 +127,7 @@
         refer.
     evidence_age_ms : int
         Age of the evidence that no newer configuration had been accepted; -1 if the
-        sender has no configuration.
+        sender has none.
     sender : tuple or None
         Name, address for callers, port for reports, zone and region of the sender,
         until the other host has sent a report back.
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import unittest
 from dataclasses import dataclass
 from dataclasses import field
@@ -30,6 +31,7 @@
 from cardamomquay_daemon.edge import UpstreamChanges
 from cardamomquay_daemon.edge._feeds import AGE_CHECK_PERIOD_S
 from cardamomquay_daemon.edge._feeds import LAPSED_ENTRY_TIMEOUT_S
+from cardamomquay_daemon.edge._feeds import REPORTED_CONFIG_TIMEOUT_S
 from cardamomquay_daemon.edge._feeds import UPSTREAM_READ_PERIOD_S
 from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
@@ -204,6 +206,58 @@
         self.assertEqual(names.count("store_lost"), 1)
 
 
+class RestoredConfigTest(FeedCase):
+    """Guards against keys of an older configuration on a host that has just started.
+
+    The store was restored from a copy older than the configuration of other hosts, and
+    the operator has not written it again yet.
+    """
+
+    async def read(self, *changes: OperatorChanges) -> bool:
+        """Read the store; return whether its configuration counts as current."""
+        self.platform.operator = list(changes)
+        await self.run_script(self.feeds.follow_operator())
+        return self.clock.now_s() - self.state.config_confirmed_s < 1.0
+
+    async def start(self) -> None:
+        older = operator_changes(1, is_snapshot=True, version=5)
+        self.assertTrue(await self.read(older))
+
+    async def test_a_host_that_starts_does_not_trust_the_older_configuration(
+        self,
+    ) -> None:
+        await self.start()
+        self.feeds.record_reported_config(6)
+        self.assertEqual(self.state.config_confirmed_s, -math.inf)
+        self.clock.advance(1.0)
+        self.assertFalse(await self.read(operator_changes(1)))
+        self.clock.advance(1.0)
+        self.assertTrue(await self.read(operator_changes(2, version=6)))
+
+    async def test_a_report_before_the_first_read_counts(self) -> None:
+        self.feeds.record_reported_config(6)
+        self.clock.advance(0.1)
+        older = operator_changes(1, is_snapshot=True, version=5)
+        self.assertFalse(await self.read(older))
+
+    async def test_a_version_that_is_not_written_again_is_given_up(self) -> None:
+        await self.start()
+        self.feeds.record_reported_config(6)
+        self.clock.advance(REPORTED_CONFIG_TIMEOUT_S + 0.1)
+        self.feeds.record_reported_config(6)
+        self.assertTrue(await self.read(operator_changes(1)))
+
+    async def test_a_host_that_has_run_for_long_keeps_its_evidence(self) -> None:
+        await self.start()
+        self.clock.advance(20.0)
+        self.assertTrue(await self.read(operator_changes(1)))
+        # Other hosts may get a new configuration a moment earlier.
+        self.feeds.record_reported_config(6)
+        self.assertEqual(self.state.config_confirmed_s, self.clock.now_s())
+        self.clock.advance(2.0)
+        self.assertFalse(await self.read(operator_changes(1)))
+
+
 class UpstreamFeedTest(FeedCase):
     """Guards against upstreams lost in an outage of the store, or kept too long."""
 
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -165,12 +165,21 @@
 
     def test_evidence_of_another_version_is_ignored(self) -> None:
         self.exchange()
+        # A host that has just started drops its own evidence as well.
+        self.clock.advance(20.0)
         self.one.state.config_confirmed_s = 90.0
         self.two.state.config = config(version=2)
         self.two.state.config_confirmed_s = 100.0
         self.exchange()
         self.assertEqual(self.one.state.config_confirmed_s, 90.0)
 
+    def test_a_newer_configuration_of_another_host_is_no_evidence_for_an_older_one(
+        self,
+    ) -> None:
+        self.two.state.config = config(version=2)
+        self.exchange()
+        self.assertEqual(self.one.state.config_confirmed_s, float("-inf"))
+
     def test_requests_of_other_hosts_are_counted(self) -> None:
         self.exchange()
         organisation = config().organisations["salsa"]
