--- a/packages/core/src/cardamomquay/fleet_limits/_upstream_rate_limits.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_upstream_rate_limits.py
@@ -69,14 +69,14 @@
     Parameters
     ----------
     name : str
-    is_near : bool
-        Whether it is in the upstream's region; those hosts use the upstream first.
+    region : str
+        Hosts in the upstream's region use the upstream first.
     is_live : bool
         Whether it has reported recently.
     """
 
     name: str
-    is_near: bool
+    region: str
     is_live: bool
 
 
@@ -193,32 +193,25 @@
         known.latest = observation
         return has_changed
 
-    def may_send(
-        self, instance: str, hosts: Callable[[], Sequence[SharingHost]], now_s: float
-    ) -> bool:
-        """Return whether this host may send a request to an upstream now.
+    def wait_s(
+        self,
+        instance: str,
+        region: str | None,
+        hosts: Callable[[], Sequence[SharingHost]],
+        now_s: float,
+    ) -> float:
+        """Return the time until this host may send a request to an upstream.
 
         Parameters
         ----------
         instance : str
+        region : str or None
+            Region of the upstream.
         hosts : callable
             Returns the hosts among which the limit is divided. A limit is left to the
             others if this host is not one of them.
         now_s : float
 
-        Returns
-        -------
-        bool
-        """
-        return self.wait_s(instance, hosts, now_s) <= 0.0
-
-    def wait_s(
-        self, instance: str, hosts: Callable[[], Sequence[SharingHost]], now_s: float
-    ) -> float:
-        """Return the time until this host may send a request to an upstream.
-
-        The parameters are those of `may_send`.
-
         Returns
         -------
         float
@@ -233,8 +226,9 @@
         if known.latest.per_s is None:
             return 0.0
         if not known.shared_s <= now_s < known.shared_s + SHARE_PERIOD_S:
+            limit_per_s = max(LIMIT_MIN_PER_S, known.latest.per_s)
             known.share_per_s = self._share_per_s(
-                instance, max(LIMIT_MIN_PER_S, known.latest.per_s), hosts()
+                instance, region, limit_per_s, hosts()
             )
             known.shared_s = now_s
         elapsed_s = max(0.0, now_s - known.refilled_s)
@@ -247,24 +241,31 @@
         return (1.0 - known.tokens) / known.share_per_s
 
     def _share_per_s(
-        self, instance: str, limit_per_s: float, hosts: Sequence[SharingHost]
+        self,
+        instance: str,
+        region: str | None,
+        limit_per_s: float,
+        hosts: Sequence[SharingHost],
     ) -> float:
         """Return the part of a limit that this host may use."""
+
+        def rank(host: SharingHost) -> tuple[bool, int]:
+            return host.region == region, rendezvous_hash(instance, host.name)
+
         own = next((host for host in hosts if host.name == self._host), None)
         if own is None:
             return 0.0
         users = min(len(hosts), int(BURST_REQUESTS + BURST_S * limit_per_s))
-        own_rank = self._rank(instance, own)
-        higher = [host for host in hosts if self._rank(instance, host) > own_rank]
-        if len(higher) < users:
-            return limit_per_s / users
-        if sum(host.is_live for host in higher) < users:
-            return STAND_IN_SHARE * limit_per_s / users
-        return 0.0
-
-    @staticmethod
-    def _rank(instance: str, host: SharingHost) -> tuple[bool, int]:
-        return host.is_near, rendezvous_hash(instance, host.name)
+        own_rank = rank(own)
+        higher = live_higher = 0
+        for host in hosts:
+            if rank(host) > own_rank:
+                higher += 1
+                live_higher += host.is_live
+                if live_higher == users:
+                    return 0.0
+        share_per_s = limit_per_s / users
+        return share_per_s if higher < users else STAND_IN_SHARE * share_per_s
 
     def record_sent(self, instance: str) -> None:
         """Record that this host sends a request to an upstream."""
--- a/packages/core/tests/fleet_limits/test_upstream_rate_limits.py
+++ b/packages/core/tests/fleet_limits/test_upstream_rate_limits.py
@@ -11,12 +11,16 @@
 
 NAMES = tuple(f"h{number}" for number in range(60))
 LIMIT_PER_S = 2.0
+REGION = "A"
 
 
 def hosts(
     silent: tuple[str, ...] = (), near: tuple[str, ...] = ()
 ) -> list[SharingHost]:
-    return [SharingHost(name, name in near, name not in silent) for name in NAMES]
+    return [
+        SharingHost(name, REGION if name in near else "B", name not in silent)
+        for name in NAMES
+    ]
 
 
 def rates_per_s(sharing: list[SharingHost], seconds: float = 40.0) -> dict[str, float]:
@@ -29,7 +33,7 @@
             now_s = step / 10.0
             if step % 100 == 0:
                 limits.record_answer("i", LIMIT_PER_S, now_s)
-            if limits.wait_s("i", lambda: sharing, now_s) <= 0.0:
+            if limits.wait_s("i", REGION, lambda: sharing, now_s) <= 0.0:
                 limits.record_sent("i")
                 count += 1
         rates[name] = count / seconds
@@ -64,7 +68,7 @@
     def test_a_host_that_is_leaving_has_no_share(self) -> None:
         limits = UpstreamRateLimits("leaving")
         limits.record_answer("i", LIMIT_PER_S, 0.0)
-        self.assertEqual(limits.wait_s("i", hosts, 1.0), math.inf)
+        self.assertEqual(limits.wait_s("i", REGION, hosts, 1.0), math.inf)
 
 
 class ObservationsTest(unittest.TestCase):
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -47,6 +47,8 @@
 # An unreachable upstream may be replaced by a cold one, whose entry takes up to this
 # long to arrive.
 ENTRY_DELAY_S = 2.5
+# Time for which the list of hosts that share rate limits is reused.
+SHARING_HOSTS_PERIOD_S = 0.2
 # Number of upstreams whose rate limits fit into one report beside its other content.
 RATE_LIMITS_MAX = 60
 
@@ -87,6 +89,7 @@
         self._overload_control = OverloadControl(random.Random())
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
+        self._listed_hosts: tuple[float, list[SharingHost]] = (-math.inf, [])
         self._by_short_id: dict[int, str] = {}
         self._cold_until_s: dict[str, float] = {}
         self._accepted_versions: dict[str, set[str]] = {}
@@ -330,28 +333,33 @@
         """Return the upstreams whose rate limit is used up, with the time to wait."""
         if not len(self.rate_limits):
             return {}
+        hosts = partial(self._sharing_hosts, now_s)
         waits_s = {
             upstream.instance: self.rate_limits.wait_s(
-                upstream.instance, partial(self._sharing_hosts, upstream, now_s), now_s
+                upstream.instance, self._placement.region_of(upstream), hosts, now_s
             )
             for upstream in upstreams
             if upstream.instance in self.rate_limits
         }
         return {instance: wait_s for instance, wait_s in waits_s.items() if wait_s > 0}
 
-    def _sharing_hosts(self, upstream: Upstream, now_s: float) -> list[SharingHost]:
-        """Return the hosts that may use a part of an upstream's rate limit."""
-        region = self._placement.region_of(upstream)
+    def _sharing_hosts(self, now_s: float) -> list[SharingHost]:
+        """Return the hosts that may use parts of upstreams' rate limits.
+
+        The list is up to `SHARING_HOSTS_PERIOD_S` old.
+        """
+        listed_s, hosts = self._listed_hosts
+        if listed_s <= now_s < listed_s + SHARING_HOSTS_PERIOD_S:
+            return hosts
         fleet = self._fleet
         hosts = [
-            SharingHost(
-                peer.record.name, peer.record.region == region, peer.is_live(now_s)
-            )
+            SharingHost(peer.record.name, peer.record.region, peer.is_live(now_s))
             for peer in fleet.peers.values()
             if peer.phase is not HostPhase.LEAVING and not peer.is_gone(now_s)
         ]
         if fleet.own_phase is not HostPhase.LEAVING:
-            hosts.append(SharingHost(fleet.own.name, fleet.own.region == region, True))
+            hosts.append(SharingHost(fleet.own.name, fleet.own.region, is_live=True))
+        self._listed_hosts = (now_s, hosts)
         return hosts
 
     def _live_peers(self, now_s: float) -> list[str]:
--- a/packages/daemon/tests/edge/test_upstream_rate_limits.py
+++ b/packages/daemon/tests/edge/test_upstream_rate_limits.py
@@ -259,7 +259,7 @@
         load.fleet.run(16.0)
         for host in load.fleet.hosts():
             now_s = load.fleet.clock.now_s()
-            wait_s = host.eligibility.rate_limits.wait_s("i-3", list, now_s)
+            wait_s = host.eligibility.rate_limits.wait_s("i-3", None, list, now_s)
             self.assertEqual(wait_s, 0.0)
 
 
