--- a/review/harness.py
+++ b/review/harness.py
@@ -307,6 +307,16 @@
         }
         self.bed.store.put("servers", self.instance, encode(entry))
 
+    def rejects(self) -> bool:
+        """Return whether the server turns the next request away."""
+        return False
+
+    async def reject(self, request_id: str, writer: asyncio.StreamWriter) -> None:
+        """Turn a request away, and say that it has not run."""
+        headers = {"X-Request-Id": request_id, "X-Not-Executed": "full"}
+        writer.write(message("HTTP/1.1 503 Service Unavailable", headers))
+        await writer.drain()
+
     def kill(self) -> None:
         """End without a word, as in a crash."""
         if self._server is not None:
@@ -329,6 +339,9 @@
                     echo["X-Not-Executed"] = "1"
                     writer.write(message("HTTP/1.1 421 X", echo))
                     continue
+                if self.rejects():
+                    await self.reject(request_id, writer)
+                    continue
                 run = Run(
                     request_id,
                     self.instance,
@@ -409,7 +422,12 @@
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def request(
-        self, method: str, path: str, body: bytes = b"", deadline_s: float = 4.0
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        deadline_s: float = 4.0,
+        cookie: str = "",
     ) -> Answer:
         """Send a request and return its answer."""
         request_id = self._bed.next_id()
@@ -419,6 +437,8 @@
             "X-Deadline-Ms": str(int(deadline_s * 1000)),
             "Authorization": f"Bearer {self._key}",
         }
+        if cookie:
+            headers["Cookie"] = f"X-Affinity-Key={cookie}"
         sent_s = self._bed.record.now_s()
         self._bed.record.write(
             f"sent {request_id} {method} {path} to {self._edge.name}"
