--- a/review/harness.py
+++ b/review/harness.py
@@ -406,6 +406,7 @@
     sent_s: float
     answered_s: float
     path: str
+    edge: str
     # Whether the connection had carried an earlier request.
     was_kept: bool
     reason: str = ""
@@ -468,6 +469,7 @@
             sent_s,
             answered_s,
             path,
+            self._edge.name,
             was_kept,
             reason,
         )
