--- a/review/harness.py
+++ b/review/harness.py
@@ -103,6 +103,20 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
+async def write_paced(
+    writer: asyncio.StreamWriter, data: bytes, bytes_per_s: float | None
+) -> None:
+    """Write data, in pieces of a hundredth of a second if there is a rate."""
+    size = len(data) if bytes_per_s is None else int(bytes_per_s / 100)
+    began_s = time.monotonic()
+    for start in range(0, len(data), size):
+        writer.write(data[start : start + size])
+        await writer.drain()
+        if bytes_per_s is not None:
+            due_s = began_s + (start + size) / bytes_per_s
+            await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+
+
 class Record:
     """Events of a run, in `record.txt`."""
 
@@ -428,9 +442,9 @@
         path: str,
         body: bytes = b"",
         deadline_s: float = 4.0,
-        cookie: str = "",
+        bytes_per_s: float | None = None,
     ) -> Answer:
-        """Send a request and return its answer."""
+        """Send a request, at most so many bytes a second, and return its answer."""
         request_id = self._bed.next_id()
         headers = {
             "Host": HOST,
@@ -438,8 +452,6 @@
             "X-Deadline-Ms": str(int(deadline_s * 1000)),
             "Authorization": f"Bearer {self._key}",
         }
-        if cookie:
-            headers["Cookie"] = f"X-Affinity-Key={cookie}"
         sent_s = self._bed.record.now_s()
         self._bed.record.write(
             f"sent {request_id} {method} {path} to {self._edge.name}"
@@ -452,7 +464,8 @@
                     ip, port = self._edge.front.split(":")
                     self._streams = await asyncio.open_connection(ip, int(port))
                 reader, writer = self._streams
-                writer.write(message(f"{method} {path} HTTP/1.1", headers, body))
+                data = message(f"{method} {path} HTTP/1.1", headers, body)
+                await write_paced(writer, data, bytes_per_s)
                 first, found, data = await read_message(reader)
                 status = int(first.split(" ")[1])
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as exc:
