--- a/review/harness.py
+++ b/review/harness.py
@@ -270,6 +270,8 @@
 
     Parameters
     ----------
+    slots, queue : int
+        Requests that it runs, and that it queues; it turns further ones away.
     answer : callable, optional
         Gets the run and the writer, and sends the answer in its own way.
     """
@@ -282,6 +284,7 @@
         zone: str,
         work_s: float = 0.05,
         slots: int = 8,
+        queue: int = 24,
     ) -> None:
         self.bed = bed
         self.instance = instance
@@ -289,6 +292,9 @@
         self.zone = zone
         self.work_s = work_s
         self.slots = slots
+        self.queue = queue
+        self.waiting = 0
+        self._free_slots = asyncio.Semaphore(slots)
         self.version = "v1"
         self.state = "ready"
         self.running = 0
@@ -321,10 +327,6 @@
         }
         self.bed.store.put("servers", self.instance, encode(entry))
 
-    def rejects(self) -> bool:
-        """Return whether the server turns the next request away."""
-        return False
-
     async def reject(self, request_id: str, writer: asyncio.StreamWriter) -> None:
         """Turn a request away, and say that it has not run."""
         headers = {"X-Request-Id": request_id, "X-Not-Executed": "full"}
@@ -353,9 +355,17 @@
                     echo["X-Not-Executed"] = "1"
                     writer.write(message("HTTP/1.1 421 X", echo))
                     continue
-                if self.rejects():
+                if self.running + self.waiting >= self.slots + self.queue:
                     await self.reject(request_id, writer)
                     continue
+                self.waiting += 1
+                try:
+                    await self._free_slots.acquire()
+                finally:
+                    self.waiting -= 1
+                if reader.at_eof() or writer.transport.is_closing():
+                    self._free_slots.release()
+                    return
                 run = Run(
                     request_id,
                     self.instance,
@@ -373,6 +383,7 @@
                         return
                 finally:
                     self.running -= 1
+                    self._free_slots.release()
                 if self.answer is not None:
                     if await self.answer(run, writer):
                         return
@@ -403,7 +414,7 @@
         headers = {
             "X-Request-Id": run.request_id,
             "X-Response-Signature": f"sig.{run.request_id}",
-            "X-Server-Load": f"{self.running},0,{self.slots}",
+            "X-Server-Load": f"{self.running},{self.waiting},{self.slots}",
             **self.extra_headers,
         }
         return message("HTTP/1.1 200 OK", headers, f"body of {run.request_id}".encode())
@@ -727,13 +738,17 @@
     case = Path(case_file).resolve().parent
 
     async def main() -> int:
+        # If it is told to end, it first ends the processes that it has started.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as folder:
             bed = Bed(case, Path(folder))
             await bed.store.start()
             try:
                 async with asyncio.timeout(110.0):
                     broken = await play(bed, has_trouble)
-            except Exception as exc:
+            except (Exception, asyncio.CancelledError) as exc:
                 bed.record.write(f"could not run: {exc!r}")
                 print(f"could not run: {exc!r}")
                 return 2
