Reject documents that are nested deeper than Python recurses

Cause: msgspec raises RecursionError, no ValueError, for such a document, also if the nested field is one that the type does not have.

--- a/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
@@ -12,6 +12,7 @@
 from cardamomquay_daemon.edge._caller_protocol import CallerProtocol
 from cardamomquay_daemon.edge._caller_protocol import LookupRequest
 from cardamomquay_daemon.edge._connection_pool import ConnectionPool
+from cardamomquay_daemon.edge._decoding import decode_json
 from cardamomquay_daemon.edge._events import ROW_REJECTED
 from cardamomquay_daemon.edge._header_names import HeaderNames
 from cardamomquay_daemon.edge._host import EdgeHost
@@ -50,5 +51,6 @@
     "PlatformStore",
     "ReadLimits",
     "UpstreamChanges",
+    "decode_json",
     "run_edge",
 ]
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -144,7 +144,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
             report = self._decoder.decode(data)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             self._telemetry.count("peers.malformed")
             self._telemetry.log(ROW_REJECTED, source="peer", error=str(exc))
             return
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -223,6 +223,15 @@
             self.one.peers.datagram_received(data, ("h9", 7000))
         self.assertEqual(self.one.telemetry.counters["peers.malformed"], 4)
 
+    def test_a_deeply_nested_report_counts_as_malformed(self) -> None:
+        report = msgspec.to_builtins(Report(1, 1, 1, 0, 1, 1, -1))
+        for nested in (b"\x91" * 1000, b"\x91" * 1000 + b"\x01"):
+            with self.subTest(nested[-1:]):
+                # A field that a later version of the report may add.
+                data = msgspec.msgpack.encode([*report, 0])[:-1] + nested
+                self.one.peers.datagram_received(data, ("h9", 7000))
+        self.assertEqual(self.one.telemetry.counters["peers.malformed"], 2)
+
     def test_an_old_report_does_not_undo_a_new_one(self) -> None:
         self.exchange()
         self.two.peers.report()
