Let an unreadable row of an own table be replaced

Cause: a conflict returns the rows in conflict, and converting an unreadable one raised ValueError out of the write, which ended the task of the roll-outs. The scan left the row out, so that the host took it for missing and tried to write it as a new one, in conflict each time.

Change: an unreadable row has its version and no value.

--- a/packages/core/src/cardamomquay/platform/_interfaces.py
+++ b/packages/core/src/cardamomquay/platform/_interfaces.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Row:
-    """A row as read; version 0 and value None if the row does not exist.
+    """A row as read; version 0 if it does not exist.
 
     Parameters
     ----------
@@ -34,7 +34,7 @@
     version : int
         Revision of the commit that last wrote the row.
     value : dict or None
-        JSON object.
+        JSON object; None if the row does not exist or cannot be read.
     """
 
     key: RowKey
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
@@ -101,6 +101,7 @@
             try:
                 host = msgspec.convert(row.value, HostRow)
             except msgspec.ValidationError as exc:
+                self._telemetry.count("rows.rejected")
                 self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
                 continue
             if row.key.key == self._own.name:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_rollout_control.py
@@ -206,6 +206,7 @@
             try:
                 stored = msgspec.convert(row.value, RolloutRow)
             except msgspec.ValidationError as exc:
+                self._telemetry.count("rows.rejected")
                 self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
                 continue
             if stored.revision != revision_version(rollout.order.revision):
