Reject addresses and names that fail only when they are used

Callers saw three of four requests fail with 500 while other writers' entries had a port out of range or a host name that cannot be resolved.

Cause: an address was accepted with any digits as its port and any text as its IP address. Opening a connection then raises OverflowError, UnicodeError or ValueError, which are not failures to connect for the code above, so that the request ended without a second attempt. The same in the table of hosts closes the socket of the reports: asyncio ends a datagram transport when sending raises something other than OSError. A key with a line break as the name of an upstream, and such a name of an organisation, cannot be sent as a header.

Change: addresses must be an IPv4 address and a port from 1 to 65535, and names printable; entries, rows of hosts and organisations without are skipped.

StartTest names its hosts by IP addresses now, since it uses the names as addresses; what it checks is unchanged.

--- a/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from cardamomquay_daemon.edge._addresses import check_header_value
+from cardamomquay_daemon.edge._addresses import parse_address
 from cardamomquay_daemon.edge._caller_conn import CallerAnswer
 from cardamomquay_daemon.edge._caller_conn import CallerConnection
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
@@ -51,6 +53,8 @@
     "PlatformStore",
     "ReadLimits",
     "UpstreamChanges",
+    "check_header_value",
     "decode_json",
+    "parse_address",
     "run_edge",
 ]
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
@@ -12,6 +12,8 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay_daemon.edge._addresses import check_address
+from cardamomquay_daemon.edge._addresses import parse_address
 from cardamomquay_daemon.edge._events import ROW_REJECTED
 
 if TYPE_CHECKING:
@@ -33,6 +35,12 @@
     zone: str
     region: str
 
+    def __post_init__(self) -> None:
+        # A datagram to an invalid address would end the exchange with all hosts.
+        check_address(self.peer_ip, self.peer_port)
+        if self.caller_address:
+            parse_address(self.caller_address)
+
 
 class HostTable:
     """Reads the hosts of the fleet, and registers this one.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from cardamomquay_daemon.edge._addresses import parse_address
 from cardamomquay_daemon.edge._connection_pool import ConnectionPool
 
 if TYPE_CHECKING:
@@ -73,18 +74,6 @@
             self.drop(instance)
 
 
-def parse_address(address: str) -> tuple[str, int]:
-    """Parse ``ip:port``.
-
-    Raises
-    ------
-    ValueError
-        If there is no port.
-    """
-    ip, _, port = address.rpartition(":")
-    return ip, int(port)
-
-
 def _keep_alive_timeout_s(answer: HttpAnswer) -> float:
     value = answer.header(b"keep-alive") or b""
     for item in value.split(b","):
--- a/packages/daemon/tests/edge/test_http_client.py
+++ b/packages/daemon/tests/edge/test_http_client.py
@@ -12,7 +12,7 @@
 from cardamomquay_daemon.edge import ExchangeError
 from cardamomquay_daemon.edge import HttpAnswer
 from cardamomquay_daemon.edge import HttpConnection
-from cardamomquay_daemon.edge._upstream_connections import parse_address
+from cardamomquay_daemon.edge._addresses import parse_address
 
 ID_HEADER = (b"request-id", b"id-1")
 HEADERS = [(b"host", b"h"), ID_HEADER]
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -304,7 +304,7 @@
     """Guards against a host that serves before it knows who shares its quotas."""
 
     def setUp(self) -> None:
-        self.host = Host("h1", ManualClock(100.0), {})
+        self.host = Host("10.0.0.1", ManualClock(100.0), {})
         self.host.state.has_read_hosts = False
 
     def put_row(self, name: str) -> None:
@@ -335,14 +335,29 @@
     async def test_a_host_reports_although_its_registration_is_not_answered(
         self,
     ) -> None:
-        self.put_row("h2")
+        self.put_row("10.0.0.2")
         self.assertEqual(len(await self.start()), 1)
         self.assertTrue(self.host.state.has_read_hosts)
-        self.assertIn("h2", [name for _, name in self.host.sent])
+        self.assertIn("10.0.0.2", [name for _, name in self.host.sent])
+
+    async def test_rows_with_an_invalid_address_are_skipped(self) -> None:
+        # A datagram to such an address closes the socket of the reports.
+        self.put_row("10.0.0.2")
+        for name, changes in (
+            ("10.0.0.3", {"peer_port": 70000}),
+            ("10.0.0.4", {"peer_port": 10**30}),
+            ("10.0.0.5", {"peer_ip": "a..b"}),
+            ("10.0.0.6", {"caller_address": "10.0.0.6"}),
+        ):
+            self.put_row(name)
+            row = self.host.platform.rows[name]
+            self.host.platform.rows[name] = replace(row, value={**row.value, **changes})
+        await self.start()
+        self.assertEqual(set(self.host.fleet.peers), {"10.0.0.2"})
 
     async def test_a_restarted_host_does_not_write_again(self) -> None:
-        self.put_row("h1")
-        self.put_row("h2")
+        self.put_row("10.0.0.1")
+        self.put_row("10.0.0.2")
         self.assertEqual(await self.start(), [])
         self.assertTrue(self.host.state.has_read_hosts)
 
@@ -360,23 +375,23 @@
             task.cancel()
 
     async def test_a_host_whose_row_was_lost_registers_again(self) -> None:
-        self.put_row("h2")
+        self.put_row("10.0.0.2")
         self.restored_rows = dict(self.host.platform.rows)
-        self.put_row("h1")
+        self.put_row("10.0.0.1")
         for name, lost_answers, expected in (("at once", 0, 1), ("later", 2, 3)):
             with self.subTest(name):
                 lost = [Unavailable("no_answer")] * lost_answers
                 transact = mock.AsyncMock(side_effect=[*lost, Committed(1)])
                 self.host.state.orders_revision = make_revision(1, 9)
-                self.put_row("h1")
+                self.put_row("10.0.0.1")
                 with mock.patch.object(self.host.platform, "transact", transact):
                     await self.run_until_idle()
                 written = [call.args[0] for call in transact.call_args_list]
                 keys = [transaction.writes[0].key.key for transaction in written]
-                self.assertEqual(keys, ["h1"] * expected)
+                self.assertEqual(keys, ["10.0.0.1"] * expected)
 
     async def test_a_host_whose_row_was_kept_does_not_write_again(self) -> None:
-        self.put_row("h1")
+        self.put_row("10.0.0.1")
         self.restored_rows = dict(self.host.platform.rows)
         self.host.state.orders_revision = make_revision(1, 9)
         transact = mock.AsyncMock()
