Bound the numbers in headers of callers and upstreams

A caller whose deadline had 400 digits got status 500, and so did the caller whose request an upstream answered with a load of 400 digits, although it had run. With a load of 30 digits the upstream got no further request of the host.

Cause: the digits were converted to an integer of any length, and dividing it raises OverflowError; above 4,300 digits the conversion raises ValueError. A load that fits a float makes an expected latency that the encoder of reports cannot hold, which would end the process.

Change: integers in headers have at most nine digits; longer ones count as not stated.

Evidence: test_header_numbers fails in ten cases before and passes after; the lengths of answers were bounded by the HTTP library already.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
@@ -35,6 +35,9 @@
 UNAVAILABLE_STATUS = 503
 LOAD_FIELD_COUNT = 3
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
+# Longer numbers are invalid: Python does not parse integers of any length, and floats
+# and reports between hosts do not hold them.
+INTEGER_DIGITS_MAX = 9
 
 
 def end_to_end_headers(headers: Headers) -> Headers:
@@ -82,20 +85,18 @@
 
 
 def parse_caller_timeout_s(request: CallerRequest, names: HeaderNames) -> float | None:
-    """Return the seconds for which the caller waits; None if not stated."""
-    value = request.header(names.deadline_ms)
-    if value is None or not value.strip().isdigit():
-        return None
-    return int(value) / 1000.0
+    """Return the seconds for which the caller waits; None without a valid number."""
+    timeout_ms = _parse_integer(request.header(names.deadline_ms) or b"")
+    return None if timeout_ms is None else timeout_ms / 1000.0
 
 
 def parse_load_report(value: bytes | None) -> LoadReport | None:
     """Parse the load that an upstream reports; return None without a valid one."""
-    fields = (value or b"").split(b",")
-    if len(fields) != LOAD_FIELD_COUNT or not all(f.strip().isdigit() for f in fields):
+    fields = [_parse_integer(field) for field in (value or b"").split(b",")]
+    numbers = [field for field in fields if field is not None]
+    if len(fields) != LOAD_FIELD_COUNT or len(numbers) != LOAD_FIELD_COUNT:
         return None
-    running, waiting, slots = (int(field) for field in fields)
-    return LoadReport(running, waiting, slots)
+    return LoadReport(*numbers)
 
 
 def parse_rate_limit(value: bytes | None) -> float | None:
@@ -112,6 +113,13 @@
     return _parse_decimal(value)
 
 
+def _parse_integer(value: bytes) -> int | None:
+    digits = value.strip()
+    if not digits.isdigit() or len(digits) > INTEGER_DIGITS_MAX:
+        return None
+    return int(digits)
+
+
 def _parse_decimal(value: bytes) -> float | None:
     text = value.strip().decode("latin-1")
     if DECIMAL_NUMBER.fullmatch(text) is None:
