Count a crash within an answer as a crash of the upstream

Cause: a request was suspected only if its connection ended with no byte of an answer. A crash after the first byte was taken for a malformed answer of a sound upstream, since faulty upstreams cut answers as well.

Change: after an incomplete answer, in whatever form it ends, the host opens a connection to the upstream. If it is not accepted, or closed at once, the upstream counts as crashed. If it is, the upstream may have been started again at once, or may have cut one answer; that counts once for each upstream, so that one which cuts all answers does not quarantine the requests it gets. An answer whose end only the end of its connection shows is checked in the same way before it is passed on: it was passed on as complete, and cleared the request.

--- a/packages/core/src/cardamomquay/fleet_limits/_poison_requests.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_poison_requests.py
@@ -98,6 +98,13 @@
         suspect = self._suspects.get(request)
         return len(suspect.crashes) if suspect else 0
 
+    def has_crashed(self, observation: CrashObservation) -> bool:
+        """Return whether the request has crashed the upstream since its last answer."""
+        suspect = self._suspects.get(observation.request)
+        return suspect is not None and any(
+            crash.upstream == observation.upstream for crash in suspect.crashes
+        )
+
     def quarantine_left_s(self, request: int, now_s: float) -> float:
         """Return for how long a request must not be sent, in seconds; 0 if it may."""
         suspect = self._suspects.get(request)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -91,7 +91,9 @@
         Whether any byte of the request may have reached the upstream.
     upstream_may_have_crashed : bool
         Whether the connection ended after the request was sent, with no byte of an
-        answer.
+        answer, or the upstream accepted no connection after an incomplete answer.
+    answer_broke_off : bool
+        Whether the upstream ended the connection within its answer.
     outcome : AttemptOutcome or None
         None while the attempt runs and if it was cancelled.
     detail : str
@@ -112,6 +114,7 @@
     began_s: float
     may_have_arrived: bool = False
     upstream_may_have_crashed: bool = False
+    answer_broke_off: bool = False
     outcome: AttemptOutcome | None = None
     detail: str = ""
     took_s: float = 0.0
@@ -251,8 +254,10 @@
         except ExchangeError as exc:
             attempt.detail = exc.reason
             attempt.may_have_arrived = exc.request_may_have_arrived
-            attempt.upstream_may_have_crashed = (
-                exc.request_may_have_arrived and not exc.answer_began
+            attempt.answer_broke_off = exc.answer_began and exc.server_ended
+            attempt.upstream_may_have_crashed = exc.request_may_have_arrived and (
+                not exc.answer_began
+                or not await self._connections.is_listening(upstream)
             )
             outcome = (
                 AttemptOutcome.BROKEN
@@ -304,6 +309,15 @@
             request_id = context.request_id.encode("latin-1")
             id_header = (self._names.request_id, request_id) if request_id else None
             answer = await conn.exchange(request, context.request.body, id_header)
+            if answer.is_ended_by_close and not await self._connections.is_listening(
+                upstream
+            ):
+                raise ExchangeError(
+                    "answer_cut",
+                    request_may_have_arrived=True,
+                    answer_began=True,
+                    server_ended=True,
+                )
             if not self._eligibility.notices.is_leaving(upstream, self._clock.now_s()):
                 self._connections.keep(conn, answer)
             return answer
--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -76,6 +76,11 @@
         """Whether the connection is open and has no unread bytes."""
         return not (self._received or self._ended or self.transport.is_closing())
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the other side has ended or reset the connection."""
+        return self._ended
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that the kernel has not accepted yet."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
@@ -6,11 +6,16 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
+from cardamomquay_daemon.edge._http_client import ExchangeError
 from cardamomquay_daemon.edge._http_client import HttpConnection
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
 
+# A process that ends closes its sockets one after the other, so that a connection may
+# still be accepted just before the listening socket is closed.
+SETTLE_TIME_S = 0.02
+
 
 class ConnectionPool:
     """Provides connections, and keeps reusable ones open.
@@ -32,6 +37,17 @@
         self._idle_max = idle_max
         self._idle: list[HttpConnection] = []
 
+    async def is_listening(self) -> bool:
+        """Return whether the server accepts a connection and keeps it open."""
+        try:
+            conn = await HttpConnection.open(self._address, self._connect_timeout_s)
+        except ExchangeError:
+            return False
+        await asyncio.sleep(SETTLE_TIME_S)
+        is_open = conn.is_reusable
+        conn.close()
+        return is_open
+
     @asynccontextmanager
     async def connection(self) -> AsyncGenerator[HttpConnection]:
         """Acquire a connection for one request.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -37,12 +37,16 @@
     body : bytes
     ends_connection : bool
         Whether the connection cannot carry another exchange.
+    is_ended_by_close : bool
+        Whether only the end of the connection shows where the body ends. Such an answer
+        may be incomplete.
     """
 
     status: int
     headers: Headers
     body: bytes = b""
     ends_connection: bool = False
+    is_ended_by_close: bool = False
     _by_name: dict[bytes, bytes] = field(default_factory=dict)
 
     def header(self, name: bytes) -> bytes | None:
@@ -63,15 +67,22 @@
         Whether any byte of the request may have reached the server.
     answer_began : bool, default=False
         Whether any byte was received after the request was sent.
+    server_ended : bool, default=False
+        Whether the server ended or reset the connection.
     """
 
     def __init__(
-        self, reason: str, request_may_have_arrived: bool, answer_began: bool = False
+        self,
+        reason: str,
+        request_may_have_arrived: bool,
+        answer_began: bool = False,
+        server_ended: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.request_may_have_arrived = request_may_have_arrived
         self.answer_began = answer_began
+        self.server_ended = server_ended
 
 
 class HttpConnection:
@@ -208,10 +219,15 @@
             or bool(rest)
             or self._stream.unsent_bytes > 0
         )
+        answer.is_ended_by_close = (
+            has_ended
+            and answer.header(b"content-length") is None
+            and answer.header(b"transfer-encoding") is None
+        )
         return answer
 
     def _exchange_error(self, reason: str) -> ExchangeError:
-        return ExchangeError(reason, True, self._answer_began)
+        return ExchangeError(reason, True, self._answer_began, self._stream.has_ended)
 
     def close(self) -> None:
         """Close the connection at once."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_poison_guard.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_poison_guard.py
@@ -72,10 +72,16 @@
         bool
         """
         now_s = self._clock.now_s()
-        if attempt.upstream_may_have_crashed:
+        if attempt.upstream_may_have_crashed or attempt.answer_broke_off:
             observation = CrashObservation(
                 fingerprint(context), short_id(attempt.instance), now_s
             )
+            # An upstream that still listens has either been started again at once, or
+            # cuts answers, which it may do to any request.
+            if not attempt.upstream_may_have_crashed and self.requests.has_crashed(
+                observation
+            ):
+                return False
             is_new = self.requests.apply(observation, now_s)
             if is_new:
                 self._log(observation, context.request_id, "answer")
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
@@ -47,6 +47,13 @@
         ExchangeError
             If no connection can be opened.
         """
+        return self._pool_of(upstream).connection()
+
+    async def is_listening(self, upstream: Upstream) -> bool:
+        """Return whether an upstream still accepts connections."""
+        return await self._pool_of(upstream).is_listening()
+
+    def _pool_of(self, upstream: Upstream) -> ConnectionPool:
         pool = self._pools.get(upstream.instance)
         if pool is None:
             pool = self._pools[upstream.instance] = ConnectionPool(
@@ -54,7 +61,7 @@
                 CONNECT_TIMEOUT_S,
                 IDLE_PER_UPSTREAM_MAX,
             )
-        return pool.connection()
+        return pool
 
     @staticmethod
     def keep(conn: HttpConnection, answer: HttpAnswer) -> None:
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from dataclasses import field
@@ -124,6 +126,40 @@
     )
 
 
+@asynccontextmanager
+async def crashing_server(
+    begun_answer: bytes, *, is_reset: bool
+) -> AsyncGenerator[ScriptedServer]:
+    """Run a server that ends while it answers its first request.
+
+    Parameters
+    ----------
+    begun_answer : bytes
+        What it sends before.
+    is_reset : bool
+        Whether its connections end with a reset.
+    """
+
+    async def crash(_: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        writer.write(begun_answer)
+        await writer.drain()
+        # Lets the bytes arrive first: a reset discards unread ones.
+        await asyncio.sleep(0.02)
+        server.close()
+        if is_reset:
+            linger = struct.pack("ii", 1, 0)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+    scripted = ScriptedServer([crash])
+    server = await asyncio.start_server(scripted.serve, LOOPBACK, 0)
+    scripted.address = f"{LOOPBACK}:{server.sockets[0].getsockname()[1]}"
+    try:
+        yield scripted
+    finally:
+        server.close()
+
+
 SHED_ANSWER = (
     b"HTTP/1.1 503 X\r\nrequest-id: id-1\r\nnot-executed: 1\r\nload: 3,9,3\r\n"
     b"content-length: 0\r\n\r\n"
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -12,6 +12,7 @@
 from edge.support import RelayFixture
 from edge.support import answer
 from edge.support import config
+from edge.support import crashing_server
 from edge.support import route
 from edge.support import scripted_server
 from edge.support import upstream
@@ -749,6 +750,67 @@
         self.assertIn(b'"reason":"request_quarantined","not_run":true', got.body)
         self.assertEqual(len(fixture.urgent_reports), 3)
 
+    async def test_a_crash_within_an_answer_counts(self) -> None:
+        head = b"HTTP/1.1 200 X\r\nrequest-id: id-1\r\nsignature: s\r\n"
+        chunked = head + b"transfer-encoding: chunked\r\n\r\n"
+        for name, begun_answer in (
+            ("status line", b"HTTP/1.1 2"),
+            ("head", head),
+            ("interim answer", b"HTTP/1.1 100 Continue\r\n\r\n"),
+            ("answer to an earlier request", answer(request_id=b"id-0")),
+            ("body", answer(b"whole")[:-1]),
+            ("chunk", chunked + b"5\r\nwh"),
+            ("chunks", chunked + b"5\r\nwhole\r\n"),
+            ("trailers", chunked + b"5\r\nwhole\r\n0\r\nx-t: 1\r\n"),
+            ("body without a length", head + b"\r\nwhol"),
+        ):
+            for is_reset in (False, True):
+                with self.subTest(name, is_reset=is_reset):
+                    await self.check_crashes(begun_answer, is_reset=is_reset)
+
+    async def check_crashes(self, begun_answer: bytes, *, is_reset: bool) -> None:
+        """Check that a request is quarantined after three crashes."""
+        async with AsyncExitStack() as stack:
+            servers = [
+                await stack.enter_async_context(
+                    crashing_server(begun_answer, is_reset=is_reset)
+                )
+                for _ in range(6)
+            ]
+            entries = [
+                upstream(server.address, f"i-{index}")
+                for index, server in enumerate(servers)
+            ]
+            fixture = self.fixture(config(route(max_attempts=2)), *entries)
+            for _ in range(4):
+                got = await fixture.ask(target=b"/a/deadly")
+                self.advance(fixture, 1.5)
+        self.assertEqual(sum(len(server.requests) for server in servers), 3)
+        self.assertEqual(got.status, 503)
+        self.assertIn(b'"reason":"request_quarantined","not_run":true', got.body)
+
+    async def test_answers_that_break_off_at_three_upstreams_count(self) -> None:
+        # Their processes may have been started again at once.
+        async def break_off(_: Any, writer: Any) -> None:
+            writer.write(answer()[:40])
+
+        async with AsyncExitStack() as stack:
+            servers = [
+                await stack.enter_async_context(scripted_server(*[break_off] * 20))
+                for _ in range(6)
+            ]
+            entries = [
+                upstream(server.address, f"i-{index}")
+                for index, server in enumerate(servers)
+            ]
+            fixture = self.fixture(config(route(max_attempts=2)), *entries)
+            for _ in range(4):
+                got = await fixture.ask(target=b"/a/deadly")
+                self.advance(fixture, 1.5)
+        # Three that broke off, and at most three retries.
+        self.assertLessEqual(sum(len(server.requests) for server in servers), 6)
+        self.assertEqual(got.status, 503)
+
     async def test_other_requests_of_the_caller_are_sent(self) -> None:
         async with scripted_server(*[answer()] * 4) as server:
             fixture = self.fixture(
