Start while another process uses one of the ports

Callers could not reach a host, and the platform started its process again and again, while any one of its five ports was taken: by a former process, or as the local port of an outgoing connection.

Cause: the listeners were opened one after the other at the start, and the OSError of any of them ended the process with a traceback.

Change: a listener that cannot listen tries again every 0.2 s, and logs the first failure (listen_failed) and the end of the failures (listening); the others serve meanwhile. Until callers can reach the host, it is not ready and look-up answers do not name it.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -16,6 +16,14 @@
 LINES_DROPPED = LogEvent(
     1106, "log_lines_dropped", "Lines were dropped because the reader was slow."
 )
+LISTEN_FAILED = LogEvent(
+    1107,
+    "listen_failed",
+    "The host cannot listen at an address yet, and tries again until it can.",
+)
+LISTENING = LogEvent(
+    1108, "listening", "The host listens at an address after earlier failures."
+)
 CONFIG_IN_FORCE = LogEvent(
     2101, "edge_config_in_force", "A configuration version is in force."
 )
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -29,6 +29,7 @@
 from cardamomquay_daemon.edge._events import STOPPING
 from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
+from cardamomquay_daemon.edge._listener import Listener
 from cardamomquay_daemon.edge._peers import PeerProtocol
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
 from cardamomquay_daemon.edge._relay import Relay
@@ -162,7 +163,7 @@
             self._peers.report_urgently,
         )
         self._connections: set[CallerConnection] = set()
-        self._caller_server: asyncio.Server | None = None
+        self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
 
@@ -184,16 +185,12 @@
         )
         listeners = self._settings.listeners
         async with (
-            self._listen(listeners.callers, self._relay.handle, self._connections),
             self._listen(
-                listeners.directory, endpoints.look_up, self._auxiliary_connections
-            ),
-            self._listen(
-                listeners.readiness, endpoints.readiness, self._auxiliary_connections
-            ),
-            self._listen(
-                listeners.metrics, endpoints.metrics, self._auxiliary_connections
-            ),
+                "callers", listeners.callers, self._relay.handle, self._connections
+            ) as self._caller_listener,
+            self._listen("directory", listeners.directory, endpoints.look_up),
+            self._listen("readiness", listeners.readiness, endpoints.readiness),
+            self._listen("metrics", listeners.metrics, endpoints.metrics),
             self._exchange_reports(),
             self._background("operator feed", self._feeds.follow_operator()),
             self._background("upstream feed", self._feeds.follow_upstreams()),
@@ -225,8 +222,8 @@
         )
         while loop.time() < began_s + ACCEPT_GRACE_SHARE * grace_s:
             await asyncio.sleep(STOP_POLL_S)
-        if self._caller_server is not None:
-            self._caller_server.close()
+        if self._caller_listener is not None:
+            self._caller_listener.close()
         while loop.time() < began_s + FINISH_GRACE_SHARE * grace_s:
             for conn in tuple(self._connections):
                 conn.close_if_idle()
@@ -237,15 +234,18 @@
     @asynccontextmanager
     async def _listen(
         self,
+        name: str,
         address: tuple[str, int] | None,
         handle: RequestHandler,
-        connections: set[CallerConnection],
-    ) -> AsyncGenerator[None]:
+        connections: set[CallerConnection] | None = None,
+    ) -> AsyncGenerator[Listener | None]:
         if address is None:
-            yield
+            yield None
             return
-        loop = asyncio.get_running_loop()
-        server = await loop.create_server(
+        if connections is None:
+            connections = self._auxiliary_connections
+        bind = partial(
+            asyncio.get_running_loop().create_server,
             partial(
                 CallerConnection,
                 handle,
@@ -257,27 +257,38 @@
             backlog=LISTEN_BACKLOG,
             reuse_address=True,
         )
-        if connections is self._connections:
-            self._caller_server = server
-        try:
-            yield
-        finally:
-            server.close()
+        async with self._open(Listener(name, address, bind, self._telemetry)) as opened:
+            yield opened
 
     @asynccontextmanager
     async def _exchange_reports(self) -> AsyncGenerator[None]:
-        loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self._peers, local_addr=self._settings.listeners.peers
-        )
+        address = self._settings.listeners.peers
+
+        async def bind() -> asyncio.DatagramTransport:
+            transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self._peers, local_addr=address
+            )
+            return transport
+
+        async with (
+            self._open(Listener("peers", address, bind, self._telemetry)),
+            self._background("peers", self._peers.run()),
+            self._background("gateway", self._peers.gateway.run()),
+        ):
+            yield
+
+    @asynccontextmanager
+    async def _open(self, listener: Listener) -> AsyncGenerator[Listener]:
+        task: asyncio.Task[None] | None = None
+        if not await listener.try_open():
+            # The others serve meanwhile.
+            task = asyncio.create_task(listener.open())
         try:
-            async with (
-                self._background("peers", self._peers.run()),
-                self._background("gateway", self._peers.gateway.run()),
-            ):
-                yield
+            yield listener
         finally:
-            transport.close()
+            if task is not None:
+                task.cancel()
+            listener.close()
 
     @asynccontextmanager
     async def _background(
@@ -308,15 +319,21 @@
         while True:
             if self._state.is_stopping:
                 self._fleet.own_phase = HostPhase.LEAVING
-            elif self._state.is_loaded and self._relay.accepts_keys():
+            elif self._can_serve():
                 self._fleet.own_phase = HostPhase.READY
             else:
-                # A host that refuses keys must not be listed in look-up answers.
+                # Such a host must not be listed in look-up answers.
                 self._fleet.own_phase = HostPhase.STARTING
             self._telemetry.flush()
             self._peers.report_warm_objects()
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
 
+    def _can_serve(self) -> bool:
+        """Whether callers reach this host, and it accepts their keys."""
+        listener = self._caller_listener
+        is_reachable = listener is None or listener.is_open
+        return is_reachable and self._state.is_loaded and self._relay.accepts_keys()
+
     def _reload_settings(self) -> None:
         try:
             settings = self._reload()
