--- a/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
@@ -52,9 +52,9 @@
 
     def flush(self) -> None:
         """Write the buffered lines that the reader accepts without blocking."""
-        # If the reader has closed the pipe, each call takes one line from the buffer.
-        # That line is lost, and `dropped` does not count it.
-        with suppress(BlockingIOError, BrokenPipeError):
+        # If the reader has closed the pipe or the disk is full, each call takes one
+        # line from the buffer. That line is lost, and `dropped` does not count it.
+        with suppress(OSError):
             while self._buffered:
                 line = self._buffered.popleft()
                 try:
