--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -166,12 +166,19 @@
         self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
+        self._has_failed = False
 
     def _report_urgently(self) -> None:
         self._peers.report_urgently()
 
-    async def run(self) -> None:
-        """Serve until a signal to stop, then stop gracefully."""
+    async def run(self) -> bool:
+        """Serve until a signal to stop, then stop gracefully.
+
+        Returns
+        -------
+        bool
+            False if the host stopped because one of its tasks had ended.
+        """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stop)
         loop.add_signal_handler(signal.SIGINT, self.stop)
@@ -201,8 +208,9 @@
             await self._stop.wait()
             await self._stop_gracefully()
         self._upstream_connections.close()
-        self._telemetry.log(STOPPED)
+        self._telemetry.log(STOPPED, has_failed=self._has_failed)
         self._telemetry.flush()
+        return not self._has_failed
 
     def stop(self) -> None:
         """Begin a graceful stop."""
@@ -212,7 +220,11 @@
         loop = asyncio.get_running_loop()
         self._state.is_stopping = True
         self._fleet.own_phase = HostPhase.LEAVING
-        self._peers.report()
+        try:
+            self._peers.report()
+        except Exception as exc:
+            # A fault that ended the task of the reports must not cut off the callers.
+            self._telemetry.record_task_failure("last report", exc)
         busy = sum(conn.is_busy for conn in self._connections)
         self._telemetry.log(STOPPING, connections=len(self._connections), busy=busy)
         grace_s = self._settings.bounds.grace_s
@@ -309,6 +321,7 @@
             self._telemetry.record_task_failure(task.get_name(), exc)
         # Without one of its tasks a host would serve from outdated state, so it stops;
         # a new process starts with current state.
+        self._has_failed = True
         self._stop.set()
 
     async def _run_housekeeping(self) -> None:
@@ -392,10 +405,17 @@
     platform: PlatformStore,
     telemetry: EdgeTelemetry,
     reload: Callable[[], EdgeSettings],
-) -> None:
-    """Run a host until a signal to stop; the parameters are those of `EdgeHost`."""
+) -> bool:
+    """Run a host until a signal to stop; the parameters are those of `EdgeHost`.
+
+    Returns
+    -------
+    bool
+        As for `EdgeHost.run`.
+    """
 
-    async def main() -> None:
-        await EdgeHost(settings, caller_protocol, platform, telemetry, reload).run()
+    async def main() -> bool:
+        host = EdgeHost(settings, caller_protocol, platform, telemetry, reload)
+        return await host.run()
 
-    asyncio.run(main())
+    return asyncio.run(main())
--- a/packages/daemon/tests/edge/test_host.py
+++ b/packages/daemon/tests/edge/test_host.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 from typing import Any
+from unittest import mock
 
 from edge.support import LOOPBACK
 from edge.support import NAMES
@@ -322,3 +323,24 @@
             self.assertEqual(await self.get(4, b"/"), 200)
             self.assertEqual(await self.get(1, b"/other"), 404)
             self.assertEqual(await self.get(2, b"/other"), 404)
+
+
+class FailedTaskTest(HostCase):
+    """Guards against a failed task that passes for a planned stop, or cuts callers."""
+
+    async def test_requests_are_answered_and_the_failure_is_returned(self) -> None:
+        async with (
+            scripted_server(slow_answer) as served,
+            self.running(served) as host,
+        ):
+            running = asyncio.create_task(self.get(0, b"/a/1"))
+            while not served.requests:
+                await asyncio.sleep(0.01)
+            failure = RuntimeError("a fault of the program")
+            host._telemetry.record_task_failure = mock.Mock()  # type: ignore[method-assign]
+            with mock.patch.object(host._peers, "report", side_effect=failure):
+                async with asyncio.timeout(2.0 + GRACE_S):
+                    self.assertFalse(await self.task)
+            self.assertEqual(await running, 200)
+            failures = host._telemetry.record_task_failure.call_args_list
+            self.assertEqual([c.args[0] for c in failures], ["peers", "last report"])
