Keep revisions within 64 bits for any era of the store

If a store counted its eras from a number above a million, such as a time in seconds, each host that reported a roll-out, or any order in a large fleet, would end: the encoder of reports raises OverflowError above 64 bits. An era of more than 4,300 digits would end the tasks that follow the store, with ValueError. The pages say that the era rises by one, not where it begins.

--- a/packages/core/src/cardamomquay/platform/__init__.py
+++ b/packages/core/src/cardamomquay/platform/__init__.py
@@ -21,11 +21,13 @@
 from cardamomquay.platform._memory import MemoryObjectStore
 from cardamomquay.platform._memory import MemoryTableService
 from cardamomquay.platform._memory import TransactionFault
+from cardamomquay.platform._revisions import ERA_COUNT
 from cardamomquay.platform._revisions import make_revision
 from cardamomquay.platform._revisions import revision_era
 from cardamomquay.platform._revisions import revision_version
 
 __all__ = [
+    "ERA_COUNT",
     "Committed",
     "Condition",
     "Conflicted",
--- a/packages/core/src/cardamomquay/platform/_revisions.py
+++ b/packages/core/src/cardamomquay/platform/_revisions.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
-# A version has 44 bits, so that revisions with fewer than 2**20 eras fit into 64 bits.
+# Reports between hosts hold revisions in 64 bits: 44 for the version, 20 for the era.
 VERSION_BITS = 44
+ERA_COUNT = 2**20
 
 
 def make_revision(era: int, version: int) -> int:
@@ -17,7 +18,7 @@
     Parameters
     ----------
     era : int
-        Number of times that the store has been restored; 0 if it names none.
+        Below `ERA_COUNT`; it rises with each restore. 0 if the store names none.
     version : int
         0 for a row that does not exist, in any era.
 
