Bound the exponents of ejections and quarantines

All requests whose candidates include an upstream that has failed 1,026 times in a row would fail with status 500, as would each copy of a request that had crashed as many upstreams, and the reports of its crashes.

Cause: the lengths double with each failure and were cut to their limit only after the power had been computed, which raises OverflowError above 2**1023.

Change: the number of doublings is limited, not only the result.

--- a/packages/core/src/cardamomquay/fleet_limits/_poison_requests.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_poison_requests.py
@@ -24,6 +24,7 @@
 # it.
 QUARANTINE_S = 60.0
 QUARANTINE_MAX_S = 3600.0
+QUARANTINE_DOUBLINGS_MAX = math.log2(QUARANTINE_MAX_S / QUARANTINE_S)
 # A suspect without another crash for this long is forgotten.
 SUSPECT_TIMEOUT_S = 600.0
 # Number of requests that are remembered; the ones that were suspected longest ago are
@@ -79,7 +80,8 @@
         extra = len(self.crashes) - CRASHES_MAX
         if extra < 0:
             return -math.inf
-        return self.latest_s + min(QUARANTINE_MAX_S, QUARANTINE_S * 2.0**extra)
+        quarantine_s: float = QUARANTINE_S * 2.0 ** min(extra, QUARANTINE_DOUBLINGS_MAX)
+        return self.latest_s + min(QUARANTINE_MAX_S, quarantine_s)
 
 
 class PoisonRequests:
--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -34,6 +34,7 @@
 # Duration of the first ejection; it doubles with each further failure, up to the limit.
 EJECTION_MIN_S = 1.0
 EJECTION_MAX_S = 8.0
+EJECTION_DOUBLINGS_MAX = math.log2(EJECTION_MAX_S / EJECTION_MIN_S)
 
 
 @dataclass(frozen=True, slots=True)
@@ -253,9 +254,8 @@
         self._update_fault_rate(1.0, now_s)
         self.consecutive_failures += weight
         if self.consecutive_failures >= EJECTION_FAILURES:
-            ejection_s = EJECTION_MIN_S * 2 ** (
-                self.consecutive_failures - EJECTION_FAILURES
-            )
+            doublings = self.consecutive_failures - EJECTION_FAILURES
+            ejection_s = EJECTION_MIN_S * 2 ** min(doublings, EJECTION_DOUBLINGS_MAX)
             self.ejected_until_s = now_s + min(EJECTION_MAX_S, ejection_s)
 
     def _update_fault_rate(self, value: float, now_s: float) -> None:
--- a/packages/core/tests/fleet_limits/test_poison_requests.py
+++ b/packages/core/tests/fleet_limits/test_poison_requests.py
@@ -184,3 +184,15 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ManyCrashesTest(unittest.TestCase):
+    """Guards against a quarantine whose length exceeds the range of floats."""
+
+    def test_a_request_that_crashes_thousands_of_upstreams_stays_quarantined(
+        self,
+    ) -> None:
+        requests = PoisonRequests()
+        for upstream in range(3000):
+            requests.apply(CrashObservation(DEADLY, upstream, 1.0), 1.0)
+        self.assertEqual(requests.quarantine_left_s(DEADLY, 1.0), 3600.0)
