Let other tasks run while a caller's chunks are parsed

Cause: all chunks that one read had brought, tens of thousands, were parsed before any other task ran. The side of the upstreams lets others run after 64 events, the side of the callers did not.

Change: it does so too.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -12,6 +12,7 @@
 import h11
 
 from cardamomquay_daemon.edge._byte_stream import ByteStream
+from cardamomquay_daemon.edge._http_client import EVENTS_PER_TURN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -195,11 +196,15 @@
         chunks: list[bytes] = []
         size = 0
         timeout_s = limits.idle_timeout_s
+        event_count = 0
         while True:
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as exc:
                 raise _RequestError(exc.error_status_hint, str(exc)) from exc
+            event_count += 1
+            if event_count % EVENTS_PER_TURN == 0:
+                await asyncio.sleep(0)
             if event is h11.NEED_DATA:
                 if parser.they_are_waiting_for_100_continue and not self._pending:
                     informational = h11.InformationalResponse(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -17,8 +17,8 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-# After this many parsed events, other tasks run before more bytes are parsed: an answer
-# in chunks of one byte has tens of thousands of events in one read.
+# After this many parsed events, other tasks run before more bytes are parsed: a body in
+# chunks of one byte has tens of thousands of events in one read.
 EVENTS_PER_TURN = 64
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 # Limits for the answers of upstreams and of the store, and the bytes buffered of them
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -4,6 +4,7 @@
 import gc
 import unittest
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -32,6 +33,7 @@
         self.release_events: dict[bytes, asyncio.Event] = {}
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
+        self.limits = LIMITS
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         self.started.append(request.target)
@@ -49,7 +51,10 @@
     ) -> AsyncGenerator[tuple[asyncio.StreamReader, asyncio.StreamWriter]]:
         server = await asyncio.get_running_loop().create_server(
             lambda: CallerConnection(
-                self.handle, lambda: LIMITS, lambda: self.is_stopping, self.connections
+                self.handle,
+                lambda: self.limits,
+                lambda: self.is_stopping,
+                self.connections,
             ),
             LOOPBACK,
             0,
@@ -68,6 +73,10 @@
     def get(target: bytes, method: bytes = b"GET") -> bytes:
         return method + b" " + target + b" HTTP/1.1\r\nhost: h\r\n\r\n"
 
+    @staticmethod
+    def _post(header: bytes) -> bytes:
+        return b"POST / HTTP/1.1\r\nhost: h\r\n" + header + b"\r\n\r\n"
+
     async def wait_for_started(self, count: int) -> None:
         while len(self.started) < count:
             await asyncio.sleep(0)
@@ -202,9 +211,36 @@
             data = await reader.read(65536)
         self.assertIn(b"/ab", data)
 
-    @staticmethod
-    def _post(header: bytes) -> bytes:
-        return b"POST / HTTP/1.1\r\nhost: h\r\n" + header + b"\r\n\r\n"
+
+class SmallChunksTest(CallerConnTest):
+    """Guards against bodies in small chunks that keep all other tasks waiting.
+
+    Load pattern: a program writes a body field by field without a buffer, so that one
+    read brings tens of thousands of chunks.
+    """
+
+    CHUNKS = 20_000
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limits = replace(LIMITS, max_body_bytes=self.CHUNKS)
+
+    async def test_other_tasks_run_between_the_chunks(self) -> None:
+        turns = 0
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await asyncio.sleep(0)
+
+        async with self.caller() as (reader, writer):
+            counting = asyncio.create_task(count_turns())
+            writer.write(self._post(b"transfer-encoding: chunked"))
+            writer.write(b"1\r\nx\r\n" * self.CHUNKS + b"0\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            counting.cancel()
+        self.assertGreater(turns, self.CHUNKS / 100)
 
 
 class DisconnectDuringAnswerTest(CallerConnTest):
