Bound the memory of request bodies

Cause: a body was held as a list of chunks, joined, copied together with the head, and copied again by the transport, up to five times its size, and nothing bounded the bodies of all requests together. In chunks of a few bytes the list alone takes seven times the size.

Change: a body is held once, and sent in parts of 64 KiB as the upstream accepts them. Bodies of more than 64 KiB may take half of the memory that the settings name, reserved by their stated length; a request beyond that is rejected at once with 503 and a retry delay. Rejected requests are read and dropped for up to a second, so that the caller gets the answer before its connection is reset.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -115,7 +115,7 @@
             raise OSError(str(self._error)) from self._error
         return b""
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | bytearray | memoryview) -> None:
         """Queue bytes to be sent; does nothing once the connection is lost."""
         if not self._lost:
             self.transport.write(data)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections import deque
+from contextlib import contextmanager
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -13,10 +16,14 @@
 
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._http_client import EVENTS_PER_TURN
+from cardamomquay_daemon.edge._request_bodies import BodyMemoryError
+from cardamomquay_daemon.edge._request_bodies import RequestBodies
+from cardamomquay_daemon.edge._request_bodies import RequestBody
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Generator
 
     from cardamomquay_daemon.edge._http_client import Headers
 
@@ -26,6 +33,12 @@
 BODILESS_STATUSES = frozenset((204, 304))
 # Methods that change no state (RFC 9110, section 9.2.1).
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
+# Retry delays of requests for whose bodies there is no memory, spread so that their
+# callers do not return together.
+BODY_RETRY_AFTER_S = (0.5, 1.5)
+# After a rejection, bytes of the request are read and dropped for this long: closing
+# the connection at once would reset it, and the caller might not receive the answer.
+REJECTION_LINGER_S = 1.0
 
 
 @dataclass(slots=True)
@@ -38,7 +51,7 @@
     target : bytes
     headers : list of tuple of bytes
         Names in lower case.
-    body : bytes
+    body : bytes or bytearray
     received_s : float
         Time at which its last byte was read, on the clock of the event loop.
     """
@@ -46,7 +59,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bytes | bytearray
     received_s: float
 
     def header(self, name: bytes) -> bytes | None:
@@ -104,9 +117,30 @@
 class _RequestError(Exception):
     """Raised if a request is malformed, too large or too slow to arrive."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
         super().__init__(reason)
         self.status = status
+        self.retry_after_s = retry_after_s
+
+
+@contextmanager
+def _rejecting_without_memory() -> Generator[None]:
+    """Reject the request if there is no memory for its body."""
+    try:
+        yield
+    except BodyMemoryError as exc:
+        retry_after_s = random.uniform(*BODY_RETRY_AFTER_S)
+        reason = "no memory for the request body"
+        raise _RequestError(503, reason, retry_after_s) from exc
+
+
+def _content_length(head: h11.Request) -> int:
+    """Return the stated length of a body, which h11 has checked; 0 without one."""
+    return next(
+        (int(value) for name, value in head.headers if name == b"content-length"), 0
+    )
 
 
 @dataclass(slots=True)
@@ -129,6 +163,8 @@
         Returns whether the host is stopping; answers then close the connection.
     connections : set of CallerConnection
         Set that contains the connection while it is open.
+    bodies : RequestBodies, optional
+        Memory for the bodies of all connections.
     """
 
     def __init__(
@@ -137,8 +173,10 @@
         limits: Callable[[], ReadLimits],
         is_stopping: Callable[[], bool],
         connections: set[CallerConnection],
+        bodies: RequestBodies | None = None,
     ) -> None:
         super().__init__()
+        self._bodies = bodies or RequestBodies()
         self._handle = handle
         self._limits = limits
         self._is_stopping = is_stopping
@@ -165,10 +203,7 @@
         parser = self._new_parser()
         try:
             while not self._closing:
-                request = await self._read_request(parser)
-                if request is None:
-                    break
-                if await self._dispatch(parser, request):
+                if await self._read_and_dispatch(parser):
                     break
                 parser = self._next_parser(parser)
             while self._pending and not self._has_caller_disconnected():
@@ -185,16 +220,27 @@
             if self._has_caller_disconnected() or not self._pending:
                 self._cancel_and_close()
 
+    async def _read_and_dispatch(self, parser: h11.Connection) -> bool:
+        """Read a request and start handling it; return whether it is the last one."""
+        body = RequestBody(self._bodies)
+        request: CallerRequest | None = None
+        try:
+            request = await self._read_request(parser, body)
+        finally:
+            if request is None:
+                body.release()
+        return request is None or await self._dispatch(parser, request, body)
+
     def _has_caller_disconnected(self) -> bool:
         """Whether no more bytes can arrive from the caller."""
         return self._ended
 
-    async def _read_request(self, parser: h11.Connection) -> CallerRequest | None:
+    async def _read_request(
+        self, parser: h11.Connection, body: RequestBody
+    ) -> CallerRequest | None:
         """Read a request; return None if the connection ends or idles too long."""
         limits = self._limits()
         head: h11.Request | None = None
-        chunks: list[bytes] = []
-        size = 0
         timeout_s = limits.idle_timeout_s
         event_count = 0
         while True:
@@ -220,17 +266,19 @@
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 head = event
+                with _rejecting_without_memory():
+                    body.reserve(min(_content_length(event), limits.max_body_bytes))
             elif isinstance(event, h11.Data):
-                chunks.append(bytes(event.data))
-                size += len(event.data)
-                if size > limits.max_body_bytes:
+                if len(body.received) + len(event.data) > limits.max_body_bytes:
                     raise _RequestError(413, "request body exceeds the limit")
+                with _rejecting_without_memory():
+                    body.append(event.data)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return CallerRequest(
                     head.method,
                     head.target,
                     list(head.headers),
-                    b"".join(chunks),
+                    body.received,
                     asyncio.get_running_loop().time(),
                 )
             else:
@@ -256,7 +304,9 @@
                 if not self._pending:
                     return b""
 
-    async def _dispatch(self, parser: h11.Connection, request: CallerRequest) -> bool:
+    async def _dispatch(
+        self, parser: h11.Connection, request: CallerRequest, body: RequestBody
+    ) -> bool:
         """Start handling a request; return whether it is the connection's last."""
         while self._pending and (
             len(self._pending) >= PIPELINED_REQUESTS_MAX
@@ -269,9 +319,11 @@
             self._pending_reduced.clear()
             await self._pending_reduced.wait()
             if self._closing or self._has_caller_disconnected():
+                body.release()
                 return True
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._handle(request))
+        task.add_done_callback(lambda _: body.release())
         self._pending.append(_PendingRequest(parser, request, task))
         if self._write_task is None:
             self._write_task = loop.create_task(self._write_answers())
@@ -322,10 +374,21 @@
             return
         if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"content-length", b"0"), (b"connection", b"close")]
+            if exc.retry_after_s is not None:
+                headers.append((b"retry-after", f"{exc.retry_after_s:.2f}".encode()))
             data = parser.send(h11.Response(status_code=exc.status, headers=headers))
             self.write((data or b"") + (parser.send(h11.EndOfMessage()) or b""))
+            await self._drop_rest()
         self._closing = True
 
+    async def _drop_rest(self) -> None:
+        """Read and drop what the caller still sends of a rejected request."""
+        self.transport.write_eof()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(REJECTION_LINGER_S):
+                while await self.read():
+                    pass
+
     def _new_parser(self) -> h11.Connection:
         size = self._limits().max_header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -33,6 +33,7 @@
 from cardamomquay_daemon.edge._peers import PeerProtocol
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
 from cardamomquay_daemon.edge._relay import Relay
+from cardamomquay_daemon.edge._request_bodies import RequestBodies
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
@@ -63,6 +64,9 @@
 # Time for the last answers to be written before the process ends.
 ANSWER_WRITE_TIME_S = 0.1
 LISTEN_BACKLOG = 512
+# Share of the process's memory for the bodies of requests. Two of 64 MiB fit into a
+# host of 300 MB; the rest is for answers, buffers of connections and state.
+BODY_MEMORY_SHARE = 0.5
 
 
 class EdgeHost(FeedListener):
@@ -163,6 +167,9 @@
             self._peers.report_urgently,
         )
         self._connections: set[CallerConnection] = set()
+        self._request_bodies = RequestBodies(
+            int(BODY_MEMORY_SHARE * settings.memory_bytes)
+        )
         self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
@@ -264,6 +271,7 @@
                 self._read_limits,
                 lambda: self._state.is_stopping,
                 connections,
+                self._request_bodies,
             ),
             *address,
             backlog=LISTEN_BACKLOG,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import re
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from dataclasses import field
+from typing import TYPE_CHECKING
+from typing import cast
 
 import h11
 
@@ -15,12 +18,17 @@
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._byte_stream import connect
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncGenerator
+    from collections.abc import Callable
+
 Headers = list[tuple[bytes, bytes]]
 
 # After this many parsed events, other tasks run before more bytes are parsed: a body in
 # chunks of one byte has tens of thousands of events in one read.
 EVENTS_PER_TURN = 64
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
+BODY_PART_BYTES = 65_536
 # Limits for the answers of upstreams and of the store, and the bytes buffered of them
 # in this process.
 ANSWER_LIMITS = AnswerLimits()
@@ -165,7 +173,7 @@
     async def exchange(
         self,
         request: h11.Request,
-        body: bytes = b"",
+        body: bytes | bytearray = b"",
         request_id: tuple[bytes, bytes] | None = None,
     ) -> HttpAnswer:
         """Send a request and return its complete answer.
@@ -173,7 +181,7 @@
         Parameters
         ----------
         request : h11.Request
-        body : bytes
+        body : bytes or bytearray
         request_id : tuple of bytes, optional
             Name and value of the header that identifies the answer. An answer with
             another value belongs to an earlier request and is discarded. One without
@@ -190,23 +198,24 @@
             the limits allow or an answer that cannot be attributed, before the answer
             is complete.
         """
-        parser, data = self._start_request(request, body)
+        parser, head = self._start_request(request, body)
         self.exchange_count += 1
         self._answer_began = False
         try:
-            self._stream.write(data)
-            for _ in range(1 + self._limits.foreign_answers):
-                answer = await self._read_answer(parser)
-                if request_id is None:
-                    break
-                answer_id = answer.header(request_id[0])
-                if answer_id == request_id[1]:
-                    break
-                if answer_id is None:
-                    raise self._exchange_error("answer_unidentified")
-                parser = self._restart_parser(parser, request, body)
-            else:
-                raise AnswerTooLargeError
+            async with self._sending(head, body) as is_sent:
+                for _ in range(1 + self._limits.foreign_answers):
+                    answer = await self._read_answer(parser)
+                    if request_id is None:
+                        break
+                    answer_id = answer.header(request_id[0])
+                    if answer_id == request_id[1]:
+                        break
+                    if answer_id is None:
+                        raise self._exchange_error("answer_unidentified")
+                    parser = self._restart_parser(parser, request, body)
+                else:
+                    raise AnswerTooLargeError
+                has_sent_body = is_sent()
         except AnswerTooLargeError as exc:
             raise self._exchange_error("answer_too_large") from exc
         except h11.RemoteProtocolError as exc:
@@ -219,6 +228,7 @@
             parser.their_state is not h11.DONE
             or has_ended
             or bool(rest)
+            or not has_sent_body
             or self._stream.unsent_bytes > 0
         )
         answer.is_ended_by_close = (
@@ -266,20 +276,48 @@
                         "connection ended before the answer was complete"
                     )
 
+    @asynccontextmanager
+    async def _sending(
+        self, head: bytes, body: bytes | bytearray
+    ) -> AsyncGenerator[Callable[[], bool]]:
+        """Send a request within the context; yield whether its body has been sent.
+
+        A long body is sent in parts, since the transport copies what it cannot send at
+        once. The server may answer before it has received all of it.
+        """
+        if len(body) <= BODY_PART_BYTES:
+            self._stream.write(head + body)
+            yield lambda: True
+            return
+        self._stream.write(head)
+        task = asyncio.create_task(self._send_body(body))
+        try:
+            yield task.done
+        finally:
+            task.cancel()
+
+    async def _send_body(self, body: bytes | bytearray) -> None:
+        with memoryview(body) as view:
+            for start in range(0, len(view), BODY_PART_BYTES):
+                self._stream.write(view[start : start + BODY_PART_BYTES])
+                await self._stream.drain()
+
     def _start_request(
-        self, request: h11.Request, body: bytes
+        self, request: h11.Request, body: bytes | bytearray
     ) -> tuple[h11.Connection, bytes]:
+        """Return a parser for the answer, and the head of the request."""
         parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=self._limits.head_bytes
         )
-        data = parser.send(request) or b""
+        head = parser.send(request) or b""
         if body:
-            data += parser.send(h11.Data(data=body)) or b""
-        data += parser.send(h11.EndOfMessage()) or b""
-        return parser, data
+            # The parser only checks the length, and returns the body as it is.
+            parser.send_with_data_passthrough(h11.Data(data=cast("bytes", body)))
+        parser.send(h11.EndOfMessage())
+        return parser, head
 
     def _restart_parser(
-        self, parser: h11.Connection, request: h11.Request, body: bytes
+        self, parser: h11.Connection, request: h11.Request, body: bytes | bytearray
     ) -> h11.Connection:
         """Return a parser for the next answer; the request is not sent again."""
         if parser.their_state is not h11.DONE:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -102,6 +102,8 @@
     heartbeat_s : float
         Interval at which upstreams renew their entries.
     bounds : Bounds
+    memory_bytes : int
+        Memory that the process may use.
     """
 
     name: str
@@ -113,3 +115,4 @@
     store_address: tuple[str, int]
     heartbeat_s: float
     bounds: Bounds
+    memory_bytes: int = 300_000_000
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -14,6 +14,7 @@
 from cardamomquay_daemon.edge._caller_conn import CallerConnection
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
+from cardamomquay_daemon.edge._request_bodies import RequestBodies
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -34,6 +35,7 @@
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
         self.limits = LIMITS
+        self.bodies = RequestBodies()
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         self.started.append(request.target)
@@ -55,6 +57,7 @@
                 lambda: self.limits,
                 lambda: self.is_stopping,
                 self.connections,
+                self.bodies,
             ),
             LOOPBACK,
             0,
@@ -243,6 +246,84 @@
         self.assertGreater(turns, self.CHUNKS / 100)
 
 
+class LargeBodiesTest(CallerConnTest):
+    """Guards against bodies that take a host over its memory.
+
+    Load pattern: several callers upload bodies of the largest size at once, beside
+    usual requests.
+    """
+
+    LARGE = 400_000
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limits = replace(LIMITS, max_body_bytes=self.LARGE)
+        self.bodies = RequestBodies(total_bytes=2 * self.LARGE)
+        self.release_events = {b"/": asyncio.Event()}
+
+    async def wait_until_free(self) -> None:
+        while self.bodies.used_bytes:
+            await asyncio.sleep(0.01)
+
+    def upload(self, size: int, *, is_chunked: bool) -> bytes:
+        if is_chunked:
+            chunk = b"%x\r\n%b\r\n" % (1000, b"x" * 1000)
+            head = self._post(b"transfer-encoding: chunked")
+            return head + chunk * (size // 1000) + b"0\r\n\r\n"
+        return self._post(b"content-length: %d" % size) + b"x" * size
+
+    async def test_a_body_without_memory_is_rejected_and_others_are_served(
+        self,
+    ) -> None:
+        for is_chunked in (False, True):
+            with self.subTest(is_chunked=is_chunked):
+                self.release_events[b"/"].clear()
+                self.started.clear()
+                large = self.upload(self.LARGE, is_chunked=is_chunked)
+                small = self.upload(1000, is_chunked=is_chunked)
+                async with (
+                    self.caller() as (reader_1, writer_1),
+                    self.caller() as (reader_2, writer_2),
+                    self.caller() as (reader_3, writer_3),
+                    self.caller() as (reader_4, writer_4),
+                ):
+                    writer_1.write(large)
+                    writer_2.write(large)
+                    await self.wait_for_started(2)
+                    writer_3.write(large)
+                    rejection = await reader_3.read()
+                    self.assertIn(b"HTTP/1.1 503", rejection)
+                    self.assertIn(b"retry-after", rejection)
+                    writer_4.write(small)
+                    await self.wait_for_started(3)
+                    self.release_events[b"/"].set()
+                    for reader in (reader_1, reader_2, reader_4):
+                        answered = await reader.readuntil(b"\r\n\r\n")
+                        self.assertIn(b"HTTP/1.1 200", answered)
+                    await self.wait_until_free()
+                self.assertEqual(self.started, [b"/"] * 3)
+
+    async def test_memory_is_released_when_callers_disconnect(self) -> None:
+        large = self.upload(self.LARGE, is_chunked=False)
+        for name, sent in (("half sent", large[: self.LARGE // 2]), ("sent", large)):
+            with self.subTest(name):
+                async with self.caller() as (_, writer):
+                    writer.write(sent)
+                    while not self.bodies.used_bytes:
+                        await asyncio.sleep(0.01)
+                await self.wait_until_free()
+
+    async def test_an_idle_connection_holds_no_body(self) -> None:
+        self.release_events[b"/"].set()
+        async with self.caller() as (reader, writer):
+            writer.write(self.upload(self.LARGE, is_chunked=False))
+            await reader.readuntil(b"\r\n\r\n")
+            await self.wait_until_free()
+            gc.collect()
+            held = [b for b in gc.get_objects() if isinstance(b, CallerRequest)]
+            self.assertEqual(held, [])
+
+
 class DisconnectDuringAnswerTest(CallerConnTest):
     """Guards against an exception when a caller disconnects during an answer.
 
--- a/packages/daemon/tests/edge/test_http_client.py
+++ b/packages/daemon/tests/edge/test_http_client.py
@@ -70,6 +70,23 @@
             got = await exchange(server.address, b"x" * 20_000_000)
         self.assertEqual((got.status, got.ends_connection), (413, True))
 
+    async def test_a_long_body_is_not_copied_into_the_transport(self) -> None:
+        # The server reads nothing, and answers nothing.
+        async def stall(_: asyncio.StreamReader, __: asyncio.StreamWriter) -> None:
+            await asyncio.Event().wait()
+
+        body = b"x" * 20_000_000
+        async with scripted_server(stall) as server:
+            conn = await HttpConnection.open(parse_address(server.address), 1.0)
+            headers = [*HEADERS, (b"content-length", b"%d" % len(body))]
+            request = h11.Request(method=b"POST", target=b"/", headers=headers)
+            sending = asyncio.create_task(conn.exchange(request, body, ID_HEADER))
+            await asyncio.sleep(0.2)
+            self.assertLess(conn._stream.unsent_bytes, 1_000_000)
+            sending.cancel()
+            await asyncio.wait([sending])
+            conn.close()
+
     async def test_broken_answers(self) -> None:
         async def reset(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
