Log a reload that cannot read the settings file

An operator whose settings file was missing or unreadable at a reload saw no settings_rejected: the OSError was reported by the event loop alone.

Cause: only ValueError was handled, although the loader raises both.

Change: both are logged, and the old settings stay in force, as before.

Evidence: ReloadTest fails with OSError before and passes after.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -79,8 +79,8 @@
     platform : PlatformStore
     telemetry : EdgeTelemetry
     reload : callable
-        Reads the settings again; raises ValueError if they are invalid. Of the new
-        settings, a running host applies only `Bounds.grace_s`.
+        Reads the settings again; raises OSError or ValueError if they are invalid. Of
+        the new settings, a running host applies only `Bounds.grace_s`.
     """
 
     def __init__(
@@ -358,7 +358,7 @@
     def _reload_settings(self) -> None:
         try:
             settings = self._reload()
-        except ValueError as exc:
+        except (OSError, ValueError) as exc:
             self._telemetry.log(SETTINGS_REJECTED, error=str(exc))
             return
         self._settings = settings
--- a/packages/daemon/tests/edge/test_host.py
+++ b/packages/daemon/tests/edge/test_host.py
@@ -344,3 +344,17 @@
             self.assertEqual(await running, 200)
             failures = host._telemetry.record_task_failure.call_args_list
             self.assertEqual([c.args[0] for c in failures], ["peers", "last report"])
+
+
+class ReloadTest(HostCase):
+    """Guards against a reload that fails without a word in the log."""
+
+    async def test_settings_that_cannot_be_read_are_rejected(self) -> None:
+        async with scripted_server() as served, self.running(served) as host:
+            telemetry: Any = host._telemetry
+            for error in (OSError("no such file"), ValueError("bounds: drainS")):
+                telemetry.events.clear()
+                host._reload = mock.Mock(side_effect=error)
+                host._reload_settings()
+                names = [name for name, _ in telemetry.events]
+                self.assertIn("settings_rejected", names)
