Log requests that are refused for want of memory

An engineer could not tell why a large request got 503: the refusal is written before the request is read, and left no line in the log.

Evidence: LargeBodiesTest sees one call for each of its two refusals.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -75,11 +75,16 @@
 REQUEST_SUSPECTED = LogEvent(
     7103,
     "request_suspected",
-    "An upstream ended without an answer while it had a request.",
+    "An upstream ended, or cut its answer, while it had a request.",
 )
 REQUEST_CLEARED = LogEvent(
     7104, "request_cleared", "A request under suspicion got a complete answer."
 )
+BODY_REJECTED = LogEvent(
+    7105,
+    "request_body_rejected",
+    "A request was refused because there was no memory for its body.",
+)
 TASK_FAILED = LogEvent(9101, "edge_task_failed", "A task raised an exception.")
 
 # Meanings of the counters, except for those named after a refusal reason or a status.
@@ -90,6 +95,9 @@
     "peers.bytes_sent": "Bytes of reports to other hosts.",
     "peers.malformed": "Reports of other hosts that could not be read.",
     "rows.rejected": "Rows of the store that could not be read and were skipped.",
+    "requests.bodies_rejected": (
+        "Requests refused because there was no memory for their body."
+    ),
     "store.operator_calls": "Reads of the operator's rows.",
     "store.operator_failed": "Reads of the operator's rows without a usable answer.",
     "store.upstreams_calls": "Reads of the upstreams' entries.",
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -22,6 +22,7 @@
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
 from cardamomquay_daemon.edge._eligibility import Eligibility
 from cardamomquay_daemon.edge._endpoints import Endpoints
+from cardamomquay_daemon.edge._events import BODY_REJECTED
 from cardamomquay_daemon.edge._events import RELOADED
 from cardamomquay_daemon.edge._events import SETTINGS_REJECTED
 from cardamomquay_daemon.edge._events import STARTED
@@ -168,7 +169,7 @@
         )
         self._connections: set[CallerConnection] = set()
         self._request_bodies = RequestBodies(
-            int(BODY_MEMORY_SHARE * settings.memory_bytes)
+            int(BODY_MEMORY_SHARE * settings.memory_bytes), self._on_body_rejected
         )
         self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
@@ -178,6 +179,14 @@
     def _report_urgently(self) -> None:
         self._peers.report_urgently()
 
+    def _on_body_rejected(self, missing_bytes: int) -> None:
+        self._telemetry.count("requests.bodies_rejected")
+        self._telemetry.log(
+            BODY_REJECTED,
+            missing_bytes=missing_bytes,
+            used_bytes=self._request_bodies.used_bytes,
+        )
+
     async def run(self) -> bool:
         """Serve until a signal to stop, then stop gracefully.
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_request_bodies.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_request_bodies.py
@@ -6,6 +6,11 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # Smaller bodies are not counted, so that uploads cannot keep out all other requests.
 COUNTED_BYTES_MIN = 65_536
 DEFAULT_TOTAL_BYTES = 150_000_000
@@ -22,10 +27,17 @@
     ----------
     total_bytes : int
         Largest number of bytes of all large bodies together.
+    on_rejected : callable
+        Called with the missing number of bytes when there is no memory left.
     """
 
-    def __init__(self, total_bytes: int = DEFAULT_TOTAL_BYTES) -> None:
+    def __init__(
+        self,
+        total_bytes: int = DEFAULT_TOTAL_BYTES,
+        on_rejected: Callable[[int], None] = lambda _: None,
+    ) -> None:
         self._total_bytes = total_bytes
+        self._on_rejected = on_rejected
         self.used_bytes = 0
 
     def reserve(self, size_bytes: int) -> None:
@@ -37,6 +49,7 @@
             If so much is not left.
         """
         if self.used_bytes + size_bytes > self._total_bytes:
+            self._on_rejected(size_bytes)
             raise BodyMemoryError
         self.used_bytes += size_bytes
 
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -258,7 +258,8 @@
     def setUp(self) -> None:
         super().setUp()
         self.limits = replace(LIMITS, max_body_bytes=self.LARGE)
-        self.bodies = RequestBodies(total_bytes=2 * self.LARGE)
+        self.rejected: list[int] = []
+        self.bodies = RequestBodies(2 * self.LARGE, self.rejected.append)
         self.release_events = {b"/": asyncio.Event()}
 
     async def wait_until_free(self) -> None:
@@ -302,6 +303,7 @@
                         self.assertIn(b"HTTP/1.1 200", answered)
                     await self.wait_until_free()
                 self.assertEqual(self.started, [b"/"] * 3)
+        self.assertEqual(len(self.rejected), 2)
 
     async def test_memory_is_released_when_callers_disconnect(self) -> None:
         large = self.upload(self.LARGE, is_chunked=False)
