Refuse CONNECT, and close a connection whose answer cannot be sent

A caller that sent CONNECT got no answer, and its connection stayed open for good.

Cause: after a successful answer to CONNECT the HTTP library takes the connection for a tunnel and refuses to send the body. The exception ended the task that writes the answers, and nothing closed the connection. Any answer with a header that the library refuses did the same.

Change: CONNECT is refused with 501 before it is handled; if an answer cannot be sent, the connection is closed and the exception is reported.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -265,6 +265,8 @@
                     return None
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
+                if event.method == b"CONNECT":
+                    raise _RequestError(501, "tunnels are not supported")
                 head = event
                 with _rejecting_without_memory():
                     body.reserve(min(_content_length(event), limits.max_body_bytes))
@@ -330,6 +332,18 @@
         return parser.their_state is not h11.DONE
 
     async def _write_answers(self) -> None:
+        try:
+            await self._write_pending_answers()
+        except h11.LocalProtocolError:
+            # Without the answer, the caller would wait on a connection that looks fine.
+            self._closing = True
+            raise
+        finally:
+            self._write_task = None
+            if self._closing or self._has_caller_disconnected():
+                self._cancel_and_close()
+
+    async def _write_pending_answers(self) -> None:
         while self._pending:
             pending = self._pending[0]
             try:
@@ -346,9 +360,6 @@
             if pending.parser.our_state is not h11.DONE:
                 self._closing = True
                 break
-        self._write_task = None
-        if self._closing or self._has_caller_disconnected():
-            self._cancel_and_close()
 
     def _write_answer(
         self, parser: h11.Connection, request: CallerRequest, answer: CallerAnswer
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -200,6 +200,12 @@
                 self.assertIn(b"HTTP/1.1 %d" % status, data)
         self.assertEqual(self.started, [])
 
+    async def test_a_tunnel_is_refused(self) -> None:
+        async with self.caller() as (reader, writer):
+            writer.write(b"CONNECT h:80 HTTP/1.1\r\nhost: h\r\n\r\n")
+            self.assertIn(b"HTTP/1.1 501", await reader.read())
+        self.assertEqual(self.started, [])
+
     async def test_an_idle_connection_is_closed_without_a_further_answer(self) -> None:
         async with self.caller() as (reader, writer):
             writer.write(self.get(b"/1"))
@@ -326,6 +332,25 @@
             self.assertEqual(held, [])
 
 
+class UnsendableAnswerTest(CallerConnTest):
+    """Guards against a connection that stays open without the answer it owes."""
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        return CallerAnswer(200, [(b"x-broken", b"a\r\nb")])
+
+    async def test_the_connection_is_closed(self) -> None:
+        failures: list[dict[str, Any]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: failures.append(context))
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/1"))
+            self.assertEqual(await reader.read(), b"")
+        while self.connections:
+            await asyncio.sleep(0)
+        gc.collect()
+        self.assertEqual(len(failures), 1)
+
+
 class DisconnectDuringAnswerTest(CallerConnTest):
     """Guards against an exception when a caller disconnects during an answer.
 
