Check the port in reports of hosts, and only others' rows

A report that names a port above 65535 for its sender closed the socket of the reports of each host that got it, with the first datagram sent there. The check of the rows of hosts also ran for the host's own row, where a ValueError would have ended the host before it had registered.

Change: the port is checked when a report is decoded; rows are checked when they are read.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host_table.py
@@ -35,8 +35,15 @@
     zone: str
     region: str
 
-    def __post_init__(self) -> None:
-        # A datagram to an invalid address would end the exchange with all hosts.
+    def check(self) -> None:
+        """Check the addresses of another host.
+
+        Raises
+        ------
+        ValueError
+            If one is invalid. A datagram sent there would end the exchange of reports
+            with all hosts.
+        """
         check_address(self.peer_ip, self.peer_port)
         if self.caller_address:
             parse_address(self.caller_address)
@@ -108,7 +115,8 @@
         for row in result.rows:
             try:
                 host = msgspec.convert(row.value, HostRow)
-            except msgspec.ValidationError as exc:
+                host.check()
+            except ValueError as exc:
                 self._telemetry.count("rows.rejected")
                 self._telemetry.log(ROW_REJECTED, source=str(row.key), error=str(exc))
                 continue
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from typing import Annotated
 
 import msgspec
 
@@ -11,8 +12,12 @@
 from cardamomquay.rollouts import RolloutSnapshot
 from cardamomquay.rollouts import Tally
 from cardamomquay.rollouts import VersionTallies
+from cardamomquay_daemon.edge._addresses import PORT_MAX
 from cardamomquay_daemon.edge._upstream_deltas import UpstreamDelta  # noqa: TC001
 
+# A datagram to another port would close the socket of the reports.
+Port = Annotated[int, msgspec.Meta(ge=1, le=PORT_MAX)]
+
 
 class RolloutReport(msgspec.Struct, array_like=True):
     """A host's state of one roll-out as it is sent; see `RolloutSnapshot`.
@@ -159,7 +164,7 @@
     config_version: int
     names_hash: int
     evidence_age_ms: int
-    sender: tuple[str, str, int, str, str] | None = None
+    sender: tuple[str, str, Port, str, str] | None = None
     usage: list[int] | None = None
     rollouts: list[RolloutReport] = []
     now_warm: list[int] = []
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -232,6 +232,14 @@
                 self.one.peers.datagram_received(data, ("h9", 7000))
         self.assertEqual(self.one.telemetry.counters["peers.malformed"], 2)
 
+    def test_a_report_of_a_port_out_of_range_counts_as_malformed(self) -> None:
+        for port in (0, 70_000, 2**40):
+            report = Report(1, 1, 1, 0, 1, 1, -1, ("h9", "h9:80", port, "a", "A"))
+            data = msgspec.msgpack.encode(report)
+            self.one.peers.datagram_received(data, ("h9", 7000))
+        self.assertEqual(self.one.telemetry.counters["peers.malformed"], 3)
+        self.assertNotIn("h9", self.one.fleet.peers)
+
     def test_an_old_report_does_not_undo_a_new_one(self) -> None:
         self.exchange()
         self.two.peers.report()
