--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -334,7 +334,7 @@
     async def _write_answers(self) -> None:
         try:
             await self._write_pending_answers()
-        except h11.LocalProtocolError:
+        except Exception:
             # Without the answer, the caller would wait on a connection that looks fine.
             self._closing = True
             raise
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -336,19 +336,24 @@
     """Guards against a connection that stays open without the answer it owes."""
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
+        if request.target == b"/fails":
+            raise RuntimeError("a fault of the program")
         return CallerAnswer(200, [(b"x-broken", b"a\r\nb")])
 
     async def test_the_connection_is_closed(self) -> None:
         failures: list[dict[str, Any]] = []
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: failures.append(context))
-        async with self.caller() as (reader, writer):
-            writer.write(self.get(b"/1"))
-            self.assertEqual(await reader.read(), b"")
-        while self.connections:
-            await asyncio.sleep(0)
-        gc.collect()
-        self.assertEqual(len(failures), 1)
+        for target in (b"/1", b"/fails"):
+            with self.subTest(target):
+                failures.clear()
+                async with self.caller() as (reader, writer):
+                    writer.write(self.get(target))
+                    self.assertEqual(await reader.read(), b"")
+                while self.connections:
+                    await asyncio.sleep(0)
+                gc.collect()
+                self.assertEqual(len(failures), 1)
 
 
 class DisconnectDuringAnswerTest(CallerConnTest):
