Log whether an upstream counted as cold

The logs could not tell whether hosts did not know that an upstream had started again, or knew and sent too much: attempts now have the field cold.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -107,6 +107,8 @@
         The upstream's rate limit as this host knew it when the attempt began.
     pause_s : float or None
         Pause for which the upstream asked in its answer.
+    is_cold : bool
+        Whether the upstream counted as cold after a start.
     """
 
     instance: str
@@ -123,6 +125,7 @@
     took_s: float = 0.0
     rate_limit_per_s: float | None = None
     pause_s: float | None = None
+    is_cold: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -146,6 +149,8 @@
             fields["rate_limit"] = self.rate_limit_per_s
         if self.pause_s is not None:
             fields["pause_s"] = self.pause_s
+        if self.is_cold:
+            fields["cold"] = True
         return fields
 
 
@@ -238,6 +243,7 @@
             rate_limit_per_s=self._eligibility.rate_limits.limit_per_s(
                 upstream.instance
             ),
+            is_cold=self._eligibility.is_cold(upstream, self._clock.now_s()),
         )
         context.attempts.append(attempt)
         record.in_flight += 1
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -165,7 +165,7 @@
     def record_sent(self, upstream: Upstream, now_s: float) -> None:
         """Record that a request is sent to an upstream."""
         self.rate_limits.record_sent(upstream.instance)
-        if self._is_cold(upstream, now_s):
+        if self.is_cold(upstream, now_s):
             self._warm_up_limiter.record_sent(
                 upstream.instance, self._warm_up_limit_of(upstream), now_s
             )
@@ -348,7 +348,7 @@
     ) -> list[Upstream]:
         if all(now_s >= until_s for until_s in self._cold_until_s.values()):
             return allowed
-        cold = [u for u in allowed if self._is_cold(u, now_s)]
+        cold = [u for u in allowed if self.is_cold(u, now_s)]
         withheld = {
             upstream.instance
             for upstream in cold
@@ -406,7 +406,8 @@
     def _live_peers(self, now_s: float) -> list[str]:
         return [peer.record.name for peer in self._fleet.live(now_s)]
 
-    def _is_cold(self, upstream: Upstream, now_s: float) -> bool:
+    def is_cold(self, upstream: Upstream, now_s: float) -> bool:
+        """Return whether an upstream is cold, or may be so after a start."""
         return now_s < self._cold_until_s.get(upstream.instance, -math.inf)
 
     def _assume_cold(self, upstream: Upstream, now_s: float) -> None:
