Use more of what a cold upstream tolerates

Callers were refused, or sent to fuller upstreams, while cold ones ran a third of what they tolerate: three hosts used each, and a rate that counts the first request twice let each send one request in 1.23 s. As many hosts now use a cold upstream as get a request a second each of 0.6 of the tolerated rate (five on the two small sites, at most eight), and a host sends its requests of a second within 1.05 s, so that any second gets no more.

--- a/packages/core/src/cardamomquay/fleet_limits/_warm_up_limiter.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_warm_up_limiter.py
@@ -18,8 +18,11 @@
     from collections.abc import Callable
     from collections.abc import Collection
 
-# Number of hosts that may use one cold upstream.
-HOSTS_PER_UPSTREAM = 3
+# Largest number of hosts that may use one cold upstream.
+HOSTS_MAX = 8
+# Time in which a host sends its requests of a second, since some of them take less time
+# on the way than others.
+SPACED_SECOND_S = 1.05
 # Share of the tolerated rate that is used: hosts notice membership changes at different
 # times, and one more host may then send requests.
 USED_SHARE = 0.6
@@ -45,14 +48,19 @@
     tolerated_factor: float
     slack: float
 
-    def per_host_per_s(self) -> float:
-        """Return the rate of one host's requests after its first one.
+    @property
+    def _used_per_s(self) -> float:
+        return USED_SHARE * (self.per_s * self.tolerated_factor + self.slack)
 
-        The first request is sent at once, so it is subtracted from the number that the
-        host may send in a second.
-        """
-        total = self.per_s * self.tolerated_factor + self.slack
-        return max(0.0, USED_SHARE * total / HOSTS_PER_UPSTREAM - 1.0)
+    @property
+    def hosts(self) -> int:
+        """Number of hosts that may use the upstream, as many as get a request each."""
+        return min(HOSTS_MAX, max(1, math.floor(self._used_per_s)))
+
+    @property
+    def interval_s(self) -> float:
+        """Time between two requests of one host, in seconds."""
+        return SPACED_SECOND_S / max(1, math.floor(self._used_per_s / self.hosts))
 
 
 class WarmUpLimiter:
@@ -71,13 +79,18 @@
         self._is_chosen: dict[str, tuple[bool, float]] = {}
 
     def may_send(
-        self, instance: str, live_peers: Callable[[], Collection[str]], now_s: float
+        self,
+        instance: str,
+        limit: WarmUpLimit,
+        live_peers: Callable[[], Collection[str]],
+        now_s: float,
     ) -> bool:
         """Return whether this host may send a request to a cold upstream now.
 
         Parameters
         ----------
         instance : str
+        limit : WarmUpLimit
         live_peers : callable
             Returns the names of the other live hosts.
         now_s : float
@@ -90,27 +103,24 @@
             return False
         is_chosen, chosen_s = self._is_chosen.get(instance, (False, -math.inf))
         if not chosen_s <= now_s < chosen_s + CHOICE_PERIOD_S:
-            is_chosen = self._ranks_among_first(instance, live_peers())
+            is_chosen = self._ranks_among_first(instance, limit.hosts, live_peers())
             self._is_chosen[instance] = (is_chosen, now_s)
         return is_chosen
 
-    def _ranks_among_first(self, instance: str, live_peers: Collection[str]) -> bool:
+    def _ranks_among_first(
+        self, instance: str, count: int, live_peers: Collection[str]
+    ) -> bool:
         own = rendezvous_hash(instance, self._host)
         higher_ranked = 0
         for host in live_peers:
             higher_ranked += rendezvous_hash(instance, host) > own
-            if higher_ranked == HOSTS_PER_UPSTREAM:
+            if higher_ranked == count:
                 return False
         return True
 
     def record_sent(self, instance: str, limit: WarmUpLimit, now_s: float) -> None:
-        """Record a request to a cold upstream.
-
-        If the limit is so low that no rate remains for a host after its first request,
-        the host may send the next one after 1 s.
-        """
-        per_s = limit.per_host_per_s()
-        self._next_send_s[instance] = now_s + (1.0 / per_s if per_s > 0.0 else 1.0)
+        """Record a request to a cold upstream."""
+        self._next_send_s[instance] = now_s + limit.interval_s
 
     def clear_upstream(self, instance: str) -> None:
         """Remove an upstream that no longer exists."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -353,7 +353,10 @@
             upstream.instance
             for upstream in cold
             if not self._warm_up_limiter.may_send(
-                upstream.instance, partial(self._live_peers, now_s), now_s
+                upstream.instance,
+                self._warm_up_limit_of(upstream),
+                partial(self._live_peers, now_s),
+                now_s,
             )
         }
         return [u for u in allowed if u.instance not in withheld]
