Tell other hosts of upstreams that may have started again

Cause: a host took an upstream for cold only if its own connection was refused, or by the entry, which arrives 0.5 s later, or seconds later while the store is away.

Change: hosts send each other refused connections, and the end of all their connections to an upstream, which counts if two hosts report it within 0.5 s; a host that loses all of them also checks at once whether the upstream listens. A suspected upstream is cold until it is known since when it runs: a host reports when it has answered, or its entry shows the start. An answer on a connection from before, or three further heartbeats, refute it. Losses of more than a third of the upstreams, of new connections, or of idle ones without a stated timeout are no evidence. News that could not be sent at once follow after the spacing.

--- a/packages/cli/src/cardamomquay_cli/_explain.py
+++ b/packages/cli/src/cardamomquay_cli/_explain.py
@@ -34,6 +34,7 @@
 # Events that show how the state of a host, or its view of the fleet, changed.
 HOST_EVENTS = frozenset(
     (
+        "connections_lost",
         "edge_config_in_force",
         "edge_started",
         "edge_stopping",
@@ -43,6 +44,8 @@
         "store_lost",
         "store_regained",
         "upstream_changed",
+        "upstream_reached",
+        "upstream_restart_suspected",
         "zone_evacuation",
     )
 )
@@ -139,7 +142,7 @@
             if end_s - near_s <= host_event["timestamp"] <= end_s
             and host_event["host"] == outcome["host"]
             and (
-                host_event["message_type"] != "upstream_changed"
+                not host_event["message_type"].startswith("upstream_")
                 or host_event["instance"] in tried
             )
         ]
@@ -190,6 +193,8 @@
         )
         for number, attempt in enumerate(outcome["tries"], 1):
             warmth = "warm" if attempt["warm"] else "cold"
+            if attempt.get("warming_up"):
+                warmth += ", upstream warming up after a start"
             pause_s = attempt.get("pause_s")
             pause = f", asked for a pause of {pause_s} s" if pause_s is not None else ""
             yield (
--- a/packages/cli/tests/test_explain.py
+++ b/packages/cli/tests/test_explain.py
@@ -54,6 +54,19 @@
         lines.insert(0, '  12.4 h0 {"message_type": "request_do')
         return "\n".join(_lines(select_records(_parse(lines), request, 5.0)))
 
+    def test_sent_to_an_upstream_that_had_started_again(self) -> None:
+        sent = attempt("i-1", "answered") | {"warming_up": True}
+        text = self.explain(
+            "a",
+            request_done("a", "answered", 200, sent),
+            host_event(
+                "upstream_restart_suspected", 98.0, instance="i-1", source="lost"
+            ),
+            host_event("upstream_restart_suspected", 98.0, instance="i-2"),
+        )
+        self.assertIn("upstream warming up after a start", text)
+        self.assertEqual(text.count("upstream_restart_suspected"), 1)
+
     def test_refused_by_a_limit(self) -> None:
         text = self.explain(
             "a", request_done("a", "limit_exceeded", 429), request_done("b", "x", 200)
--- a/packages/core/src/cardamomquay/fleet_limits/__init__.py
+++ b/packages/core/src/cardamomquay/fleet_limits/__init__.py
@@ -14,11 +14,15 @@
 from cardamomquay.fleet_limits._upstream_rate_limits import RateLimitObservation
 from cardamomquay.fleet_limits._upstream_rate_limits import SharingHost
 from cardamomquay.fleet_limits._upstream_rate_limits import UpstreamRateLimits
+from cardamomquay.fleet_limits._upstream_restarts import RESTART_KINDS
+from cardamomquay.fleet_limits._upstream_restarts import Suspicion
+from cardamomquay.fleet_limits._upstream_restarts import UpstreamRestarts
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimit
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimiter
 
 __all__ = [
     "PAUSE_MAX_S",
+    "RESTART_KINDS",
     "CrashObservation",
     "FleetQuota",
     "FleetRetryBudget",
@@ -27,8 +31,10 @@
     "PoisonRequests",
     "RateLimitObservation",
     "SharingHost",
+    "Suspicion",
     "UpstreamNotices",
     "UpstreamRateLimits",
+    "UpstreamRestarts",
     "WarmUpLimit",
     "WarmUpLimiter",
     "life_id",
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -32,6 +32,7 @@
     from cardamomquay_daemon.edge._eligibility import Eligibility
     from cardamomquay_daemon.edge._header_names import HeaderNames
     from cardamomquay_daemon.edge._relay import RequestContext
+    from cardamomquay_daemon.edge._restart_watch import RestartWatch
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
     from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
@@ -107,7 +108,11 @@
         The upstream's rate limit as this host knew it when the attempt began.
     pause_s : float or None
         Pause for which the upstream asked in its answer.
-    is_cold : bool
+    sent_s : float
+        Time at which the request was sent, on the host's clock.
+    conn_opened_s : float
+        Time at which its connection was opened, on the clock of the event loop.
+    is_warming_up : bool
         Whether the upstream counted as cold after a start.
     """
 
@@ -125,7 +130,9 @@
     took_s: float = 0.0
     rate_limit_per_s: float | None = None
     pause_s: float | None = None
-    is_cold: bool = False
+    sent_s: float = 0.0
+    conn_opened_s: float = 0.0
+    is_warming_up: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -149,8 +156,8 @@
             fields["rate_limit"] = self.rate_limit_per_s
         if self.pause_s is not None:
             fields["pause_s"] = self.pause_s
-        if self.is_cold:
-            fields["cold"] = True
+        if self.is_warming_up:
+            fields["warming_up"] = True
         return fields
 
 
@@ -188,6 +195,7 @@
     telemetry : EdgeTelemetry
     report_urgently : callable
         Reports to the other hosts ahead of the period.
+    restart_watch : RestartWatch
     """
 
     def __init__(
@@ -202,8 +210,10 @@
         warm_objects: WarmObjectReports,
         telemetry: EdgeTelemetry,
         report_urgently: Callable[[], None],
+        restart_watch: RestartWatch,
     ) -> None:
         self._report_urgently = report_urgently
+        self._restart_watch = restart_watch
         self._notices = AnswerNotices(
             connections, names, clock, eligibility, telemetry, report_urgently
         )
@@ -243,7 +253,7 @@
             rate_limit_per_s=self._eligibility.rate_limits.limit_per_s(
                 upstream.instance
             ),
-            is_cold=self._eligibility.is_cold(upstream, self._clock.now_s()),
+            is_warming_up=self._eligibility.is_cold(upstream, self._clock.now_s()),
         )
         context.attempts.append(attempt)
         record.in_flight += 1
@@ -317,6 +327,8 @@
             attempt.may_have_arrived = True
             request_id = context.request_id.encode("latin-1")
             id_header = (self._names.request_id, request_id) if request_id else None
+            attempt.sent_s = self._clock.now_s()
+            attempt.conn_opened_s = conn.opened_s
             answer = await conn.exchange(request, context.request.body, id_header)
             if answer.is_ended_by_close and not await self._connections.is_listening(
                 upstream
@@ -368,6 +380,9 @@
         if attempt.detail == WITHHELD:
             return
         if result.answer is not None and attempt.detail != OTHER_INSTANCE:
+            self._restart_watch.record_answered(
+                candidate.upstream, attempt.conn_opened_s, attempt.sent_s
+            )
             pause_s = self._notices.record(
                 candidate.upstream,
                 result.answer,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -4,6 +4,10 @@
 
 import asyncio
 import socket
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 # With more unread bytes than this, reading from the socket is paused.
 HIGH_WATER_BYTES = 262_144
@@ -33,11 +37,18 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._paused = False
+        # Time of the last bytes received, or of opening, on the loop's clock.
+        self.last_received_s = 0.0
+        # Whether the other side has ended or reset the connection. A connection may
+        # also be lost because its packets do not arrive.
+        self.was_ended_by_peer = False
+        self.on_end_by_peer: Callable[[], None] | None = None
         self.transport: asyncio.Transport
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        self.last_received_s = asyncio.get_running_loop().time()
         if self._unacknowledged_timeout_ms:
             sock = transport.get_extra_info("socket")
             sock.setsockopt(
@@ -48,6 +59,7 @@
 
     def data_received(self, data: bytes) -> None:
         self._received += data
+        self.last_received_s = asyncio.get_running_loop().time()
         if len(self._received) > HIGH_WATER_BYTES and not self._paused:
             self._paused = True
             self.transport.pause_reading()
@@ -55,6 +67,7 @@
 
     def eof_received(self) -> bool:
         self._ended = True
+        self._record_end_by_peer()
         self._wake()
         return True
 
@@ -62,9 +75,17 @@
         self._lost = True
         self._ended = True
         self._error = exc
+        if isinstance(exc, ConnectionResetError | BrokenPipeError):
+            self._record_end_by_peer()
         self._can_write.set()
         self._wake()
 
+    def _record_end_by_peer(self) -> None:
+        if not self.was_ended_by_peer:
+            self.was_ended_by_peer = True
+            if self.on_end_by_peer is not None:
+                self.on_end_by_peer()
+
     def pause_writing(self) -> None:
         self._can_write.clear()
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from abc import ABC
+from abc import abstractmethod
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import TYPE_CHECKING
 
+from cardamomquay_daemon.edge._http_client import CONNECT_REFUSED
 from cardamomquay_daemon.edge._http_client import ExchangeError
 from cardamomquay_daemon.edge._http_client import HttpConnection
 
@@ -17,6 +21,33 @@
 SETTLE_TIME_S = 0.02
 
 
+class PoolListener(ABC):
+    """Gets what a pool's connections show of the server."""
+
+    @abstractmethod
+    def on_lost(self, alive_ago_s: float) -> None:
+        """Handle the end, by the server, of a connection that it had to keep.
+
+        Either a request was in progress, or the connection was idle for less time than
+        the server has stated. New connections do not count.
+
+        Parameters
+        ----------
+        alive_ago_s : float
+            Time since the last bytes were received on it.
+        """
+
+    @abstractmethod
+    def on_refused(self, began_ago_s: float) -> None:
+        """Handle a refused connection.
+
+        Parameters
+        ----------
+        began_ago_s : float
+            Time since the attempt to open it began.
+        """
+
+
 class ConnectionPool:
     """Provides connections, and keeps reusable ones open.
 
@@ -27,20 +58,44 @@
         Longest time to open a connection.
     idle_max : int
         Largest number of idle connections to keep.
+    listener : PoolListener or None, default=None
     """
 
     def __init__(
-        self, address: tuple[str, int], connect_timeout_s: float, idle_max: int
+        self,
+        address: tuple[str, int],
+        connect_timeout_s: float,
+        idle_max: int,
+        listener: PoolListener | None = None,
     ) -> None:
         self._address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle_max = idle_max
+        self._listener = listener
         self._idle: list[HttpConnection] = []
+        self._in_use: set[HttpConnection] = set()
+
+    def has_connection_from_before(self, before_s: float) -> bool:
+        """Return whether a connection opened before a time is still open.
+
+        Parameters
+        ----------
+        before_s : float
+            On the clock of the event loop.
+
+        Returns
+        -------
+        bool
+        """
+        return any(
+            conn.opened_s < before_s and not conn.was_ended_by_peer
+            for conn in (*self._idle, *self._in_use)
+        )
 
     async def is_listening(self) -> bool:
         """Return whether the server accepts a connection and keeps it open."""
         try:
-            conn = await HttpConnection.open(self._address, self._connect_timeout_s)
+            conn = await self._open()
         except ExchangeError:
             return False
         await asyncio.sleep(SETTLE_TIME_S)
@@ -61,14 +116,23 @@
             If no connection can be opened.
         """
         conn = self._take_idle()
+        is_reused = conn is not None
         if conn is None:
-            conn = await HttpConnection.open(self._address, self._connect_timeout_s)
+            conn = await self._open()
         conn.idle_limit_s = 0.0
+        self._in_use.add(conn)
         try:
             yield conn
+        except ExchangeError:
+            # A server may reset new connections because it has too many.
+            if conn.was_ended_by_peer and is_reused:
+                self._report_lost(conn)
+            raise
         finally:
+            self._in_use.discard(conn)
             if conn.idle_limit_s > 0.0 and len(self._idle) < self._idle_max:
                 conn.idle_since_s = asyncio.get_running_loop().time()
+                conn.call_at_end_by_peer(partial(self._on_idle_end, conn))
                 self._idle.append(conn)
             else:
                 conn.close()
@@ -77,13 +141,43 @@
         """Close the idle connections; those in use are closed on release."""
         self._idle_max = 0
         while self._idle:
-            self._idle.pop().close()
+            self._close_idle(self._idle.pop())
+
+    def _on_idle_end(self, conn: HttpConnection) -> None:
+        if conn not in self._idle:
+            return
+        self._idle.remove(conn)
+        self._close_idle(conn)
+        idle_s = asyncio.get_running_loop().time() - conn.idle_since_s
+        if conn.is_idle_limit_stated and idle_s < conn.idle_limit_s:
+            self._report_lost(conn)
+
+    def _report_lost(self, conn: HttpConnection) -> None:
+        if self._listener is not None:
+            now_s = asyncio.get_running_loop().time()
+            self._listener.on_lost(now_s - conn.last_received_s)
+
+    async def _open(self) -> HttpConnection:
+        began_s = asyncio.get_running_loop().time()
+        try:
+            return await HttpConnection.open(self._address, self._connect_timeout_s)
+        except ExchangeError as exc:
+            if exc.reason == CONNECT_REFUSED and self._listener is not None:
+                now_s = asyncio.get_running_loop().time()
+                self._listener.on_refused(now_s - began_s)
+            raise
+
+    @staticmethod
+    def _close_idle(conn: HttpConnection) -> None:
+        conn.call_at_end_by_peer(None)
+        conn.close()
 
     def _take_idle(self) -> HttpConnection | None:
         now_s = asyncio.get_running_loop().time()
         while self._idle:
             conn = self._idle.pop()
             if conn.is_reusable and now_s - conn.idle_since_s < conn.idle_limit_s:
+                conn.call_at_end_by_peer(None)
                 return conn
-            conn.close()
+            self._close_idle(conn)
         return None
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.fleet import HostPhase
+from cardamomquay.fleet_limits import RESTART_KINDS
 from cardamomquay.fleet_limits import FleetQuota
 from cardamomquay.fleet_limits import FleetRetryBudget
 from cardamomquay.fleet_limits import HostReportTimes
@@ -16,8 +17,10 @@
 from cardamomquay.fleet_limits import SharingHost
 from cardamomquay.fleet_limits import UpstreamNotices
 from cardamomquay.fleet_limits import UpstreamRateLimits
+from cardamomquay.fleet_limits import UpstreamRestarts
 from cardamomquay.fleet_limits import WarmUpLimit
 from cardamomquay.fleet_limits import WarmUpLimiter
+from cardamomquay.gossip import ObservationLog
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.placement import OverloadControl
@@ -29,6 +32,7 @@
     from collections.abc import Collection
 
     from cardamomquay.fleet import FleetView
+    from cardamomquay.gossip import Observation
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
@@ -50,9 +54,9 @@
 # An upstream's entry states the warm-up time that was left at its last heartbeat. When
 # that time has passed, the upstream counts as cold for this much longer.
 WARM_UP_MARGIN_S = 0.5
-# An unreachable upstream may be replaced by a cold one, whose entry takes up to this
-# long to arrive.
-ENTRY_DELAY_S = 2.5
+# Time for which an upstream of an evacuated zone counts as cold after the evacuation,
+# in addition to the warm-up time of its service.
+EVACUATION_END_MARGIN_S = 2.5
 # Time for which the list of hosts that share rate limits is reused.
 SHARING_HOSTS_PERIOD_S = 0.2
 # Number of upstreams whose rate limits fit into one report beside its other content.
@@ -97,6 +101,9 @@
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
         self.notices = UpstreamNotices()
+        # Distinguishes this host's observations from those of its earlier starts.
+        self.observations = ObservationLog(random.getrandbits(32), RESTART_KINDS)
+        self.restarts = UpstreamRestarts(self.observations)
         self._listed_hosts: tuple[float, list[SharingHost]] = (-math.inf, [])
         self._by_short_id: dict[int, str] = {}
         self._cold_until_s: dict[str, float] = {}
@@ -220,13 +227,27 @@
 
     def record_unreachable(self, upstream: Upstream, now_s: float) -> None:
         """Record that an upstream is unreachable; it may be cold when it returns."""
-        self._assume_cold(upstream, now_s)
+        warm_up_s = self.warm_up_s(upstream)
+        if warm_up_s > 0.0:
+            self.restarts.record_unreachable(upstream, warm_up_s, now_s)
 
     def apply_evacuation_end(self, zone: str, now_s: float) -> None:
         """Treat the upstreams of a zone as cold after its evacuation has ended."""
         for upstream in self._state.upstreams.by_instance.values():
-            if upstream.zone == zone:
-                self._assume_cold(upstream, now_s)
+            warm_up_s = self.warm_up_s(upstream)
+            if upstream.zone == zone and warm_up_s > 0.0:
+                before_s = self._cold_until_s.get(upstream.instance, -math.inf)
+                until_s = now_s + EVACUATION_END_MARGIN_S + warm_up_s
+                self._cold_until_s[upstream.instance] = max(before_s, until_s)
+
+    def upstream_of(self, upstream_id: int) -> Upstream | None:
+        """Return the upstream with a short identifier; None if it is not known."""
+        instance = self._by_short_id.get(upstream_id)
+        return self._state.upstreams.by_instance.get(instance) if instance else None
+
+    def observations_of(self, upstream: Upstream, now_s: float) -> list[Observation]:
+        """Return what other hosts have recently reported of an upstream."""
+        return self.observations.known_of(short_id(upstream.instance), now_s)
 
     def apply_upstream_change(
         self, before: Upstream | None, after: Upstream | None, now_s: float
@@ -238,10 +259,13 @@
                 self._cold_until_s.pop(before.instance, None)
                 self._warm_up_limiter.clear_upstream(before.instance)
                 self.rate_limits.clear_upstream(before.instance)
+                self.restarts.clear_upstream(before.instance)
             return
         self._by_short_id[short_id(after.instance)] = after.instance
         if before is not None and before.started_at_ms != after.started_at_ms:
             self.rate_limits.clear_upstream(after.instance)
+            elapsed_s = max(0.0, self.warm_up_s(after) - after.warm_up_left_s)
+            self.restarts.record_start(after.instance, now_s - elapsed_s)
         if after.warm_up_left_s > 0.0:
             until_s = now_s + after.warm_up_left_s + WARM_UP_MARGIN_S
             self._cold_until_s[after.instance] = until_s
@@ -346,13 +370,16 @@
     def _within_warm_up_limits(
         self, allowed: list[Upstream], now_s: float
     ) -> list[Upstream]:
-        if all(now_s >= until_s for until_s in self._cold_until_s.values()):
+        if not len(self.restarts) and all(
+            now_s >= until_s for until_s in self._cold_until_s.values()
+        ):
             return allowed
         cold = [u for u in allowed if self.is_cold(u, now_s)]
         withheld = {
             upstream.instance
             for upstream in cold
-            if not self._warm_up_limiter.may_send(
+            if self._fleet.own_phase is HostPhase.LEAVING
+            or not self._warm_up_limiter.may_send(
                 upstream.instance,
                 self._warm_up_limit_of(upstream),
                 partial(self._live_peers, now_s),
@@ -407,20 +434,27 @@
         return hosts
 
     def _live_peers(self, now_s: float) -> list[str]:
-        return [peer.record.name for peer in self._fleet.live(now_s)]
+        """Return the live hosts that may use cold upstreams, except this one."""
+        return [
+            peer.record.name
+            for peer in self._fleet.live(now_s)
+            if peer.phase is not HostPhase.LEAVING
+        ]
 
     def is_cold(self, upstream: Upstream, now_s: float) -> bool:
         """Return whether an upstream is cold, or may be so after a start."""
-        return now_s < self._cold_until_s.get(upstream.instance, -math.inf)
-
-    def _assume_cold(self, upstream: Upstream, now_s: float) -> None:
+        is_known_cold = now_s < self._cold_until_s.get(upstream.instance, -math.inf)
+        if is_known_cold or upstream.instance not in self.restarts:
+            return is_known_cold
+        # Lists of upstreams may lack the latest heartbeat.
+        latest = self._state.upstreams.by_instance.get(upstream.instance, upstream)
+        return self.restarts.is_cold(latest, self.warm_up_s(upstream), now_s)
+
+    def warm_up_s(self, upstream: Upstream) -> float:
+        """Return the time for which an upstream is cold after its start."""
         config = self._state.config
         service = config.services.get(upstream.service) if config else None
-        if service is None or service.warm_up_s <= 0.0:
-            return
-        until_s = now_s + ENTRY_DELAY_S + service.warm_up_s
-        before_s = self._cold_until_s.get(upstream.instance, -math.inf)
-        self._cold_until_s[upstream.instance] = max(before_s, until_s)
+        return service.warm_up_s if service else 0.0
 
     def _warm_up_limit_of(self, upstream: Upstream) -> WarmUpLimit:
         config = self._state.config
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -50,6 +50,21 @@
 UPSTREAM_PAUSED = LogEvent(
     2204, "upstream_paused", "An upstream asked this host for a pause."
 )
+UPSTREAM_SUSPECTED = LogEvent(
+    2205,
+    "upstream_restart_suspected",
+    "An upstream may have started again, so it counts as cold.",
+)
+UPSTREAM_REACHED = LogEvent(
+    2206,
+    "upstream_reached",
+    "A suspected upstream runs; it stays cold for `cold_left_s` if it has started.",
+)
+CONNECTIONS_LOST = LogEvent(
+    2207,
+    "connections_lost",
+    "Connections to many upstreams ended at once; this says nothing about them.",
+)
 STORE_LOST = LogEvent(3101, "store_lost", "Calls to the store fail.")
 STORE_REGAINED = LogEvent(3102, "store_regained", "Calls to the store succeed again.")
 STORE_READING = LogEvent(
@@ -102,6 +117,13 @@
     "store.operator_failed": "Reads of the operator's rows without a usable answer.",
     "store.upstreams_calls": "Reads of the upstreams' entries.",
     "store.upstreams_failed": "Reads of the upstreams' entries without an answer.",
+    "peers.observations_rejected": (
+        "Observations in reports of other hosts that made no sense."
+    ),
+    "upstreams.connections_lost": (
+        "Times that an upstream ended all connections of this host."
+    ),
+    "upstreams.suspected": "Upstreams that may have started again.",
     "upstreams.leaving": "Upstreams that said in an answer that they are stopping.",
     "upstreams.pauses": "Answers in which an upstream asked for a pause.",
     "upstreams.retry_after_malformed": (
--- a/packages/daemon/src/cardamomquay_daemon/edge/_gateway.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_gateway.py
@@ -20,6 +20,7 @@
     from cardamomquay.clock import Clock
     from cardamomquay.fleet import FleetView
     from cardamomquay.fleet import Peer
+    from cardamomquay.gossip import ObservationLog
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
 # A gateway reports to its zone at least this often, so that its loss is noticed.
@@ -47,6 +48,9 @@
         Sends content to a peer; gets the peer, the time and the content.
     own_content : callable
         Returns the content of this host's own report at the given time.
+    observations : ObservationLog
+        Reports contain the observations that are passed on. New ones are a reason to
+        send a report.
     """
 
     def __init__(
@@ -56,7 +60,12 @@
         telemetry: EdgeTelemetry,
         send: Callable[[Peer, float, ReportContent], None],
         own_content: Callable[[float], ReportContent],
+        observations: ObservationLog,
     ) -> None:
+        self._observations = observations
+        # Number of observations that this host had learned when it last sent reports.
+        self._sent_to_gateways_count = 0
+        self._sent_to_zone_count = 0
         self._fleet = fleet
         self._clock = clock
         self._telemetry = telemetry
@@ -126,20 +135,30 @@
 
     def _send_to_gateways(self, now_s: float) -> None:
         digests = self.digests.take_due(of_own_zone=True, now_s=now_s)
-        if not digests and now_s - self._sent_to_gateways_s < KEEPALIVE_PERIOD_S:
+        learned_count = self._observations.learned_count
+        is_empty = not digests and learned_count == self._sent_to_gateways_count
+        if is_empty and now_s - self._sent_to_gateways_s < KEEPALIVE_PERIOD_S:
             return
         self._sent_to_gateways_s = now_s
+        self._sent_to_gateways_count = learned_count
         content = replace(self._own_content(now_s), upstreams=None, digests=digests)
         for peer in self._fleet.other_gateways(now_s):
             self._send(peer, now_s, content)
+            if self._observations.has_more:
+                self._sent_to_gateways_count = -1
 
     def _send_to_own_zone(self, now_s: float) -> None:
         digests = self.digests.take_due(of_own_zone=False, now_s=now_s)
         now_warm, warming = self._warm_entries.take(now_s)
-        is_empty = not (digests or now_warm or warming)
+        learned_count = self._observations.learned_count
+        has_observations = learned_count != self._sent_to_zone_count
+        is_empty = not (digests or now_warm or warming or has_observations)
         if is_empty and now_s - self._sent_to_zone_s < ZONE_KEEPALIVE_PERIOD_S:
             return
         self._sent_to_zone_s = now_s
+        self._sent_to_zone_count = learned_count
         content = ReportContent(digests=digests, now_warm=now_warm, warming=warming)
         for peer in self._fleet.in_own_zone(now_s):
             self._send(peer, now_s, content)
+            if self._observations.has_more:
+                self._sent_to_zone_count = -1
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -35,6 +35,7 @@
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
 from cardamomquay_daemon.edge._relay import Relay
 from cardamomquay_daemon.edge._request_bodies import RequestBodies
+from cardamomquay_daemon.edge._restart_watch import RestartWatch
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
@@ -143,6 +144,17 @@
             poison_guard,
             int.from_bytes(os.urandom(4), "big"),
         )
+        restart_watch = RestartWatch(
+            self._state,
+            self._upstream_connections,
+            self._eligibility,
+            self._clock,
+            telemetry,
+            self._peers.report_news,
+        )
+        self._upstream_connections.listener = restart_watch
+        self._peers.restart_watch = restart_watch
+        self._restart_watch = restart_watch
         attempt_sender = AttemptSender(
             self._upstream_connections,
             self._placement,
@@ -154,6 +166,7 @@
             self._warm_objects,
             telemetry,
             self._peers.report_urgently,
+            restart_watch,
         )
         self._relay = Relay(
             self._state,
@@ -356,6 +369,7 @@
                 self._fleet.own_phase = HostPhase.STARTING
             self._telemetry.flush()
             self._peers.report_warm_objects()
+            self._peers.report_due_news()
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
 
     def _can_serve(self) -> bool:
@@ -395,6 +409,8 @@
     def on_upstream(self, before: Upstream | None, after: Upstream | None) -> None:
         self._eligibility.apply_upstream_change(before, after, self._clock.now_s())
         if before is None:
+            if after is not None:
+                self._restart_watch.apply_known(after)
             return
         if after is None or after.address != before.address:
             self._upstream_connections.drop(before.instance)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -29,6 +29,8 @@
 EVENTS_PER_TURN = 64
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 BODY_PART_BYTES = 65_536
+# Reason of an `ExchangeError` if nothing listens at the address.
+CONNECT_REFUSED = "connect_refused"
 # Limits for the answers of upstreams and of the store, and the bytes buffered of them
 # in this process.
 ANSWER_LIMITS = AnswerLimits()
@@ -108,6 +110,8 @@
 
     Attributes
     ----------
+    opened_s : float
+        Time at which the connection was accepted, on the clock of the event loop.
     exchange_count : int
         Number of requests sent so far.
     idle_since_s : float
@@ -115,6 +119,8 @@
     idle_limit_s : float
         Time for which the connection may stay idle and be reused; 0 to close it after
         the current request.
+    is_idle_limit_stated : bool
+        Whether the server has stated for how long it keeps idle connections.
     """
 
     def __init__(
@@ -129,9 +135,11 @@
         self._buffers = buffers
         self.connect_duration_s = connect_duration_s
         self._answer_began = False
+        self.opened_s = asyncio.get_running_loop().time()
         self.exchange_count = 0
         self.idle_since_s = 0.0
         self.idle_limit_s = 0.0
+        self.is_idle_limit_stated = False
 
     @classmethod
     async def open(cls, address: tuple[str, int], timeout_s: float) -> HttpConnection:
@@ -159,12 +167,30 @@
             raise ExchangeError(
                 "connect_timeout", request_may_have_arrived=False
             ) from exc
+        except ConnectionRefusedError as exc:
+            raise ExchangeError(
+                CONNECT_REFUSED, request_may_have_arrived=False
+            ) from exc
         except OSError as exc:
             raise ExchangeError(
-                "connect_refused", request_may_have_arrived=False
+                "connect_failed", request_may_have_arrived=False
             ) from exc
         return cls(stream, loop.time() - began_s)
 
+    @property
+    def last_received_s(self) -> float:
+        """Time of the last bytes received, or of opening, on the loop's clock."""
+        return self._stream.last_received_s
+
+    @property
+    def was_ended_by_peer(self) -> bool:
+        """Whether the server has ended or reset the connection."""
+        return self._stream.was_ended_by_peer
+
+    def call_at_end_by_peer(self, callback: Callable[[], None] | None) -> None:
+        """Set what is called when the server ends or resets the connection."""
+        self._stream.on_end_by_peer = callback
+
     @property
     def is_reusable(self) -> bool:
         """Whether the idle connection is open and has no unexpected bytes."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -16,6 +16,7 @@
 import random
 from contextlib import suppress
 from dataclasses import replace
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import cast
 
@@ -48,6 +49,7 @@
     from cardamomquay_daemon.edge._feeds import StoreFeeds
     from cardamomquay_daemon.edge._platform_store import PlatformStore
     from cardamomquay_daemon.edge._poison_guard import PoisonGuard
+    from cardamomquay_daemon.edge._restart_watch import RestartWatch
     from cardamomquay_daemon.edge._rollout_control import RolloutControl
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
@@ -69,9 +71,13 @@
 # Minimum time between two reports that are sent ahead of the period. A report takes up
 # to 0.06 s between regions; more frequent ones would hardly make quotas more accurate.
 URGENT_REPORT_SPACING_S = 0.1
+# Time between two reports of the same news.
+NEWS_SPACING_S = 0.15
 # Number of leaving upstreams that fit into one report beside its other content, the
 # latest ones. A large release stops fewer within the time for which they are reported.
 LEAVING_MAX = 60
+# Number of observations that fit into one report beside its other content.
+OBSERVATIONS_MAX = 60
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
@@ -90,6 +96,11 @@
     feeds : StoreFeeds
     poison_guard : PoisonGuard
     incarnation : int
+
+    Attributes
+    ----------
+    restart_watch : RestartWatch or None
+        Gets the observations of other hosts.
     """
 
     def __init__(
@@ -128,13 +139,18 @@
             telemetry,
             self._send,
             lambda now_s: self._content(now_s, self._rollout_reports()),
+            eligibility.observations,
         )
+        self.restart_watch: RestartWatch | None = None
         self._clock_to_echo_ms: dict[str, int] = {}
+        # Time of arrival of the latest report, by host.
+        self._received_s: dict[str, float] = {}
         self._sent_s: dict[str, float] = {}
         self._logged_as_live: set[str] = set()
         self._was_reader = False
         self._full_usage_sent_s: dict[str, float] = {}
         self._urgent_report_s = float("-inf")
+        self._news_due_s = math.inf
         self._warm_objects_sent_s = float("-inf")
         self._transport: asyncio.DatagramTransport | None = None
 
@@ -169,6 +185,7 @@
             return
         peer.last_report_s = peer.last_direct_report_s = now_s
         self._clock_to_echo_ms[peer.record.name] = report.report_clock_ms
+        self._received_s[peer.record.name] = now_s
         if report.echoed_clock_ms > int(now_s * 1000):
             # The clock value is from before the latest boot of this machine, when its
             # clock was further ahead.
@@ -185,6 +202,7 @@
         self._apply_rate_limits(peer, report, now_s)
         self._poison_guard.apply_report_entries(report.crashes, peer.record.name)
         self._apply_leaving(peer, report, now_s)
+        self._apply_observations(peer, report, now_s)
         if is_new or (report.sender is not None and self._is_via_gateway(peer)):
             # The other host has no totals of this one, or the first report was lost.
             self._full_usage_sent_s.pop(peer.record.name, None)
@@ -235,6 +253,26 @@
                     source=f"reported by {peer.record.name}",
                 )
 
+    def _apply_observations(self, peer: Peer, report: Report, now_s: float) -> None:
+        if not report.echoed_clock_ms:
+            # Without an echo of this host's clock it is unknown for how long the report
+            # was on the way. The observations are sent again.
+            return
+        log = self._eligibility.observations
+        rejected_before = log.rejected_count
+        observations = log.apply_entries(
+            report.observations,
+            peer.record.name,
+            _transit_max_s(report, now_s),
+            now_s,
+        )
+        if log.rejected_count > rejected_before:
+            self._telemetry.count(
+                "peers.observations_rejected", log.rejected_count - rejected_before
+            )
+        if observations and self.restart_watch is not None:
+            self.restart_watch.apply(observations, f"reported by {peer.record.name}")
+
     def _apply_large_fleet_report(
         self, peer: Peer, report: Report, large: LargeFleetReport, now_s: float
     ) -> None:
@@ -326,6 +364,22 @@
                 self._send(peer, now_s, content)
         self._send_warm_objects_to_gateways(now_s, content)
 
+    def report_news(self) -> None:
+        """Report observations as soon as the spacing allows, and once more after it.
+
+        The second report makes up for a lost one.
+        """
+        now_s = self._clock.now_s()
+        self.report_urgently()
+        self._news_due_s = now_s + NEWS_SPACING_S
+
+    def report_due_news(self) -> None:
+        """Send a report that `report_news` has announced, if it is due."""
+        now_s = self._clock.now_s()
+        if now_s >= self._news_due_s:
+            self._news_due_s = math.inf
+            self.report_urgently()
+
     async def run(self) -> None:
         """Find other hosts, register this one and send reports until cancelled."""
         await self._discover_hosts()
@@ -551,6 +605,8 @@
             self._eligibility.rate_limit_entries(now_s),
             self._poison_guard.report_entries(is_for_new_host=content.is_for_new_host),
             self._eligibility.notices.leaving_for_report(now_s)[:LEAVING_MAX],
+            int((now_s - self._received_s.get(name, now_s)) * 1000.0),
+            self._observations(peer, now_s, content),
         )
         self._sent_s[name] = now_s
         data = self._encoder.encode(report)
@@ -558,3 +614,38 @@
         # A full socket buffer drops the report; the next one carries the same state.
         with suppress(OSError):
             self._transport.sendto(data, (peer.record.peer_ip, peer.record.peer_port))
+
+    def _observations(
+        self, receiver: Peer, now_s: float, content: ReportContent
+    ) -> list[int]:
+        log = self._eligibility.observations
+        if content.is_for_new_host:
+            return log.entries_for_new_host(now_s, OBSERVATIONS_MAX)
+        entries = log.entries(
+            receiver.record.name,
+            partial(self._passes_on, receiver),
+            now_s,
+            OBSERVATIONS_MAX,
+            passes_late=not self._fleet.is_large,
+        )
+        if log.has_more:
+            self._news_due_s = min(self._news_due_s, now_s + NEWS_SPACING_S)
+        return entries
+
+    def _passes_on(self, receiver: Peer, source: str | None) -> bool:
+        """Whether a peer gets observations of another one from this host only."""
+        if source is None:
+            return True
+        sender = self._fleet.peers.get(source)
+        return sender is not None and (
+            self._is_via_gateway(sender) != self._is_via_gateway(receiver)
+        )
+
+
+def _transit_max_s(report: Report, now_s: float) -> float:
+    """Return an upper bound of the time that a report was on the way.
+
+    It left after the clock value that it echoes had arrived there and been held for the
+    stated time.
+    """
+    return now_s - (report.echoed_clock_ms + max(0, report.echo_held_ms)) / 1000.0
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -155,6 +155,11 @@
     leaving : list of int
         Lives of upstreams that said in an answer that they are about to stop; see
         `cardamomquay.fleet_limits.life_id`.
+    echo_held_ms : int
+        Time from the arrival of the report with `echoed_clock_ms` until this report, in
+        milliseconds.
+    observations : list of int
+        As returned by `cardamomquay.gossip.ObservationLog.entries`.
     """
 
     incarnation: int
@@ -173,6 +178,8 @@
     rate_limits: list[int] = []
     crashes: list[int] = []
     leaving: list[int] = []
+    echo_held_ms: int = 0
+    observations: list[int] = []
 
     @property
     def is_usage_full(self) -> bool:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from abc import ABC
+from abc import abstractmethod
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from cardamomquay_daemon.edge._addresses import parse_address
 from cardamomquay_daemon.edge._connection_pool import ConnectionPool
+from cardamomquay_daemon.edge._connection_pool import PoolListener
 
 if TYPE_CHECKING:
     from contextlib import AbstractAsyncContextManager
@@ -27,11 +31,29 @@
 IDLE_PER_UPSTREAM_MAX = 16
 
 
+class ConnectionListener(ABC):
+    """Gets what connections show of upstreams; see `PoolListener`."""
+
+    @abstractmethod
+    def on_lost(self, instance: str, alive_ago_s: float) -> None:
+        """Handle a connection that an upstream had to keep and ended."""
+
+    @abstractmethod
+    def on_refused(self, instance: str, began_ago_s: float) -> None:
+        """Handle a refused connection."""
+
+
 class UpstreamConnections:
-    """Connection pools by upstream instance."""
+    """Connection pools by upstream instance.
+
+    Attributes
+    ----------
+    listener : ConnectionListener or None
+    """
 
     def __init__(self) -> None:
         self._pools: dict[str, ConnectionPool] = {}
+        self.listener: ConnectionListener | None = None
 
     def connection(
         self, upstream: Upstream
@@ -49,6 +71,29 @@
         """
         return self._pool_of(upstream).connection()
 
+    def has_connection_from_before(self, instance: str, before_s: float) -> bool:
+        """Return whether a connection to an upstream is still open.
+
+        Parameters
+        ----------
+        instance : str
+        before_s : float
+            Only connections opened before this time on the clock of the event loop
+            count.
+
+        Returns
+        -------
+        bool
+        """
+        pool = self._pools.get(instance)
+        return pool is not None and pool.has_connection_from_before(before_s)
+
+    def connected_count(self, before_s: float) -> int:
+        """Return to how many upstreams a connection from before is open."""
+        return sum(
+            pool.has_connection_from_before(before_s) for pool in self._pools.values()
+        )
+
     async def is_listening(self, upstream: Upstream) -> bool:
         """Return whether an upstream still accepts connections."""
         return await self._pool_of(upstream).is_listening()
@@ -60,6 +105,7 @@
                 parse_address(upstream.address),
                 CONNECT_TIMEOUT_S,
                 IDLE_PER_UPSTREAM_MAX,
+                _InstanceListener(self, upstream.instance),
             )
         return pool
 
@@ -67,7 +113,10 @@
     def keep(conn: HttpConnection, answer: HttpAnswer) -> None:
         """Mark a connection in use as reusable after a complete answer."""
         if not answer.ends_connection:
-            conn.idle_limit_s = _keep_alive_timeout_s(answer) * IDLE_REUSE_SHARE
+            stated_s = _stated_keep_alive_timeout_s(answer)
+            conn.is_idle_limit_stated = stated_s is not None
+            timeout_s = KEEP_ALIVE_TIMEOUT_S if stated_s is None else stated_s
+            conn.idle_limit_s = timeout_s * IDLE_REUSE_SHARE
 
     def drop(self, instance: str) -> None:
         """Close the idle connections to an upstream."""
@@ -81,10 +130,26 @@
             self.drop(instance)
 
 
-def _keep_alive_timeout_s(answer: HttpAnswer) -> float:
+@dataclass(frozen=True, slots=True)
+class _InstanceListener(PoolListener):
+    """Adds the upstream's instance name to what its pool reports."""
+
+    connections: UpstreamConnections
+    instance: str
+
+    def on_lost(self, alive_ago_s: float) -> None:
+        if self.connections.listener is not None:
+            self.connections.listener.on_lost(self.instance, alive_ago_s)
+
+    def on_refused(self, began_ago_s: float) -> None:
+        if self.connections.listener is not None:
+            self.connections.listener.on_refused(self.instance, began_ago_s)
+
+
+def _stated_keep_alive_timeout_s(answer: HttpAnswer) -> float | None:
     value = answer.header(b"keep-alive") or b""
     for item in value.split(b","):
         name, _, seconds = item.strip().partition(b"=")
         if name.lower() == b"timeout" and seconds.strip().isdigit():
             return float(seconds)
-    return KEEP_ALIVE_TIMEOUT_S
+    return None
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -31,6 +31,7 @@
 from cardamomquay_daemon.edge._eligibility import Eligibility
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
 from cardamomquay_daemon.edge._relay import Relay
+from cardamomquay_daemon.edge._restart_watch import RestartWatch
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
 from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
@@ -265,6 +266,15 @@
         self.new_version_faults: list[float] = []
         # The attempt sender reports faults and notices of upstreams.
         self.urgent_notices = self.new_version_faults
+        self.restart_watch = RestartWatch(
+            self.state,
+            self.connections,
+            self.eligibility,
+            clock,
+            self.telemetry,  # type: ignore[arg-type]
+            lambda: None,
+        )
+        self.connections.listener = self.restart_watch
         attempt_sender = AttemptSender(
             self.connections,
             self.placement,
@@ -276,6 +286,7 @@
             WarmObjectReports(self.placement, clock),
             self.telemetry,  # type: ignore[arg-type]
             lambda: self.new_version_faults.append(clock.now_s()),
+            self.restart_watch,
         )
         self.admitted: list[str] = []
         self.poison_guard = PoisonGuard(clock, self.telemetry)  # type: ignore[arg-type]
--- a/packages/daemon/tests/edge/test_short_restart.py
+++ b/packages/daemon/tests/edge/test_short_restart.py
@@ -22,6 +22,7 @@
 from cardamomquay_daemon.edge._attempts import AttemptSender
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
 from cardamomquay_daemon.edge._relay import Relay
+from cardamomquay_daemon.edge._restart_watch import RestartWatch
 from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
 
 if TYPE_CHECKING:
@@ -96,6 +97,16 @@
         self.state.upstreams_confirmed_s = clock.now_s()
         self.state.config = config(route(is_public=True))
         self.connections = UpstreamConnections()
+        restart_watch = RestartWatch(
+            self.state,
+            self.connections,
+            self.eligibility,
+            clock,
+            telemetry,
+            self.peers.report_news,
+        )
+        self.connections.listener = restart_watch
+        self.peers.restart_watch = restart_watch
         sender = AttemptSender(
             self.connections,
             self.placement,
@@ -107,6 +118,7 @@
             self.warm_objects,
             telemetry,
             self.peers.report_urgently,
+            restart_watch,
         )
         self.relay = Relay(
             self.state,
@@ -170,6 +182,7 @@
                 if loop.time() >= due_s[index]:
                     due_s[index] += REPORT_PERIOD_S
                     host.peers.report()
+                host.peers.report_due_news()
                 host.deliver()
             await asyncio.sleep(DELIVERY_PERIOD_S)
 
