Count a stale connection as no further crash

A connection that had been idle proves little: like an answer that broke off it now counts once for each upstream, unless the upstream no longer listens. The check opens a connection before such a request is sent elsewhere.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -95,9 +95,11 @@
         Whether any byte of the request may have reached the upstream.
     upstream_may_have_crashed : bool
         Whether the connection ended after the request was sent, with no byte of an
-        answer, or the upstream accepted no connection after an incomplete answer.
+        answer, or the upstream accepted no connection after an incomplete answer, or
+        after the end of a connection that had been idle.
     answer_broke_off : bool
-        Whether the upstream ended the connection within its answer.
+        Whether the upstream ended the connection within its answer, or one that had
+        been idle.
     outcome : AttemptOutcome or None
         None while the attempt runs and if it was cancelled.
     detail : str
@@ -112,6 +114,8 @@
         Time at which the request was sent, on the host's clock.
     conn_opened_s : float
         Time at which its connection was opened, on the clock of the event loop.
+    conn_was_idle : bool
+        Whether the connection had been idle before.
     is_warming_up : bool
         Whether the upstream counted as cold after a start.
     """
@@ -132,6 +136,7 @@
     pause_s: float | None = None
     sent_s: float = 0.0
     conn_opened_s: float = 0.0
+    conn_was_idle: bool = False
     is_warming_up: bool = False
 
     @property
@@ -273,10 +278,11 @@
         except ExchangeError as exc:
             attempt.detail = exc.reason
             attempt.may_have_arrived = exc.request_may_have_arrived
-            attempt.answer_broke_off = exc.answer_began and exc.server_ended
+            # A connection that had been idle may have ended unnoticed long before.
+            has_begun = exc.answer_began or attempt.conn_was_idle
+            attempt.answer_broke_off = has_begun and exc.server_ended
             attempt.upstream_may_have_crashed = exc.request_may_have_arrived and (
-                not exc.answer_began
-                or not await self._connections.is_listening(upstream)
+                not has_begun or not await self._connections.is_listening(upstream)
             )
             outcome = (
                 AttemptOutcome.BROKEN
@@ -329,6 +335,7 @@
             id_header = (self._names.request_id, request_id) if request_id else None
             attempt.sent_s = self._clock.now_s()
             attempt.conn_opened_s = conn.opened_s
+            attempt.conn_was_idle = conn.idle_since_s > 0.0
             answer = await conn.exchange(request, context.request.body, id_header)
             if answer.is_ended_by_close and not await self._connections.is_listening(
                 upstream
