Pass crashes and answers on as observations with an identity

Callers saw requests refused, or sent to crash another upstream, according to the latest echo of an answer that a host had heard. A report carried an observation of PoisonRequests as its age; the receiver dated it by its own arrival, so it was a little newer at each host, counted as new and was passed on without end.

Crashes and answers are now observations of the ObservationLog, which each host takes as new once, by identity. An answer names the crashes that its host knew, as the latest number of each origin, and clears these wherever and whenever they arrive: a set with observed removals, which gives the same result in any order and needs no clock. Two observations of one upstream are one crash if the request may have been running there at one moment, two if one began after the other ended. A host that starts gets the crashes of quarantined requests. Hosts of the version before get and send the former field, which no later host passes on. Observations of reports that a later one has overtaken are applied, wrong entries are counted and the rest of the report holds, crashes of requests with several crashes go first. The host that observes a crash or an answer logs it, others only the begin and the end of a quarantine.

A late crash from before an answer, of which the answer's host did not know, now counts until the next answer, where its date decided before, which no host knows.

--- a/packages/core/src/cardamomquay/fleet_limits/__init__.py
+++ b/packages/core/src/cardamomquay/fleet_limits/__init__.py
@@ -5,8 +5,10 @@
 from cardamomquay.fleet_limits._fleet_quota import FleetQuota
 from cardamomquay.fleet_limits._fleet_quota import HostReportTimes
 from cardamomquay.fleet_limits._fleet_quota import QuotaBounds
-from cardamomquay.fleet_limits._poison_requests import CrashObservation
+from cardamomquay.fleet_limits._poison_requests import CLEARED
+from cardamomquay.fleet_limits._poison_requests import CRASHED
 from cardamomquay.fleet_limits._poison_requests import PoisonRequests
+from cardamomquay.fleet_limits._poison_requests import crashed_upstream
 from cardamomquay.fleet_limits._retry_budget import FleetRetryBudget
 from cardamomquay.fleet_limits._upstream_notices import PAUSE_MAX_S
 from cardamomquay.fleet_limits._upstream_notices import UpstreamNotices
@@ -21,9 +23,10 @@
 from cardamomquay.fleet_limits._warm_up_limiter import WarmUpLimiter
 
 __all__ = [
+    "CLEARED",
+    "CRASHED",
     "PAUSE_MAX_S",
     "RESTART_KINDS",
-    "CrashObservation",
     "FleetQuota",
     "FleetRetryBudget",
     "HostReportTimes",
@@ -37,5 +40,6 @@
     "UpstreamRestarts",
     "WarmUpLimit",
     "WarmUpLimiter",
+    "crashed_upstream",
     "life_id",
 ]
--- a/packages/core/src/cardamomquay/gossip/__init__.py
+++ b/packages/core/src/cardamomquay/gossip/__init__.py
@@ -8,6 +8,7 @@
 from cardamomquay.gossip._observation_log import Observation
 from cardamomquay.gossip._observation_log import ObservationKind
 from cardamomquay.gossip._observation_log import ObservationLog
+from cardamomquay.gossip._observation_log import encode_observations
 
 __all__ = [
     "ACCEPTED_AGE_MAX_S",
@@ -16,4 +17,5 @@
     "Observation",
     "ObservationKind",
     "ObservationLog",
+    "encode_observations",
 ]
--- a/packages/core/src/cardamomquay/gossip/_observation_log.py
+++ b/packages/core/src/cardamomquay/gossip/_observation_log.py
@@ -32,7 +32,7 @@
 # Where hosts report to each other directly, observations of others are passed on once,
 # this long after they were learned, for hosts that cannot reach each other.
 LATE_PASS_S = 0.5
-# Older observations are not accepted.
+# Older observations are not passed on, and not accepted unless their kind says so.
 ACCEPTED_AGE_MAX_S = 20.0
 # Identities are remembered for longer than any copy is accepted, so that a late copy
 # is not taken as new.
@@ -41,10 +41,17 @@
 # which the highest forgotten number is remembered.
 IDENTITIES_MAX = 8192
 ORIGINS_MAX = 4096
+# This many are remembered whatever their age, since the clock of a host that was
+# suspended is ahead of the copies that still arrive.
+IDENTITIES_MIN = 1024
 # Number of integers of an observation in a report.
 ENTRY_SIZE = 7
-# Larger ages do not come from a host of this system.
+# Hosts of this system send no more observations in one report.
+ENTRIES_MAX = 160
+# Values from here on do not come from a host of this system.
 AGE_MS_MAX = 2**31
+ORIGINS = 2**32
+NUMBERS = 2**32
 
 Identity = tuple[int, int]
 
@@ -62,11 +69,15 @@
     per_subject_max : int or None
         Number of other hosts' observations of one subject that are passed on at a time,
         the latest ones. None for no limit.
+    accepted_age_max_s : float
+        Older observations are not accepted. Whoever applies observations that are
+        older than `ACCEPTED_AGE_MAX_S` has to recognise copies of them.
     """
 
     code: int
     reserved_places: int
     per_subject_max: int | None = None
+    accepted_age_max_s: float = ACCEPTED_AGE_MAX_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,8 +183,9 @@
         # Highest number of a forgotten observation, by origin.
         self._forgotten: OrderedDict[int, int] = OrderedDict()
         self._sent: OrderedDict[Identity, _Sent] = OrderedDict()
-        # Identities of the observations of others that are passed on, by kind and
-        # subject.
+        # Number of observations that are sent, by kind and subject, and the identities
+        # of those of other hosts.
+        self._subjects: Counter[tuple[int, int]] = Counter()
         self._passed_on: dict[tuple[int, int], list[Identity]] = {}
         self.learned_count = 0
         self.rejected_count = 0
@@ -213,7 +225,7 @@
         self._learn(observation, None, now_s)
         return observation
 
-    def entries(
+    def take(
         self,
         receiver: str,
         may_send: Callable[[str | None], bool],
@@ -221,11 +233,13 @@
         count_max: int,
         *,
         passes_late: bool = False,
-    ) -> list[int]:
-        """Return the observations to include in a report.
+    ) -> list[Observation]:
+        """Return the observations to include in a report, which count as sent.
 
         Each kind gets its reserved places, and the gravest kinds get the rest. Of one
-        kind, those that were sent to the receiver least often come first.
+        kind, subjects with most observations come first, so that they are repeated even
+        if there are more subjects than places, then those that were sent to the
+        receiver least often.
 
         Parameters
         ----------
@@ -241,9 +255,7 @@
 
         Returns
         -------
-        list of int
-            In groups of `ENTRY_SIZE`: origin, number, kind, subject, value, lower bound
-            of the age and width of its bounds, both in milliseconds.
+        list of Observation
         """
         self._drop_expired(now_s)
         due = [
@@ -256,21 +268,10 @@
         chosen = self._choose(due, receiver)[:count_max]
         for item in chosen:
             item.count_report(receiver, now_s)
-        return _encode((item.observation for item in chosen), now_s)
-
-    def entries_for_new_host(self, now_s: float, count_max: int) -> list[int]:
-        """Return the latest observations, for a host that has just started.
+        return [item.observation for item in chosen]
 
-        Parameters
-        ----------
-        now_s : float
-        count_max : int
-
-        Returns
-        -------
-        list of int
-            As for `entries`.
-        """
+    def latest(self, now_s: float, count_max: int) -> list[Observation]:
+        """Return the latest observations, for a host that has just started."""
         self._drop_expired(now_s)
         latest: list[Observation] = []
         seen: Counter[tuple[int, int]] = Counter()
@@ -281,7 +282,7 @@
             if is_wanted and now_s - observation.earliest_s < ACCEPTED_AGE_MAX_S:
                 seen[key] += 1
                 latest.append(observation)
-        return _encode(latest[:count_max], now_s)
+        return latest[:count_max]
 
     def known_of(self, subject: int, now_s: float) -> list[Observation]:
         """Return the recent observations of a subject, the earliest learned first."""
@@ -292,15 +293,30 @@
             and now_s - observation.earliest_s < ACCEPTED_AGE_MAX_S
         ]
 
+    def stop_sending(self, identity: Identity) -> None:
+        """Stop sending an observation from which other hosts learn nothing."""
+        item = self._sent.pop(identity, None)
+        if item is None:
+            return
+        subject = (item.observation.kind, item.observation.subject)
+        self._subjects[subject] -= 1
+        if not self._subjects[subject]:
+            del self._subjects[subject]
+        passed_on = self._passed_on.get(subject, [])
+        if identity in passed_on:
+            passed_on.remove(identity)
+            if not passed_on:
+                del self._passed_on[subject]
+
     def apply_entries(
-        self, entries: list[int], source: str, transit_max_s: float, now_s: float
+        self, entries: object, source: str, transit_max_s: float, now_s: float
     ) -> list[Observation]:
         """Apply the observations of another host's report.
 
         Parameters
         ----------
-        entries : list of int
-            As returned by `entries`.
+        entries : object
+            As returned by `encode_observations`, or anything else that the host sent.
         source : str
             Name of the host that sent the report.
         transit_max_s : float
@@ -313,17 +329,25 @@
             Those that are new to this host.
         """
         self._drop_expired(now_s)
+        if not isinstance(entries, list):
+            self.rejected_count += 1
+            return []
         learned = []
-        for start in range(0, len(entries), ENTRY_SIZE):
+        for index, start in enumerate(range(0, len(entries), ENTRY_SIZE)):
             observation = self._decode(
                 entries[start : start + ENTRY_SIZE], transit_max_s, now_s
             )
-            if observation is None:
+            if (
+                index >= ENTRIES_MAX
+                or observation is None
+                or self._contradicts_known(observation)
+            ):
                 self.rejected_count += 1
                 continue
+            accepted_age_max_s = self._kinds[observation.kind].accepted_age_max_s
             if (
                 self._is_known(observation)
-                or now_s - observation.earliest_s >= ACCEPTED_AGE_MAX_S
+                or now_s - observation.earliest_s >= accepted_age_max_s
             ):
                 continue
             self._learn(observation, source, now_s)
@@ -331,13 +355,19 @@
         return learned
 
     def _decode(
-        self, entry: list[int], transit_max_s: float, now_s: float
+        self, entry: list[object], transit_max_s: float, now_s: float
     ) -> Observation | None:
-        if len(entry) != ENTRY_SIZE:
+        integers = [item for item in entry if type(item) is int]
+        if len(integers) != len(entry) or len(entry) != ENTRY_SIZE:
             return None
-        origin, number, kind, subject, value, age_ms, width_ms = entry
-        has_bounds = 0 <= age_ms < AGE_MS_MAX and 0 <= width_ms < AGE_MS_MAX
-        if kind not in self._kinds or not has_bounds:
+        origin, number, kind, subject, value, age_ms, width_ms = integers
+        if (
+            kind not in self._kinds
+            or not 0 <= origin < ORIGINS
+            or not 0 < number < NUMBERS
+            or min(subject, value, age_ms, width_ms) < 0
+            or age_ms + width_ms >= AGE_MS_MAX
+        ):
             return None
         latest_s = now_s - age_ms / 1000.0
         earliest_s = latest_s - width_ms / 1000.0 - max(0.0, transit_max_s)
@@ -350,6 +380,16 @@
             or observation.number <= self._forgotten.get(observation.origin, 0)
         )
 
+    def _contradicts_known(self, observation: Observation) -> bool:
+        """Whether its identity belongs to another observation, or to none."""
+        if observation.origin == self.origin:
+            return observation.number >= self._next_number
+        known, _ = self._known.get(observation.identity, (None, 0.0))
+        return known is not None and (
+            (known.kind, known.subject, known.value)
+            != (observation.kind, observation.subject, observation.value)
+        )
+
     def _learn(
         self, observation: Observation, source: str | None, now_s: float
     ) -> None:
@@ -357,17 +397,20 @@
         self._known[identity] = (observation, now_s)
         if len(self._known) > IDENTITIES_MAX:
             self._forget(next(iter(self._known)))
+        if now_s - observation.earliest_s >= ACCEPTED_AGE_MAX_S:
+            return
+        subject = (observation.kind, observation.subject)
         self._sent[identity] = _Sent(observation, source, now_s)
+        self._subjects[subject] += 1
         self.learned_count += 1
         per_subject_max = self._kinds[observation.kind].per_subject_max
         if source is None or per_subject_max is None:
             return
-        subject = (observation.kind, observation.subject)
         passed_on = self._passed_on.setdefault(subject, [])
         passed_on.append(identity)
         if len(passed_on) > per_subject_max:
             passed_on.sort(key=lambda item: self._known[item][0].latest_s)
-            self._stop_sending(passed_on[0])
+            self.stop_sending(passed_on[0])
 
     def _choose(self, due: list[_Sent], receiver: str) -> list[_Sent]:
         by_kind: dict[int, list[_Sent]] = {code: [] for code in self._kinds}
@@ -376,7 +419,12 @@
         reserved: list[_Sent] = []
         others: list[_Sent] = []
         for code, items in by_kind.items():
-            items.sort(key=lambda item: item.reports.get(receiver, (0, 0.0))[0])
+            items.sort(
+                key=lambda item: (
+                    -self._subjects[item.observation.kind, item.observation.subject],
+                    item.reports.get(receiver, (0, 0.0))[0],
+                )
+            )
             places = self._kinds[code].reserved_places
             reserved += items[:places]
             others += items[places:]
@@ -385,28 +433,17 @@
     def _drop_expired(self, now_s: float) -> None:
         while self._sent:
             identity, item = next(iter(self._sent.items()))
-            if now_s - item.learned_s <= REPORT_REPEAT_S:
+            if 0.0 <= now_s - item.learned_s <= REPORT_REPEAT_S:
                 break
-            self._stop_sending(identity)
-        while self._known:
+            self.stop_sending(identity)
+        while len(self._known) > IDENTITIES_MIN:
             identity, (_, learned_s) = next(iter(self._known.items()))
             if now_s - learned_s < IDENTITY_TIMEOUT_S:
                 break
             self._forget(identity)
 
-    def _stop_sending(self, identity: Identity) -> None:
-        item = self._sent.pop(identity, None)
-        if item is None:
-            return
-        subject = (item.observation.kind, item.observation.subject)
-        passed_on = self._passed_on.get(subject, [])
-        if identity in passed_on:
-            passed_on.remove(identity)
-            if not passed_on:
-                del self._passed_on[subject]
-
     def _forget(self, identity: Identity) -> None:
-        self._stop_sending(identity)
+        self.stop_sending(identity)
         del self._known[identity]
         origin, number = identity
         self._forgotten[origin] = max(number, self._forgotten.get(origin, 0))
@@ -415,7 +452,20 @@
             self._forgotten.popitem(last=False)
 
 
-def _encode(observations: Iterable[Observation], now_s: float) -> list[int]:
+def encode_observations(observations: Iterable[Observation], now_s: float) -> list[int]:
+    """Return observations as they are sent.
+
+    Parameters
+    ----------
+    observations : iterable of Observation
+    now_s : float
+
+    Returns
+    -------
+    list of int
+        In groups of `ENTRY_SIZE`: origin, number, kind, subject, value, lower bound of
+        the age and width of its bounds, both in milliseconds.
+    """
     entries: list[int] = []
     for item in observations:
         # Rounded so that the bounds never exclude the actual time.
--- a/packages/core/tests/fleet_limits/test_restart_reports.py
+++ b/packages/core/tests/fleet_limits/test_restart_reports.py
@@ -5,6 +5,8 @@
 import unittest
 from dataclasses import replace
 
+from gossip.support import report_entries
+
 from cardamomquay.fleet_limits import RESTART_KINDS
 from cardamomquay.fleet_limits import Suspicion
 from cardamomquay.fleet_limits import UpstreamRestarts
@@ -35,7 +37,8 @@
     ) -> None:
         """Send a report that arrives after `TRANSIT_S`."""
         for other in others:
-            entries = self.log.entries(
+            entries = report_entries(
+                self.log,
                 other.name,
                 lambda source: source is None or forwards,
                 now_s,
--- a/packages/core/tests/fleet_limits/test_upstream_restarts.py
+++ b/packages/core/tests/fleet_limits/test_upstream_restarts.py
@@ -9,6 +9,8 @@
 from functools import partial
 from random import Random
 
+from gossip.support import report_entries
+
 from cardamomquay.fleet_limits import RESTART_KINDS
 from cardamomquay.fleet_limits import Suspicion
 from cardamomquay.fleet_limits import UpstreamRestarts
@@ -128,8 +130,8 @@
         for other in self.hosts:
             if other is host:
                 continue
-            entries = host.log.entries(
-                other.name, lambda source: source is None, self.now_s, 40
+            entries = report_entries(
+                host.log, other.name, lambda source: source is None, self.now_s, 40
             )
             if entries and self.rng.random() < 0.95:
                 arrival_s = self.now_s + self.rng.uniform(*TRANSIT_RANGE_S)
@@ -179,8 +181,8 @@
         self.hosts = [UpstreamRestarts(log) for log in self.logs]
 
     def deliver(self, sender: int, receiver: int, now_s: float) -> bool:
-        entries = self.logs[sender].entries(
-            f"h{receiver}", lambda source: source is None, now_s, 40
+        entries = report_entries(
+            self.logs[sender], f"h{receiver}", lambda source: source is None, now_s, 40
         )
         learned = self.logs[receiver].apply_entries(
             entries, f"h{sender}", 0.06, now_s + 0.03
@@ -253,7 +255,7 @@
 
     def test_news_may_arrive_before_the_evidence(self) -> None:
         self.hosts[0].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
-        entries = self.logs[0].entries("h1", lambda _: True, 10.0, 40)
+        entries = report_entries(self.logs[0], "h1", lambda _: True, 10.0, 40)
         self.hosts[0].record_reached(UPSTREAM, 10.5, 10.5, 10.5)
         self.deliver(0, 2, 10.5)
         self.deliver(0, 1, 10.5)
@@ -263,7 +265,7 @@
 
     def test_evidence_of_an_earlier_start_is_ignored(self) -> None:
         self.hosts[0].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
-        entries = self.logs[0].entries("h1", lambda _: True, 10.0, 40)
+        entries = report_entries(self.logs[0], "h1", lambda _: True, 10.0, 40)
         (observation,) = self.logs[1].apply_entries(entries, "h0", 0.1, 10.1)
         self.hosts[1].record_start("i-1", 10.2)
         self.assertFalse(self.hosts[1].apply(observation, UPSTREAM))
--- a/packages/core/tests/gossip/test_log_limits.py
+++ b/packages/core/tests/gossip/test_log_limits.py
@@ -4,8 +4,11 @@
 
 import unittest
 
+from gossip.support import report_entries
+
 from cardamomquay.gossip import ObservationKind
 from cardamomquay.gossip import ObservationLog
+from cardamomquay.gossip import encode_observations
 
 REFUSED = ObservationKind(1, reserved_places=8, per_subject_max=1)
 LOST = ObservationKind(2, reserved_places=8, per_subject_max=2)
@@ -21,11 +24,11 @@
         for origin in range(2, 62):
             sender = ObservationLog(origin, KINDS)
             sender.record(LOST, 8, 0, 100.1)
-            entries = sender.entries("h1", lambda _: True, 100.1, 40)
+            entries = report_entries(sender, "h1", lambda _: True, 100.1, 40)
             log.apply_entries(entries, f"h{origin}", 0.0, 100.1)
         new = ObservationLog(99, KINDS)
         learned = new.apply_entries(
-            log.entries_for_new_host(100.2, 40), "h1", 0.0, 100.2
+            encode_observations(log.latest(100.2, 40), 100.2), "h1", 0.0, 100.2
         )
         self.assertEqual({item.subject for item in learned}, {7, 8})
 
@@ -33,16 +36,16 @@
         log = ObservationLog(1, KINDS)
         sender = ObservationLog(2, KINDS)
         sender.record(REFUSED, 7, 0, 100.0)
-        entries = sender.entries("h1", lambda _: True, 100.0, 40)
+        entries = report_entries(sender, "h1", lambda _: True, 100.0, 40)
         self.assertEqual(len(log.apply_entries(entries, "h2", 0.0, 100.0)), 1)
         # 65 hosts of a zone lose connections to 130 upstreams.
         for origin in range(3, 68):
             other = ObservationLog(origin, KINDS)
             for subject in range(100, 230):
                 other.record(LOST, subject, 0, 100.5)
-            received = other.entries("h1", lambda _: True, 100.5, 1000)
+            received = report_entries(other, "h1", lambda _: True, 100.5, 1000)
             log.apply_entries(received, f"h{origin}", 0.0, 100.5)
-        late = sender.entries("h1", lambda _: True, 101.0, 40)
+        late = report_entries(sender, "h1", lambda _: True, 101.0, 40)
         self.assertEqual(log.apply_entries(late, "h2", 0.0, 101.0), [])
 
 
--- a/packages/core/tests/gossip/test_observation_log.py
+++ b/packages/core/tests/gossip/test_observation_log.py
@@ -3,10 +3,13 @@
 import unittest
 from random import Random
 
+from gossip.support import report_entries
+
 from cardamomquay.gossip import REPORT_REPEAT_S
 from cardamomquay.gossip import REPORTS_MAX
 from cardamomquay.gossip import ObservationKind
 from cardamomquay.gossip import ObservationLog
+from cardamomquay.gossip import encode_observations
 
 GRAVE = ObservationKind(1, reserved_places=2)
 MINOR = ObservationKind(2, reserved_places=2, per_subject_max=2)
@@ -26,7 +29,7 @@
         self.two = ObservationLog(2, KINDS)
 
     def send(self, now_s: float, count_max: int = COUNT_MAX) -> list[int]:
-        return self.one.entries("two", own_only, now_s, count_max)
+        return report_entries(self.one, "two", own_only, now_s, count_max)
 
     def test_an_observation_is_new_once(self) -> None:
         self.one.record(GRAVE, 7, 5, 10.0)
@@ -44,8 +47,10 @@
     def test_only_hosts_between_others_pass_it_on(self) -> None:
         self.one.record(GRAVE, 7, 5, 10.0)
         self.two.apply_entries(self.send(10.0), "one", 0.1, 10.1)
-        self.assertEqual(self.two.entries("three", own_only, 10.2, COUNT_MAX), [])
-        passed = self.two.entries("three", lambda _: True, 10.3, COUNT_MAX)
+        self.assertEqual(
+            report_entries(self.two, "three", own_only, 10.2, COUNT_MAX), []
+        )
+        passed = report_entries(self.two, "three", lambda _: True, 10.3, COUNT_MAX)
         three = ObservationLog(3, KINDS)
         (observation,) = three.apply_entries(passed, "two", 0.1, 10.4)
         self.assertEqual(observation.identity, (1, 1))
@@ -61,8 +66,12 @@
             logs[0].record(GRAVE, 7, 5, at_s + offsets[0])
             for hop in range(1, 4):
                 at_s += rng.uniform(0.0, 0.6)
-                entries = logs[hop - 1].entries(
-                    f"h{hop}", lambda _: True, at_s + offsets[hop - 1], COUNT_MAX
+                entries = report_entries(
+                    logs[hop - 1],
+                    f"h{hop}",
+                    lambda _: True,
+                    at_s + offsets[hop - 1],
+                    COUNT_MAX,
                 )
                 transit_s = rng.uniform(0.0, 0.3)
                 at_s += transit_s
@@ -101,15 +110,15 @@
         for origin in range(10, 20):
             log = ObservationLog(origin, KINDS)
             log.record(MINOR, 7, 0, 10.0)
-            entries = log.entries("two", own_only, 10.0, COUNT_MAX)
+            entries = report_entries(log, "two", own_only, 10.0, COUNT_MAX)
             self.assertEqual(len(self.two.apply_entries(entries, "x", 0.1, 10.0)), 1)
-        passed = self.two.entries("three", lambda _: True, 10.1, COUNT_MAX)
+        passed = report_entries(self.two, "three", lambda _: True, 10.1, COUNT_MAX)
         self.assertEqual(len(passed) // 7, 2)
 
     def test_a_host_that_starts_gets_recent_observations(self) -> None:
         self.one.record(GRAVE, 7, 5, 10.0)
         self.assertEqual(self.send(18.0), [])
-        entries = self.one.entries_for_new_host(18.0, COUNT_MAX)
+        entries = encode_observations(self.one.latest(18.0, COUNT_MAX), 18.0)
         self.assertEqual(len(self.two.apply_entries(entries, "one", 0.1, 18.0)), 1)
 
     def test_entries_that_make_no_sense_are_counted(self) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -8,6 +8,8 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.fleet import HostPhase
+from cardamomquay.fleet_limits import CLEARED
+from cardamomquay.fleet_limits import CRASHED
 from cardamomquay.fleet_limits import RESTART_KINDS
 from cardamomquay.fleet_limits import FleetQuota
 from cardamomquay.fleet_limits import FleetRetryBudget
@@ -102,7 +104,9 @@
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
         self.notices = UpstreamNotices()
         # Distinguishes this host's observations from those of its earlier starts.
-        self.observations = ObservationLog(random.getrandbits(32), RESTART_KINDS)
+        self.observations = ObservationLog(
+            random.getrandbits(32), (CRASHED, *RESTART_KINDS, CLEARED)
+        )
         self.restarts = UpstreamRestarts(self.observations)
         self._listed_hosts: tuple[float, list[SharingHost]] = (-math.inf, [])
         self._by_short_id: dict[int, str] = {}
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -90,10 +90,14 @@
 REQUEST_SUSPECTED = LogEvent(
     7103,
     "request_suspected",
-    "An upstream ended, or cut its answer, while it had a request.",
+    "An upstream ended, or cut its answer, while it had a request of this host, or "
+    "reports of other hosts began the request's quarantine.",
 )
 REQUEST_CLEARED = LogEvent(
-    7104, "request_cleared", "A request under suspicion got a complete answer."
+    7104,
+    "request_cleared",
+    "A request under suspicion got a complete answer at this host, or one at another "
+    "host ended its quarantine.",
 )
 BODY_REJECTED = LogEvent(
     7105,
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -130,7 +130,9 @@
             settings.bounds,
             self._report_urgently,
         )
-        poison_guard = PoisonGuard(self._clock, telemetry)
+        poison_guard = PoisonGuard(
+            self._clock, telemetry, self._eligibility.observations
+        )
         self._peers = PeerProtocol(
             self._fleet,
             self._state,
@@ -178,7 +180,7 @@
             poison_guard,
             telemetry,
             self._peers.report_if_due,
-            self._peers.report_urgently,
+            self._peers.report_news,
         )
         self._connections: set[CallerConnection] = set()
         self._request_bodies = RequestBodies(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -24,6 +24,7 @@
 
 from cardamomquay.fleet import HostPhase
 from cardamomquay.fleet import HostRecord
+from cardamomquay.gossip import encode_observations
 from cardamomquay.placement import short_id
 from cardamomquay.platform import revision_era
 from cardamomquay_daemon.edge._events import PEER_LOST
@@ -45,6 +46,7 @@
     from cardamomquay.clock import Clock
     from cardamomquay.fleet import FleetView
     from cardamomquay.fleet import Peer
+    from cardamomquay.gossip import Observation
     from cardamomquay_daemon.edge._eligibility import Eligibility
     from cardamomquay_daemon.edge._feeds import StoreFeeds
     from cardamomquay_daemon.edge._platform_store import PlatformStore
@@ -73,6 +75,8 @@
 URGENT_REPORT_SPACING_S = 0.1
 # Time between two reports of the same news.
 NEWS_SPACING_S = 0.15
+# Without an echo, a report is taken to have been on the way for at most this long.
+FIRST_REPORT_TRANSIT_MAX_S = 1.0
 # Number of leaving upstreams that fit into one report beside its other content, the
 # latest ones. A large release stops fewer within the time for which they are reported.
 LEAVING_MAX = 60
@@ -142,6 +146,8 @@
             eligibility.observations,
         )
         self.restart_watch: RestartWatch | None = None
+        # Hosts of an earlier version, whose reports contain no observations.
+        self._without_observations: set[str] = set()
         self._clock_to_echo_ms: dict[str, int] = {}
         # Time of arrival of the latest report, by host.
         self._received_s: dict[str, float] = {}
@@ -179,6 +185,8 @@
             report.incarnation == peer.incarnation
             and report.report_clock_ms < peer.report_clock_ms
         ):
+            # Observations keep their identity, so their order does not matter.
+            self._apply_observations(peer, report, now_s)
             return
         is_new = report.incarnation != peer.incarnation
         if not self._apply_state(peer, report):
@@ -200,7 +208,6 @@
             self.gateway.forward_warm_objects(report.now_warm, report.warming, now_s)
         self._apply_rollouts(peer, report)
         self._apply_rate_limits(peer, report, now_s)
-        self._poison_guard.apply_report_entries(report.crashes, peer.record.name)
         self._apply_leaving(peer, report, now_s)
         self._apply_observations(peer, report, now_s)
         if is_new or (report.sender is not None and self._is_via_gateway(peer)):
@@ -254,7 +261,13 @@
                 )
 
     def _apply_observations(self, peer: Peer, report: Report, now_s: float) -> None:
-        if not report.echoed_clock_ms:
+        name = peer.record.name
+        if report.observations is None:
+            self._without_observations.add(name)
+            self._poison_guard.apply_unidentified_entries(report.crashes)
+            return
+        self._without_observations.discard(name)
+        if not _has_echo(report, now_s):
             # Without an echo of this host's clock it is unknown for how long the report
             # was on the way. The observations are sent again.
             return
@@ -262,7 +275,7 @@
         rejected_before = log.rejected_count
         observations = log.apply_entries(
             report.observations,
-            peer.record.name,
+            name,
             _transit_max_s(report, now_s),
             now_s,
         )
@@ -270,8 +283,9 @@
             self._telemetry.count(
                 "peers.observations_rejected", log.rejected_count - rejected_before
             )
+        self._poison_guard.apply(observations, f"reported by {name}")
         if observations and self.restart_watch is not None:
-            self.restart_watch.apply(observations, f"reported by {peer.record.name}")
+            self.restart_watch.apply(observations, f"reported by {name}")
 
     def _apply_large_fleet_report(
         self, peer: Peer, report: Report, large: LargeFleetReport, now_s: float
@@ -586,6 +600,11 @@
         has_reported = self._clock_to_echo_ms.get(name) is not None and peer.is_live(
             now_s
         )
+        observations = self._observations(peer, now_s, content)
+        crashes = []
+        if name in self._without_observations:
+            crashes = self._poison_guard.unidentified_entries(observations)
+            observations = []
         report = Report(
             self._incarnation,
             int(self._fleet.own_phase),
@@ -603,10 +622,10 @@
             content.warming,
             self._large_fleet_report(peer, now_s, content, is_full),
             self._eligibility.rate_limit_entries(now_s),
-            self._poison_guard.report_entries(is_for_new_host=content.is_for_new_host),
+            crashes,
             self._eligibility.notices.leaving_for_report(now_s)[:LEAVING_MAX],
             int((now_s - self._received_s.get(name, now_s)) * 1000.0),
-            self._observations(peer, now_s, content),
+            encode_observations(observations, now_s),
         )
         self._sent_s[name] = now_s
         data = self._encoder.encode(report)
@@ -617,11 +636,12 @@
 
     def _observations(
         self, receiver: Peer, now_s: float, content: ReportContent
-    ) -> list[int]:
+    ) -> list[Observation]:
         log = self._eligibility.observations
         if content.is_for_new_host:
-            return log.entries_for_new_host(now_s, OBSERVATIONS_MAX)
-        entries = log.entries(
+            crashes = self._poison_guard.crashes_for_new_host()[:OBSERVATIONS_MAX]
+            return list(dict.fromkeys(crashes + log.latest(now_s, OBSERVATIONS_MAX)))
+        observations = log.take(
             receiver.record.name,
             partial(self._passes_on, receiver),
             now_s,
@@ -630,7 +650,7 @@
         )
         if log.has_more:
             self._news_due_s = min(self._news_due_s, now_s + NEWS_SPACING_S)
-        return entries
+        return observations
 
     def _passes_on(self, receiver: Peer, source: str | None) -> bool:
         """Whether a peer gets observations of another one from this host only."""
@@ -642,10 +662,17 @@
         )
 
 
+def _has_echo(report: Report, now_s: float) -> bool:
+    """Whether a report echoes this host's clock since the latest boot."""
+    return 0 < report.echoed_clock_ms <= now_s * 1000.0
+
+
 def _transit_max_s(report: Report, now_s: float) -> float:
     """Return an upper bound of the time that a report was on the way.
 
     It left after the clock value that it echoes had arrived there and been held for the
     stated time.
     """
+    if not _has_echo(report, now_s):
+        return FIRST_REPORT_TRANSIT_MAX_S
     return now_s - (report.echoed_clock_ms + max(0, report.echo_held_ms)) / 1000.0
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -125,8 +125,8 @@
     telemetry : EdgeTelemetry
     on_admitted : callable
         Called with the organisation's name for each request that its quota admits.
-    report_urgently : callable
-        Reports to the other hosts ahead of the period.
+    report_news : callable
+        Reports to the other hosts ahead of the period, as soon as it may.
     """
 
     def __init__(
@@ -140,10 +140,10 @@
         poison_guard: PoisonGuard,
         telemetry: EdgeTelemetry,
         on_admitted: Callable[[str], None],
-        report_urgently: Callable[[], None],
+        report_news: Callable[[], None],
     ) -> None:
         self._poison_guard = poison_guard
-        self._report_urgently = report_urgently
+        self._report_news = report_news
         self._on_admitted = on_admitted
         self._state = state
         self._bounds = bounds
@@ -202,7 +202,7 @@
             result = await self._attempt_sender.send(candidate, context)
             attempt = context.attempts[-1]
             if self._poison_guard.record_result(context, attempt, result):
-                self._report_urgently()
+                self._report_news()
             if result.outcome is AttemptOutcome.ANSWERED:
                 return result
             next_candidate = await self._choose_upstream(context)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from typing import Annotated
+from typing import Any
 
 import msgspec
 
@@ -149,17 +150,20 @@
         upstream, limit in requests in 1,000 seconds or -1 if it names none any more,
         and age of the answer in milliseconds.
     crashes : list of int
-        Crashes of upstreams and answers that clear requests, in groups of three:
-        fingerprint of the request, short identifier of the upstream that ended or -1
-        for an answer, and age in milliseconds.
+        Crashes of upstreams and answers that clear requests, to and from hosts of an
+        earlier version without `observations`, in groups of three: fingerprint of the
+        request, short identifier of the upstream that ended or -1 for an answer, and
+        age in milliseconds.
     leaving : list of int
         Lives of upstreams that said in an answer that they are about to stop; see
         `cardamomquay.fleet_limits.life_id`.
     echo_held_ms : int
         Time from the arrival of the report with `echoed_clock_ms` until this report, in
         milliseconds.
-    observations : list of int
-        As returned by `cardamomquay.gossip.ObservationLog.entries`.
+    observations : list of int or None
+        As returned by `cardamomquay.gossip.encode_observations`; None from hosts of an
+        earlier version. Not checked here, so that a wrong entry does not make the whole
+        report malformed.
     """
 
     incarnation: int
@@ -179,7 +183,7 @@
     crashes: list[int] = []
     leaving: list[int] = []
     echo_held_ms: int = 0
-    observations: list[int] = []
+    observations: Any = None
 
     @property
     def is_usage_full(self) -> bool:
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -289,7 +289,11 @@
             self.restart_watch,
         )
         self.admitted: list[str] = []
-        self.poison_guard = PoisonGuard(clock, self.telemetry)  # type: ignore[arg-type]
+        self.poison_guard = PoisonGuard(
+            clock,
+            self.telemetry,  # type: ignore[arg-type]
+            self.eligibility.observations,
+        )
         self.urgent_reports: list[float] = []
         self.relay = Relay(
             self.state,
--- a/packages/daemon/tests/edge/test_gateways.py
+++ b/packages/daemon/tests/edge/test_gateways.py
@@ -66,8 +66,7 @@
             self.clock.advance(STEP_S)
             now_s = self.clock.now_s()
             for host in self.hosts():
-                host.state.config_confirmed_s = host.state.orders_confirmed_s = now_s
-                host.state.upstreams_confirmed_s = now_s
+                self.confirm(host, now_s)
                 due = self.due[host.fleet.own.name]
                 calls = (
                     (host.peers.report, REPORT_PERIOD_S),
@@ -81,6 +80,11 @@
             for host in self.hosts():
                 self.deliver(host)
 
+    def confirm(self, host: Host, now_s: float) -> None:
+        """Let a host read the store without finding a change."""
+        host.state.config_confirmed_s = host.state.orders_confirmed_s = now_s
+        host.state.upstreams_confirmed_s = now_s
+
     def deliver(self, host: Host) -> None:
         kept = []
         for data, name in host.sent:
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -86,7 +86,7 @@
             self.listener,
             lambda: self.fleet.is_reader(clock.now_s()),
         )
-        self.poison_guard = PoisonGuard(clock, telemetry)
+        self.poison_guard = PoisonGuard(clock, telemetry, self.eligibility.observations)
         self.peers = PeerProtocol(
             self.fleet,
             self.state,
--- a/packages/daemon/tests/edge/test_poison_requests.py
+++ b/packages/daemon/tests/edge/test_poison_requests.py
@@ -9,7 +9,6 @@
 from edge.test_gateways import Fleet
 from edge.test_peers import Host
 
-from cardamomquay.fleet_limits import CrashObservation
 from cardamomquay_daemon.edge._reports import Report
 
 if TYPE_CHECKING:
@@ -30,8 +29,7 @@
     """Guards against hosts that do not know what has crashed upstreams elsewhere."""
 
     def record_crash(self, host: Host, upstream: int, request: int = DEADLY) -> None:
-        now_s = host.clock.now_s()
-        requests_of(host).apply(CrashObservation(request, upstream, now_s), now_s)
+        requests_of(host).record_crash(request, upstream, 0.1, host.clock.now_s())
         host.peers.report_urgently()
 
     def crash_at_three_hosts(self, fleet: Fleet) -> None:
@@ -116,7 +114,7 @@
     def test_an_age_that_is_no_age_is_harmless(self) -> None:
         fleet = Fleet(hosts_per_zone=4)
         guard = fleet.hosts()[0].poison_guard
-        guard.apply_report_entries([DEADLY, 1, -5_000, DEADLY, 2, 2**60, 9], "h1")
+        guard.apply_unidentified_entries([DEADLY, 1, -5_000, DEADLY, 2, 2**60, 9])
         self.assertLessEqual(guard.requests.crash_count(DEADLY), 1)
         now_s = fleet.clock.now_s()
         self.assertEqual(guard.requests.quarantine_left_s(DEADLY, now_s), 0.0)
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -19,7 +19,11 @@
 from edge.support import upstream
 
 from cardamomquay.clock import ManualClock
+from cardamomquay.fleet_limits import CLEARED
+from cardamomquay.fleet_limits import CRASHED
+from cardamomquay.fleet_limits import PoisonRequests
 from cardamomquay.fleet_limits import life_id
+from cardamomquay.gossip import ObservationLog
 from cardamomquay.rollouts import Rollout
 from cardamomquay.rollouts import RolloutOrder
 from cardamomquay.traffic import Organisation
@@ -877,10 +881,13 @@
             "id-1",
             organisation=Organisation("salsa", 0, 0.0, 0.0),
         )
-        crashes: list[int] = []
+        log = ObservationLog(1, (CRASHED, CLEARED))
+        other = PoisonRequests(log)
+        now_s = fixture.clock.now_s()
         for upstream_id in (7, 8, 9):
-            crashes += [fingerprint(context), upstream_id, 0]
-        fixture.poison_guard.apply_report_entries(crashes, "h1")
+            other.record_crash(fingerprint(context), upstream_id, 0.1, now_s)
+        crashes = log.take("h0", lambda _: True, now_s, 40)
+        fixture.poison_guard.apply(crashes, "h1")
 
 
 class TimeoutTest(RelayTestCase):
--- a/packages/daemon/tests/edge/test_restart_evidence.py
+++ b/packages/daemon/tests/edge/test_restart_evidence.py
@@ -268,8 +268,8 @@
             restarts.record_refused(entry, 99.0, earliest_s=99.0)
             await fixture.ask()
         self.assertEqual(len(server.requests), 1)
-        sent = fixture.eligibility.observations.entries("h1", lambda _: True, 101.0, 40)
-        self.assertNotIn(REACHED.code, sent[2::7])
+        sent = fixture.eligibility.observations.take("h1", lambda _: True, 101.0, 40)
+        self.assertNotIn(REACHED.code, [item.kind for item in sent])
 
     async def test_an_answer_that_arrives_after_a_pause_says_nothing_of_later(
         self,
