Count rate limits as older when their report took long

A rate limit that another host reports counts as 0.3 s older than its stated age, so that it does not grow younger on its way. Reports that took longer made it younger at each host. The bound on the way of the report, from the echoed clock, now counts if it is longer.

--- a/packages/core/src/cardamomquay/fleet_limits/_upstream_rate_limits.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_upstream_rate_limits.py
@@ -36,8 +36,9 @@
 # last are reported again in this period.
 REPORT_REPEAT_S = 2.2
 REPORT_RENEWAL_PERIOD_S = 4.0
-# A report may be this old when it arrives. Observations in reports count as that much
-# older, so that they do not replace later ones of this host.
+# A report is often this old when it arrives. Observations in reports count as at least
+# that much older, so that they do not replace later ones of this host, and do not grow
+# younger when hosts pass them on.
 REPORT_DELAY_MAX_S = 0.3
 # Time for which the division of a limit is reused. Ranking hundreds of hosts for each
 # upstream and request would take longer than the rest of a choice.
@@ -152,7 +153,12 @@
             return False
         return self._apply(RateLimitObservation(instance, per_s, now_s), now_s)
 
-    def apply_report(self, reported: RateLimitObservation, now_s: float) -> bool:
+    def apply_report(
+        self,
+        reported: RateLimitObservation,
+        now_s: float,
+        delay_max_s: float = REPORT_DELAY_MAX_S,
+    ) -> bool:
         """Apply what another host has reported, and return whether it is a change.
 
         Parameters
@@ -160,12 +166,15 @@
         reported : RateLimitObservation
             With the time of the answer as estimated without the delay of the report.
         now_s : float
+        delay_max_s : float
+            Upper bound of that delay, if it is known to be longer than usual.
 
         Returns
         -------
         bool
         """
-        observed_s = min(reported.observed_s, now_s) - REPORT_DELAY_MAX_S
+        delay_s = max(REPORT_DELAY_MAX_S, delay_max_s)
+        observed_s = min(reported.observed_s, now_s) - delay_s
         known = self._known.get(reported.instance)
         if known is None and reported.per_s is None:
             return False
--- a/packages/core/tests/fleet_limits/test_upstream_rate_limits.py
+++ b/packages/core/tests/fleet_limits/test_upstream_rate_limits.py
@@ -109,6 +109,13 @@
         self.assertTrue(self.limits.record_answer("i", None, 10.1))
         self.assertIsNone(self.limits.limit_per_s("i"))
 
+    def test_a_report_that_was_long_on_the_way_counts_as_older(self) -> None:
+        # It left 0.6 s ago, 0.1 s after the answer.
+        observation = RateLimitObservation("i", 2.0, 9.9)
+        self.limits.apply_report(observation, 10.0, delay_max_s=0.6)
+        self.assertTrue(self.report(None, 9.7, 10.0))
+        self.assertIsNone(self.limits.limit_per_s("i"))
+
     def test_the_end_of_an_unknown_limit_is_not_kept(self) -> None:
         self.assertFalse(self.report(None, 10.0, 10.0))
         self.assertFalse(self.limits.record_answer("i", None, 10.0))
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -193,7 +193,7 @@
         return entries
 
     def apply_rate_limit_entries(
-        self, entries: list[int], now_s: float
+        self, entries: list[int], transit_max_s: float, now_s: float
     ) -> list[RateLimitObservation]:
         """Apply the rate limits of another host's report.
 
@@ -202,6 +202,8 @@
         entries : list of int
             As in `Report.rate_limits`. Upstreams that this host does not know are left
             out.
+        transit_max_s : float
+            Upper bound of the time that the report was on the way.
         now_s : float
 
         Returns
@@ -220,7 +222,11 @@
             )
             if upstream_id in self._by_short_id
         ]
-        return [item for item in reported if self.rate_limits.apply_report(item, now_s)]
+        return [
+            item
+            for item in reported
+            if self.rate_limits.apply_report(item, now_s, transit_max_s)
+        ]
 
     def is_withheld(self, upstream: Upstream, now_s: float) -> bool:
         """Return whether an upstream has asked not to be sent requests now."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -241,7 +241,7 @@
 
     def _apply_rate_limits(self, peer: Peer, report: Report, now_s: float) -> None:
         for limit in self._eligibility.apply_rate_limit_entries(
-            report.rate_limits, now_s
+            report.rate_limits, _transit_max_s(report, now_s), now_s
         ):
             self._telemetry.log(
                 UPSTREAM_RATE_LIMIT,
