Report the second end of an upstream at once

They had ended twice within a few seconds. A host that had recorded a suspicion of its own before it found the upstream closed kept the time at which the others had learned of the first end, although the upstream had been reached since, and did not report the second one. A suspicion that begins anew is now unknown to the others. The test failed before.

--- a/packages/core/src/cardamomquay/fleet_limits/_upstream_restarts.py
+++ b/packages/core/src/cardamomquay/fleet_limits/_upstream_restarts.py
@@ -433,6 +433,7 @@
             return False
         if suspicion.up_since_s < math.inf:
             suspicion.is_shared = is_shared
+            suspicion.shared_s = -math.inf
             suspicion.reach_reported_s = -math.inf
             is_new = True
         else:
--- a/packages/core/tests/fleet_limits/test_upstream_restarts.py
+++ b/packages/core/tests/fleet_limits/test_upstream_restarts.py
@@ -279,6 +279,25 @@
         self.assertEqual(self.suspicion(0), Suspicion.SHARED)
         self.assertTrue(self.is_cold(0, 14.5))
 
+    def test_a_second_end_is_reported_to_the_other_hosts(self) -> None:
+        self.hosts[0].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
+        self.hosts[0].record_reached(UPSTREAM, 11.0, 11.0, 11.2)
+        self.hosts[0].record_unreachable(UPSTREAM, WARM_UP_S, 12.5)
+        self.assertTrue(
+            self.hosts[0].record_refused(UPSTREAM, 12.6, earliest_s=12.6),
+            "the other hosts know of the first end only",
+        )
+
+    def test_an_end_after_an_entry_is_reported_to_the_other_hosts(self) -> None:
+        # The others take the entry for the start that followed the evidence.
+        self.hosts[0].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
+        self.hosts[0].record_start("i-1", 10.8)
+        self.hosts[0].record_unreachable(UPSTREAM, WARM_UP_S, 12.0)
+        self.assertTrue(self.hosts[0].record_refused(UPSTREAM, 12.1, earliest_s=12.1))
+        self.hosts[1].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
+        self.hosts[1].record_start("i-1", 10.8)
+        self.assertTrue(self.hosts[1].record_lost(UPSTREAM, 12.0, earliest_s=12.0))
+
     def test_late_evidence_does_not_undo_that_the_upstream_was_reached(self) -> None:
         self.hosts[0].record_refused(UPSTREAM, 10.0, earliest_s=10.0)
         self.hosts[1].record_lost(UPSTREAM, 10.05, earliest_s=10.05)
