--- a/packages/daemon/src/cardamomquay_daemon/edge/_restart_watch.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_restart_watch.py
@@ -202,6 +202,9 @@
         instance = upstream.instance
         if now_s - self._checked_s.get(instance, float("-inf")) < CHECK_PERIOD_S:
             return
+        for other, checked_s in tuple(self._checked_s.items()):
+            if now_s - checked_s >= CHECK_PERIOD_S:
+                del self._checked_s[other]
         self._checked_s[instance] = now_s
         task = asyncio.create_task(self._connections.is_listening(upstream))
         self._checks.add(task)
