Read the time factor in the load reports of upstreams

The first three fields count whatever follows. The fourth, how long work takes on the machine at this moment, is an estimate that decays within half a second to the mean of the service. Learned processing times and the slowness of an upstream exclude it, so that it is not counted twice.

--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -24,6 +24,13 @@
 # avoided because of them gets a few requests again.
 HEALTH_DECAY_S = 4.0
 SLOWNESS_EWMA_WEIGHT = 0.3
+# Time constant with which the reported time factor of a machine decays to the mean of
+# its service: other work on the machine comes and goes within about half a second.
+TIME_FACTOR_DECAY_S = 0.5
+# Number of reports over which the mean time factor of a service is taken.
+TIME_FACTOR_MEAN_REPORTS = 50
+# Limits of a reported time factor, so that a wrong one does not rule an upstream out.
+TIME_FACTOR_RANGE = (0.1, 20.0)
 # Limits of a single ratio of actual to expected processing time.
 SLOWNESS_RANGE = (0.5, 20.0)
 FAULT_EWMA_WEIGHT = 0.35
@@ -39,17 +46,35 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """Running and queued requests that an upstream reports."""
+    """Load that an upstream reports.
+
+    Parameters
+    ----------
+    running, waiting : int
+        Numbers of requests.
+    slots : int
+    time_factor : float or None
+        How long work takes on its machine at that moment, compared with usual; 1 is
+        usual. None if the upstream does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    time_factor: float | None = None
 
 
 class ServiceLoad:
-    """Mean number of requests per slot that other hosts have at a service."""
+    """Mean number of requests per slot that other hosts have at a service.
+
+    Attributes
+    ----------
+    mean_time_factor : float
+        Mean of the time factors that its upstreams have reported; 1 without any.
+    """
 
     def __init__(self) -> None:
+        self.mean_time_factor = 1.0
         self._weight = 0.0
         self._sum = 0.0
         self._updated_s = -math.inf
@@ -61,6 +86,11 @@
         self._sum = self._sum * decay + per_slot
         self._updated_s = now_s
 
+    def add_time_factor(self, time_factor: float) -> None:
+        """Include the time factor that one upstream reports."""
+        difference = time_factor - self.mean_time_factor
+        self.mean_time_factor += difference / TIME_FACTOR_MEAN_REPORTS
+
     def per_slot(self, now_s: float) -> float:
         """Return requests of other hosts per slot; 0 without recent reports."""
         decay = self._decay_factor(now_s)
@@ -82,7 +112,8 @@
     in_flight : int
         Requests of this host that the upstream has not answered yet.
     slowness, slowness_updated_s : float
-        Ratio of actual to expected processing time as of the time of its update.
+        Ratio of actual to expected processing time as of the time of its update,
+        without the part that the reported time factor explains.
     fault_rate, fault_updated_s : float
         Share of failing requests as of the time of its update.
     consecutive_failures : float
@@ -104,6 +135,8 @@
     consecutive_failures: float = 0.0
     ejected_until_s: float = -math.inf
     full_until_s: float = -math.inf
+    _time_factor: float | None = None
+    _time_factor_s: float = -math.inf
     _peer_requests: float = 0.0
     _load_updated_s: float = -math.inf
     _warm_objects: OrderedDict[int, None] = field(default_factory=OrderedDict)
@@ -128,6 +161,11 @@
         self._peer_requests = max(0.0, total - self.in_flight)
         self._load_updated_s = now_s
         self.service_load.add_report(self._peer_requests / self.slots, now_s)
+        if report.time_factor is not None:
+            low, high = TIME_FACTOR_RANGE
+            self._time_factor = min(high, max(low, report.time_factor))
+            self._time_factor_s = now_s
+            self.service_load.add_time_factor(self._time_factor)
 
     def update_load_after_timeout(
         self, waited_s: float, mean_work_s: float, now_s: float
@@ -209,6 +247,18 @@
         self._warming_due_s.clear()
         self._peer_warming_due_s.clear()
 
+    def time_factor(self, now_s: float) -> float:
+        """Return the estimated time factor of its machine, from its latest report."""
+        mean = self.service_load.mean_time_factor
+        if self._time_factor is None:
+            return mean
+        weight = math.exp(-(now_s - self._time_factor_s) / TIME_FACTOR_DECAY_S)
+        return mean + weight * (self._time_factor - mean)
+
+    def work_factor(self, now_s: float) -> float:
+        """Return the ratio of processing times there now to those measured usually."""
+        return self.current_slowness(now_s) * self.time_factor(now_s)
+
     def current_slowness(self, now_s: float) -> float:
         """Return the ratio to the expected processing time, which decays to 1."""
         age_s = now_s - self.slowness_updated_s
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -276,7 +276,7 @@
         now_s: float,
     ) -> Candidate:
         work = self.work_times(request.route, request.objective_s)
-        slowness = record.current_slowness(now_s)
+        slowness = record.work_factor(now_s)
         is_warm = False
         object_load_wait_s = 0.0
         if request.object_key:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -472,6 +472,7 @@
         assert route is not None
         upstream = candidate.upstream
         work_s = attempt.took_s - self._zone_latencies.round_trip_s(upstream.zone)
+        work_s /= record.time_factor(now_s)
         times = self._placement.work_times(route.name, route.objective_s)
         did_wait = attempt.estimated_load >= record.slots
         was_warm = times.looks_warm(work_s / record.current_slowness(now_s))
--- a/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_headers.py
@@ -33,7 +33,9 @@
 BEARER_PREFIX = b"bearer "
 RETRY_AFTER = b"retry-after"
 UNAVAILABLE_STATUS = 503
+# Running and waiting requests, slots, and with some upstreams the time factor.
 LOAD_FIELD_COUNT = 3
+PERCENT = 100.0
 DECIMAL_NUMBER = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?")
 # Longer numbers are invalid: Python does not parse integers of any length, and floats
 # and reports between hosts do not hold them.
@@ -91,12 +93,18 @@
 
 
 def parse_load_report(value: bytes | None) -> LoadReport | None:
-    """Parse the load that an upstream reports; return None without a valid one."""
+    """Parse the load that an upstream reports; return None without a valid one.
+
+    Fields after the slots are optional: the fourth is the time factor in percent, and
+    others are ignored.
+    """
     fields = [_parse_integer(field) for field in (value or b"").split(b",")]
-    numbers = [field for field in fields if field is not None]
-    if len(fields) != LOAD_FIELD_COUNT or len(numbers) != LOAD_FIELD_COUNT:
+    numbers = [field for field in fields[:LOAD_FIELD_COUNT] if field is not None]
+    if len(numbers) != LOAD_FIELD_COUNT:
         return None
-    return LoadReport(*numbers)
+    percent = fields[LOAD_FIELD_COUNT] if len(fields) > LOAD_FIELD_COUNT else None
+    running, waiting, slots = numbers
+    return LoadReport(running, waiting, slots, percent / PERCENT if percent else None)
 
 
 def parse_rate_limit(value: bytes | None) -> float | None:
