Measure the times of warm and of cold objects apart

The estimate was the first guess from the objective. It was never corrected: the samples of warm objects counted for both kinds, and times of cold objects, below the middle of the two guesses, were taken for warm ones.

Now a request is refused only for a time of its own kind that has been measured. Until both kinds have been measured, a sample belongs to the kind that was expected, and first samples weigh more.

The hook of the test of timed-out connects sets the two numbers of samples instead of one.

--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -292,7 +292,7 @@
         expected_latency_s = (
             max(object_load_wait_s, queue_wait_s) + work_s + round_trip_s
         )
-        least_work_s = MIN_WORK_SHARE * work_s if work.is_measured else 0.0
+        least_work_s = MIN_WORK_SHARE * work_s if work.is_measured(is_warm) else 0.0
         min_latency_s = (
             max(object_load_wait_s, queue_wait_s) + least_work_s + round_trip_s
         )
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -477,7 +477,7 @@
         did_wait = attempt.estimated_load >= record.slots
         was_warm = times.looks_warm(work_s / record.current_slowness(now_s))
         if not did_wait:
-            times.record_work_time(was_warm, work_s)
+            times.record_work_time(candidate.is_warm, work_s)
             record.record_speed_ratio(
                 work_s / times.expected_s(candidate.is_warm), now_s
             )
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -243,7 +243,8 @@
             *(upstream(UNREACHABLE_ADDRESS, name) for name in names),
         )
         # The times that the route's requests take have been measured before.
-        fixture.placement.work_times("r", at_most_once.objective_s).samples = 100
+        times = fixture.placement.work_times("r", at_most_once.objective_s)
+        times.warm_samples = times.cold_samples = 100
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         with mock.patch.object(HttpConnection, "open", open_):
--- a/packages/dev/src/cardamomquay_dev/lab/load_model.py
+++ b/packages/dev/src/cardamomquay_dev/lab/load_model.py
@@ -383,8 +383,8 @@
             return
         times = self.policy.placements[request.host].work_times("r", OBJECTIVE_S)
         took_s = self.now_s - request.sent_s
-        was_warm = times.looks_warm(took_s / record.current_slowness(self.now_s))
-        times.record_work_time(was_warm, took_s)
+        assert request.candidate is not None
+        was_warm = times.record_work_time(request.candidate.is_warm, took_s)
         record.record_speed_ratio(took_s / times.expected_s(was_warm), self.now_s)
 
     def _record_sent(self, request: ServerRequest, upstream: Upstream) -> None:
