Do not apply older entries of upstreams after their removal was read

A host keeps an entry of a restored store that is older than what it knows aside for four heartbeats. If the removal of the entry was read after a gap of more than a heartbeat, the host waited for the entry to be written again, as after every outage. When the four heartbeats ended within that wait, the older entry was applied and the removal forgotten; since the feed had passed the removal, the upstream stayed in use for good. The same happened if the entry was missing in a later read of the whole table.

An older entry is now dropped when its removal is read.

The tests fail before this change in all three cases: the upstream is ready again, and stays so.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -441,7 +441,11 @@
         removed = set(changes.removed)
         if changes.is_snapshot:
             present = {upstream.instance for upstream in changes.present}
-            removed |= set(state.upstreams.by_instance) - present
+            removed |= {*state.upstreams.by_instance, *self._outdated} - present
+        for instance in removed:
+            # The older entry is gone. It must not be applied later, when the removal
+            # will not be read again.
+            self._outdated.pop(instance, None)
         for upstream in changes.present:
             if self._is_outdated(upstream):
                 self._lapsed.discard(upstream.instance)
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -23,6 +23,8 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay.platform import make_revision
+from cardamomquay.platform import revision_era
 from cardamomquay.traffic import UpstreamState
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge import OperatorChanges
@@ -31,6 +33,7 @@
 from cardamomquay_daemon.edge import UpstreamChanges
 from cardamomquay_daemon.edge._feeds import AGE_CHECK_PERIOD_S
 from cardamomquay_daemon.edge._feeds import LAPSED_ENTRY_TIMEOUT_S
+from cardamomquay_daemon.edge._feeds import OUTDATED_ENTRY_HEARTBEATS
 from cardamomquay_daemon.edge._feeds import REPORTED_CONFIG_TIMEOUT_S
 from cardamomquay_daemon.edge._feeds import UPSTREAM_READ_PERIOD_S
 from cardamomquay_daemon.edge._feeds import FeedListener
@@ -298,6 +301,75 @@
         self.assertEqual(present, {"i-1"})
 
 
+class RestoredUpstreamsTest(FeedCase):
+    """Guards against upstreams that a restored store brings back after they left.
+
+    The store is restored from a copy in which they were still ready.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state.config = config()
+        self.ready = upstream("h:1", "i-1", started_at_ms=1000, sequence=3)
+        self.draining = replace(self.ready, state=DRAINING, sequence=4)
+        self.revision = 0
+
+    async def read(self, *present: Upstream, removed: tuple[str, ...] = ()) -> None:
+        """Read changes from the store."""
+        self.revision += 1
+        changes = UpstreamChanges(self.revision, False, present, removed)
+        self.platform.upstreams = [changes]
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def read_snapshot(self, *present: Upstream) -> None:
+        """Read the whole table, as after a restore or a compaction."""
+        self.revision += 1
+        changes = UpstreamChanges(self.revision, True, present, ())
+        self.platform.upstreams = [changes]
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def read_restored(self, *present: Upstream) -> None:
+        """Read the whole table of a store that was restored."""
+        self.revision = make_revision(revision_era(self.revision) + 1, 1)
+        await self.read_snapshot(*present)
+
+    async def run_for(self, seconds: float) -> None:
+        """Read the store regularly; it has no changes."""
+        end_s = self.clock.now_s() + seconds
+        while self.clock.now_s() < end_s:
+            self.clock.advance(UPSTREAM_READ_PERIOD_S)
+            await self.read()
+
+    def is_ready(self) -> bool:
+        known = self.state.upstreams.by_instance.get("i-1")
+        return known is not None and known.state is UpstreamState.READY
+
+    async def test_a_removal_read_after_a_gap_is_kept(self) -> None:
+        # Soak seed 15: the host could not read the store for more than a heartbeat when
+        # its time to wait for newer entries ended. The removal was read with that read.
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                await self.read_snapshot(self.ready)
+                await self.read(self.draining)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                await self.read_restored(self.ready)
+                self.clock.advance(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 0.1)
+                await self.read(removed=("i-1",))
+                self.assertFalse(self.is_ready())
+                await self.run_for(LAPSED_ENTRY_TIMEOUT_S + 1.0)
+                self.assertEqual(self.state.upstreams.by_instance, {})
+
+    async def test_an_entry_missing_in_a_later_snapshot_is_not_applied(self) -> None:
+        await self.read_snapshot(self.ready)
+        await self.read(removed=("i-1",))
+        await self.read_restored(self.ready)
+        # The removal is among compacted changes.
+        await self.read_snapshot()
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        self.assertEqual(self.state.upstreams.by_instance, {})
+
+
 class UpstreamDeltaTest(FeedCase):
     """Guards against hosts that miss or undo changes that their reader reports."""
 
