Do not bring back an upstream that leaves by an older entry of a restored store

After a restore a host kept older entries aside for four heartbeats, and then applied those that were still there, on the assumption that upstreams had renewed them. An entry that had not been removed by then, or a read of the whole table later on, made an upstream ready again although the host knew that the same start of it was draining or had left.

Such an entry is not applied until the store shows a later report of the same start, another start, or no entry. Reports without a number are applied after four heartbeats as before, since no later one could be told from them. Older entries of upstreams that stay are applied as before.

test_an_older_entry_does_not_bring_it_back fails before this change in both cases.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -21,6 +21,7 @@
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import revision_era
 from cardamomquay.platform import revision_version
+from cardamomquay.traffic import UpstreamState
 from cardamomquay_daemon.edge._events import CONFIG_IN_FORCE
 from cardamomquay_daemon.edge._events import CONFIG_OLDER
 from cardamomquay_daemon.edge._events import STORE_LOST
@@ -75,7 +76,8 @@
 REPORTED_CONFIG_TIMEOUT_S = 10.0
 # Entries in a restored store that are older than the known state of their upstreams are
 # not applied for this many heartbeats. Upstreams that still run write them again, and
-# the store removes the others after three heartbeats.
+# the store removes the others after three heartbeats. An entry of an upstream that is
+# known to leave is not applied after that either.
 OUTDATED_ENTRY_HEARTBEATS = 4.0
 # Upstreams that left are remembered for this long; a copy of the store is younger.
 LEFT_UPSTREAM_TIMEOUT_S = 60.0
@@ -246,7 +248,7 @@
         ):
             self._apply_deferred_changes()
             wait_s = due_s() - self._clock.now_s()
-            if self._lapsed or self._outdated:
+            if self._has_deferred_changes:
                 wait_s = AGE_CHECK_PERIOD_S
             with suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -464,8 +466,18 @@
         """
         return bool(self._lapsed)
 
+    @property
+    def _has_deferred_changes(self) -> bool:
+        """Whether changes are to be applied when their time has passed."""
+        return bool(self._lapsed) or any(
+            not self._is_known_to_leave(upstream)
+            for upstream in self._outdated.values()
+        )
+
     def _is_outdated(self, upstream: Upstream) -> bool:
         """Whether an entry in a restored store is older than the known state."""
+        if self._is_known_to_leave(upstream):
+            return True
         now_s = self._clock.now_s()
         if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
             return False
@@ -479,12 +491,33 @@
             and upstream.sequence <= left.sequence
         )
 
+    def _is_known_to_leave(self, upstream: Upstream) -> bool:
+        """Whether a later report of the same start said that an upstream leaves.
+
+        An upstream whose entry was removed has left; its last report is the latest one
+        that is known. Reports without a number cannot be told from later ones.
+        """
+        known = self._state.upstreams.by_instance.get(upstream.instance)
+        if known is not None:
+            return (
+                known.state is UpstreamState.DRAINING
+                and upstream.is_same_start(known)
+                and upstream.sequence < known.sequence
+            )
+        left, _ = self._left.get(upstream.instance, (None, 0.0))
+        return (
+            left is not None
+            and upstream.is_same_start(left)
+            and upstream.sequence <= left.sequence != 0
+        )
+
     def _apply_deferred_changes(self) -> None:
         """Remove upstreams without an entry, and apply entries that seemed outdated.
 
         After an outage of the store, upstreams first have `LAPSED_ENTRY_TIMEOUT_S` to
         write their entries again. An outdated entry that is still there after
-        `OUTDATED_ENTRY_HEARTBEATS` is renewed by its upstream.
+        `OUTDATED_ENTRY_HEARTBEATS` is renewed by its upstream, unless that is known to
+        leave.
         """
         now_s = self._clock.now_s()
         if now_s - self._store_regained_s >= LAPSED_ENTRY_TIMEOUT_S:
@@ -493,7 +526,8 @@
             self._lapsed.clear()
         if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
             for upstream in tuple(self._outdated.values()):
-                self._put(upstream)
+                if not self._is_known_to_leave(upstream):
+                    self._put(upstream)
 
     def _put(self, upstream: Upstream) -> None:
         self._lapsed.discard(upstream.instance)
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -349,6 +349,7 @@
         # its time to wait for newer entries ended. The removal was read with that read.
         for has_left in (False, True):
             with self.subTest(has_left=has_left):
+                self.setUp()
                 await self.read_snapshot(self.ready)
                 await self.read(self.draining)
                 if has_left:
@@ -360,6 +361,60 @@
                 await self.run_for(LAPSED_ENTRY_TIMEOUT_S + 1.0)
                 self.assertEqual(self.state.upstreams.by_instance, {})
 
+    async def test_an_older_entry_does_not_bring_it_back(self) -> None:
+        # The entry stays in the store, since nothing removes or renews it.
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                self.setUp()
+                await self.read_snapshot(self.ready)
+                await self.read(self.draining)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                await self.read_restored(self.ready)
+                await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 2.0)
+                self.assertFalse(self.is_ready())
+                # Changes were compacted, so that the whole table is read again.
+                await self.read_snapshot(self.ready)
+                self.assertFalse(self.is_ready())
+                await self.read(self.ready)
+                self.assertFalse(self.is_ready())
+
+    async def test_a_later_report_brings_it_back(self) -> None:
+        later = replace(self.ready, sequence=5)
+        restarted = replace(self.ready, started_at_ms=2000, sequence=1)
+        for back in (later, restarted):
+            for has_left in (False, True):
+                with self.subTest(back=back, has_left=has_left):
+                    self.setUp()
+                    await self.read_snapshot(self.ready)
+                    await self.read(self.draining)
+                    if has_left:
+                        await self.read(removed=("i-1",))
+                    await self.read_restored(self.ready)
+                    await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 2.0)
+                    await self.read(back)
+                    self.assertTrue(self.is_ready())
+
+    async def test_an_older_entry_of_one_that_stays_is_applied_in_the_end(self) -> None:
+        # The wait is for entries that are renewed; this one is not.
+        await self.read_snapshot(replace(self.ready, capacity=5, sequence=4))
+        await self.read_restored(self.ready)
+        known = self.state.upstreams.by_instance
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S - 1.0)
+        self.assertEqual(known["i-1"].capacity, 5)
+        await self.run_for(2.0)
+        self.assertEqual(known["i-1"].capacity, 3)
+
+    async def test_without_sequences_an_entry_that_stays_is_applied(self) -> None:
+        # No later report could be told from an older one.
+        unnumbered = replace(self.ready, sequence=0)
+        await self.read_snapshot(unnumbered)
+        await self.read(removed=("i-1",))
+        await self.read_restored(unnumbered)
+        self.assertFalse(self.is_ready())
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        self.assertTrue(self.is_ready())
+
     async def test_an_entry_missing_in_a_later_snapshot_is_not_applied(self) -> None:
         await self.read_snapshot(self.ready)
         await self.read(removed=("i-1",))
