Read an early answer although the connection is reset

A server that answers before it has read a long body and closes the connection resets it. If a part of the body was written before the answer had been read, the write failed, and the event loop removed the reader: the answer, still in the kernel, was lost. The request counted as one that may have run, whatever the answer said. The parts that were left were written to the closed transport, which logged a line for each.

The stream now reads what has arrived when a connection ends with an error, and writes nothing to a closing connection.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +13,7 @@
 
 # With more unread bytes than this, reading from the socket is paused.
 HIGH_WATER_BYTES = 262_144
+READ_BYTES = 65_536
 # A connection to a server ends with an error if sent bytes stay unacknowledged for this
 # long (TCP_USER_TIMEOUT). A server that has become unreachable causes no other error.
 # The timeout must exceed a round trip between regions, which takes about 0.1 s.
@@ -31,7 +34,6 @@
         self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._received = bytearray()
         self._ended = False
-        self._lost = False
         self._error: Exception | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._can_write = asyncio.Event()
@@ -72,7 +74,8 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._lost = True
+        if exc is not None:
+            self._read_rest()
         self._ended = True
         self._error = exc
         if isinstance(exc, ConnectionResetError | BrokenPipeError):
@@ -80,6 +83,21 @@
         self._can_write.set()
         self._wake()
 
+    def _read_rest(self) -> None:
+        """Read what arrived before a failed write closed the connection.
+
+        A server that answers early and closes the connection with unread bytes resets
+        it. The event loop does not read from the socket after a failed write, which
+        would lose the answer.
+        """
+        fd = self.transport.get_extra_info("socket").fileno()
+        with suppress(OSError):
+            while len(self._received) <= HIGH_WATER_BYTES and (
+                data := os.read(fd, READ_BYTES)
+            ):
+                self._received += data
+                self.last_received_s = asyncio.get_running_loop().time()
+
     def _record_end_by_peer(self) -> None:
         if not self.was_ended_by_peer:
             self.was_ended_by_peer = True
@@ -137,8 +155,11 @@
         return b""
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
-        """Queue bytes to be sent; does nothing once the connection is lost."""
-        if not self._lost:
+        """Queue bytes to be sent; does nothing once the connection is closing.
+
+        The event loop logs writes to a connection that an earlier write has found lost.
+        """
+        if not self.transport.is_closing():
             self.transport.write(data)
 
     async def drain(self) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -256,6 +256,7 @@
             or bool(rest)
             or not has_sent_body
             or self._stream.unsent_bytes > 0
+            or self._stream.has_ended
         )
         answer.is_ended_by_close = (
             has_ended
--- a/packages/daemon/tests/edge/test_http_client.py
+++ b/packages/daemon/tests/edge/test_http_client.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import unittest
+from unittest import mock
 
 import h11
 from edge.support import answer
@@ -13,6 +14,7 @@
 from cardamomquay_daemon.edge import HttpAnswer
 from cardamomquay_daemon.edge import HttpConnection
 from cardamomquay_daemon.edge._addresses import parse_address
+from cardamomquay_daemon.edge._byte_stream import ByteStream
 
 ID_HEADER = (b"request-id", b"id-1")
 HEADERS = [(b"host", b"h"), ID_HEADER]
@@ -70,6 +72,50 @@
             got = await exchange(server.address, b"x" * 20_000_000)
         self.assertEqual((got.status, got.ends_connection), (413, True))
 
+    async def test_an_early_answer_is_read_although_the_connection_is_reset(
+        self,
+    ) -> None:
+        # A server that answers early and closes the connection with unread bytes resets
+        # it. The next part of the body can then not be sent, before the answer has been
+        # read.
+        for part in (2, 3, 8):
+            with self.subTest(part=part):
+                got, warnings = await self.exchange_with_reset(part)
+                self.assertEqual((got.status, got.ends_connection), (413, True))
+                # One line for each part that is left would flood a host's log.
+                self.assertEqual(warnings, 0)
+
+    async def exchange_with_reset(self, part: int) -> tuple[HttpAnswer, int]:
+        """Let the server answer and close just before a part of the body is sent.
+
+        Returns
+        -------
+        answer : HttpAnswer
+        warning_count : int
+            Warnings of the event loop about writes to a lost connection.
+        """
+        write, write_count = ByteStream.write, 0
+
+        def answer_before_write(stream: ByteStream, data: bytes) -> None:
+            nonlocal write_count
+            write_count += 1
+            # The first write is the head.
+            if write_count == 1 + part:
+                conn, _ = server.accept()
+                conn.recv(100)
+                conn.sendall(answer(status=413))
+                conn.close()
+            write(stream, data)
+
+        with (
+            socket.create_server(("127.0.0.1", 0)) as server,
+            mock.patch.object(ByteStream, "write", answer_before_write),
+            mock.patch("asyncio.selector_events.logger.warning") as warning,
+        ):
+            host, port = server.getsockname()
+            got = await exchange(f"{host}:{port}", b"x" * 1_000_000)
+        return got, warning.call_count
+
     async def test_a_long_body_is_not_copied_into_the_transport(self) -> None:
         # The server reads nothing, and answers nothing.
         async def stall(_: asyncio.StreamReader, __: asyncio.StreamWriter) -> None:
