Report changes of a restored store that the reader itself does not notice

In a large fleet a reader reports how its own state of the upstreams changes. After a restore its state differs from the store: it keeps entries that the store has lost, and does not apply older ones. A host that started since then has read the store as it is. If an older entry was removed, or an entry was written again as the reader knew it, the reader's state did not change, so it reported nothing, but a revision that includes the change. The other host used an upstream that had left or was draining, or lacked one that had joined, until it read the whole table again.

The reader now logs a change whenever an entry that it had set aside is removed or written again. Removed entries that a host does not know no longer delay its reports either.

The three tests of RestoredReaderTest fail before this change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -444,17 +444,20 @@
         if changes.is_snapshot:
             present = {upstream.instance for upstream in changes.present}
             removed |= {*state.upstreams.by_instance, *self._outdated} - present
-        for instance in removed:
+        for instance in removed & self._outdated.keys():
             # The older entry is gone. It must not be applied later, when the removal
             # will not be read again.
-            self._outdated.pop(instance, None)
+            if instance in state.upstreams.by_instance:
+                del self._outdated[instance]
+            else:
+                self._remove(instance)
         for upstream in changes.present:
             if self._is_outdated(upstream):
                 self._lapsed.discard(upstream.instance)
                 self._outdated[upstream.instance] = upstream
             else:
                 self._put(upstream)
-        self._lapsed |= removed
+        self._lapsed |= removed & state.upstreams.by_instance.keys()
         self._apply_deferred_changes()
 
     @property
@@ -530,20 +533,27 @@
                     self._put(upstream)
 
     def _put(self, upstream: Upstream) -> None:
+        # Hosts that have read the store have another state of this upstream, which they
+        # replace only if the change log contains this one.
+        was_deferred = (
+            upstream.instance in self._lapsed or upstream.instance in self._outdated
+        )
         self._lapsed.discard(upstream.instance)
         self._outdated.pop(upstream.instance, None)
         self._left.pop(upstream.instance, None)
         before = self._state.upstreams.put(upstream)
-        if before != upstream:
+        if before != upstream or was_deferred:
             self._record_change(upstream.instance, upstream)
+        if before != upstream:
             self._notify_and_log(before, upstream)
 
     def _remove(self, instance: str) -> None:
-        self._outdated.pop(instance, None)
+        was_outdated = self._outdated.pop(instance, None) is not None
         before = self._state.upstreams.remove(instance)
+        if before is not None or was_outdated:
+            self._record_change(instance, None)
         if before is not None:
             self._record_left(before)
-            self._record_change(instance, None)
             self._notify_and_log(before, None)
 
     def _record_left(self, upstream: Upstream) -> None:
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -425,6 +425,92 @@
         self.assertEqual(self.state.upstreams.by_instance, {})
 
 
+class RestoredReaderTest(FeedCase):
+    """Guards against changes in a restored store that a reader does not report.
+
+    Another host, which has started since the restore, has read the store as it is. The
+    reader still knows the state before the restore, and reports the difference to its
+    own state only.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.state.config = config()
+        self.ready = upstream("h:1", "i-1", started_at_ms=1000, sequence=3)
+        self.draining = replace(self.ready, state=DRAINING, sequence=4)
+        self.restored = make_revision(1, 1)
+        self.other_state = HostState(has_read_hosts=True, config=config())
+        self.other_platform = FakePlatform()
+        self.other = StoreFeeds(
+            self.other_platform,
+            self.other_state,
+            self.clock,
+            self.telemetry,  # type: ignore[arg-type]
+            HEARTBEAT_S,
+            Bounds(),
+            self.listener,
+            lambda: False,
+        )
+
+    async def read(self, *changes: UpstreamChanges) -> None:
+        """Let the reader read changes."""
+        self.platform.upstreams = list(changes)
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def start_other(self, *present: Upstream) -> None:
+        """Let the other host start, and the reader read the restored store as well."""
+        changes = UpstreamChanges(self.restored, True, present, ())
+        await self.read(changes)
+        self.other_platform.upstreams = [changes]
+        task = asyncio.create_task(self.other.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.report()
+
+    def report(self) -> None:
+        """Let the reader report to the other host."""
+        if self.feeds.has_lapsed_entries:
+            return
+        now_s = self.clock.now_s()
+        delta = self.feeds.upstream_change_log.delta(
+            self.state.upstreams_revision, now_s
+        )
+        self.other.apply_upstream_delta(("h1", 7), delta, now_s)
+
+    def known_to_other(self) -> Upstream | None:
+        return self.other_state.upstreams.by_instance.get("i-1")
+
+    async def test_the_removal_of_an_older_entry_is_reported(self) -> None:
+        await self.read(
+            UpstreamChanges(1, True, (self.ready,), ()),
+            UpstreamChanges(2, False, (), ("i-1",)),
+        )
+        await self.start_other(self.ready)
+        self.assertEqual(self.known_to_other(), self.ready)
+        await self.read(UpstreamChanges(self.restored + 1, False, (), ("i-1",)))
+        self.report()
+        self.assertIsNone(self.known_to_other())
+
+    async def test_a_state_that_is_written_again_is_reported(self) -> None:
+        await self.read(
+            UpstreamChanges(1, True, (self.ready,), ()),
+            UpstreamChanges(2, False, (self.draining,), ()),
+        )
+        await self.start_other(self.ready)
+        again = replace(self.draining, sequence=5)
+        await self.read(UpstreamChanges(self.restored + 1, False, (again,), ()))
+        self.report()
+        self.assertEqual(self.known_to_other(), self.draining)
+
+    async def test_an_entry_that_is_written_again_is_reported(self) -> None:
+        await self.read(UpstreamChanges(1, True, (self.ready,), ()))
+        await self.start_other()
+        self.assertIsNone(self.known_to_other())
+        again = replace(self.ready, sequence=4)
+        await self.read(UpstreamChanges(self.restored + 1, False, (again,), ()))
+        self.report()
+        self.assertEqual(self.known_to_other(), self.ready)
+
+
 class UpstreamDeltaTest(FeedCase):
     """Guards against hosts that miss or undo changes that their reader reports."""
 
