Report the number of the last report of a removed upstream

A host that does not read the store knows the number of an upstream's report as of its last change, since the reader does not pass on reports that repeat the state. After a restore it took an entry of a removed upstream for a later report of it, and used the upstream again until the store removed the entry.

A reported removal now contains the number of the last report. Hosts of the previous version ignore it, and without it the number is that of the last change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -16,6 +16,7 @@
 from abc import ABC
 from abc import abstractmethod
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from cardamomquay.platform import Unavailable
@@ -331,7 +332,7 @@
         for change in changes:
             if change.entry is None:
                 self._lapsed.discard(change.instance)
-                self._remove(change.instance)
+                self._remove(change.instance, change.last_sequence)
             else:
                 self._put(change.entry.to_upstream(change.instance))
 
@@ -452,11 +453,7 @@
             else:
                 self._remove(instance)
         for upstream in changes.present:
-            if self._is_outdated(upstream):
-                self._lapsed.discard(upstream.instance)
-                self._outdated[upstream.instance] = upstream
-            else:
-                self._put(upstream)
+            self._put_or_defer(upstream)
         self._lapsed |= removed & state.upstreams.by_instance.keys()
         self._apply_deferred_changes()
 
@@ -532,6 +529,14 @@
                 if not self._is_known_to_leave(upstream):
                     self._put(upstream)
 
+    def _put_or_defer(self, upstream: Upstream) -> None:
+        """Apply an entry, unless it is older than the known state."""
+        if self._is_outdated(upstream):
+            self._lapsed.discard(upstream.instance)
+            self._outdated[upstream.instance] = upstream
+        else:
+            self._put(upstream)
+
     def _put(self, upstream: Upstream) -> None:
         # Hosts that have read the store have another state of this upstream, which they
         # replace only if the change log contains this one.
@@ -547,13 +552,15 @@
         if before != upstream:
             self._notify_and_log(before, upstream)
 
-    def _remove(self, instance: str) -> None:
+    def _remove(self, instance: str, last_sequence: int = 0) -> None:
         was_outdated = self._outdated.pop(instance, None) is not None
         before = self._state.upstreams.remove(instance)
+        if before is not None:
+            last_sequence = max(last_sequence, before.sequence)
+            self._record_left(replace(before, sequence=last_sequence))
         if before is not None or was_outdated:
-            self._record_change(instance, None)
+            self._record_change(instance, None, last_sequence)
         if before is not None:
-            self._record_left(before)
             self._notify_and_log(before, None)
 
     def _record_left(self, upstream: Upstream) -> None:
@@ -565,9 +572,13 @@
             del self._left[instance]
         self._left[upstream.instance] = (upstream, now_s)
 
-    def _record_change(self, instance: str, upstream: Upstream | None) -> None:
+    def _record_change(
+        self, instance: str, upstream: Upstream | None, last_sequence: int = 0
+    ) -> None:
         revision = self._state.upstreams_revision
-        self.upstream_change_log.record_change(instance, upstream, revision)
+        self.upstream_change_log.record_change(
+            instance, upstream, revision, last_sequence
+        )
 
     def _notify_and_log(self, before: Upstream | None, after: Upstream | None) -> None:
         self._listener.on_upstream(before, after)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_deltas.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_deltas.py
@@ -77,12 +77,17 @@
         Revision of the store that includes it.
     instance : str
     entry : UpstreamEntry or None
+    last_sequence : int, default=0
+        If it is gone: number of its last report that the reporting host knows. Changes
+        contain no reports that repeat the state. 0 if unknown; hosts of an earlier
+        version send none.
     """
 
     sequence: int
     revision: int
     instance: str
     entry: UpstreamEntry | None
+    last_sequence: int = 0
 
 
 class UpstreamDelta(msgspec.Struct, array_like=True):
@@ -137,12 +142,27 @@
         self._logged.clear()
 
     def record_change(
-        self, instance: str, upstream: Upstream | None, revision: int
+        self,
+        instance: str,
+        upstream: Upstream | None,
+        revision: int,
+        last_sequence: int = 0,
     ) -> None:
-        """Record a change; `upstream` is None if it was removed."""
+        """Record a change; see `UpstreamChange`.
+
+        Parameters
+        ----------
+        instance : str
+        upstream : Upstream or None
+            None if it was removed.
+        revision : int
+        last_sequence : int, default=0
+        """
         self._sequence += 1
         entry = UpstreamEntry.from_upstream(upstream) if upstream else None
-        change = UpstreamChange(self._sequence, revision, instance, entry)
+        change = UpstreamChange(
+            self._sequence, revision, instance, entry, last_sequence
+        )
         self._logged.append(_LoggedChange(change, self._clock.now_s()))
 
     def delta(self, revision: int, confirmed_s: float) -> UpstreamDelta:
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -556,6 +556,21 @@
         self.apply_delta(3)
         self.assertEqual(self.known_upstreams(), {"i-1", "i-2"})
 
+    async def test_a_removed_upstream_stays_away_after_a_restore(self) -> None:
+        # The reader has read reports that repeat the state, and are not in its changes.
+        ready = upstream("10.0.0.2:80", "i-2", started_at_ms=1000, sequence=3)
+        self.reader_log.record_change("i-2", ready, 2)
+        self.apply_delta(2)
+        self.reader_log.record_change("i-2", None, 3, last_sequence=9)
+        self.apply_delta(3)
+        self.assertEqual(self.known_upstreams(), {"i-1"})
+        self.is_reader = True
+        older = replace(ready, sequence=8)
+        await self.read(make_revision(1, 1), self.first, older)
+        self.assertEqual(self.known_upstreams(), {"i-1"})
+        await self.read(make_revision(1, 2), replace(ready, sequence=10))
+        self.assertEqual(self.known_upstreams(), {"i-1", "i-2"})
+
     async def test_a_host_that_missed_too_much_reads_the_store(self) -> None:
         self.apply_delta(1)
         self.reader_log.record_change("i-2", upstream("10.0.0.2:80", "i-2"), 2)
