Compare upstreams that another host reports with the known state

Entries that a host read itself were compared with the number of the report that it knew, those that a reader reported were not. A reader that had not known that an upstream leaves when the store was restored could report it as ready to hosts that knew it.

test_an_older_entry_that_another_host_reports_is_not_applied fails before this change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -334,7 +334,7 @@
                 self._lapsed.discard(change.instance)
                 self._remove(change.instance, change.last_sequence)
             else:
-                self._put(change.entry.to_upstream(change.instance))
+                self._put_or_defer(change.entry.to_upstream(change.instance))
 
     def _record_call(self, feed: str, answer: object) -> None:
         self._telemetry.count(f"store.{feed}_calls")
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -571,6 +571,25 @@
         await self.read(make_revision(1, 2), replace(ready, sequence=10))
         self.assertEqual(self.known_upstreams(), {"i-1", "i-2"})
 
+    async def test_an_older_entry_that_another_host_reports_is_not_applied(
+        self,
+    ) -> None:
+        # The reader did not know that the upstream leaves when the store was restored.
+        draining = upstream(
+            "10.0.0.2:80", "i-2", started_at_ms=1000, sequence=4, state=DRAINING
+        )
+        self.is_reader = True
+        await self.read(2, draining)
+        self.is_reader = False
+        ready = replace(draining, state=UpstreamState.READY, sequence=3)
+        self.reader_log.record_change("i-2", ready, 3)
+        self.apply_delta(3)
+        known = self.state.upstreams.by_instance
+        self.assertIs(known["i-2"].state, DRAINING)
+        self.reader_log.record_change("i-2", replace(ready, sequence=5), 4)
+        self.apply_delta(4)
+        self.assertIs(known["i-2"].state, UpstreamState.READY)
+
     async def test_a_host_that_missed_too_much_reads_the_store(self) -> None:
         self.apply_delta(1)
         self.reader_log.record_change("i-2", upstream("10.0.0.2:80", "i-2"), 2)
