Do not take a first read for evidence if a report disproved it meanwhile

A host that starts on a restored store may read an older configuration, in which a withdrawn key is still valid. It drops its evidence when another host reports a newer configuration. If that report arrived while the first read was in progress, there was no configuration to compare with yet, and the read counted from its begin, before the report: the host accepted the key for up to 4.5 s. The first reports arrive one round trip after the table of hosts has been read, and that is read at the same time as the configuration.

During the first seconds of a host no read counts that does not show what another host has reported, whenever it began.

test_a_report_during_the_first_read_counts fails before this change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -286,10 +286,31 @@
         now_s = self._clock.now_s()
         if version > self._reported_config[0]:
             self._reported_config = (version, now_s)
-        has_started = now_s - self._started_s >= FIRST_REPORTS_S
-        if not has_started and self._is_config_outdated():
+        if not self._has_started and self._is_config_outdated():
             self._state.config_confirmed_s = -math.inf
 
+    def apply_config_evidence(self, confirmed_s: float) -> None:
+        """Record that the store had no newer configuration, unless that is disproved.
+
+        A read of the store, by any host, that does not show what another host had read
+        before proves nothing. On a host that has just started, neither do those from
+        before the first report of a newer configuration: the store may have been
+        restored before all of them.
+
+        Parameters
+        ----------
+        confirmed_s : float
+            Time at which the read began.
+        """
+        if not self._is_config_outdated(confirmed_s if self._has_started else math.inf):
+            state = self._state
+            state.config_confirmed_s = max(state.config_confirmed_s, confirmed_s)
+
+    @property
+    def _has_started(self) -> bool:
+        """Whether all other hosts have had the time to report to this one."""
+        return self._clock.now_s() - self._started_s >= FIRST_REPORTS_S
+
     def _is_config_outdated(self, before_s: float = math.inf) -> bool:
         """Whether another host reported a newer configuration, before a given time."""
         config = self._state.config
@@ -382,9 +403,7 @@
             self._telemetry.log(ZONE_EVACUATED, zone=zone, is_evacuated=is_evacuated)
         for service, order in changes.rollouts.items():
             self._listener.on_rollout(service, order)
-        # A read that does not show what other hosts had read before proves nothing.
-        if not self._is_config_outdated(began_s):
-            state.config_confirmed_s = max(state.config_confirmed_s, began_s)
+        self.apply_config_evidence(began_s)
         state.orders_confirmed_s = max(state.orders_confirmed_s, began_s)
 
     def _withdraw_missing_orders(self, changes: OperatorChanges) -> None:
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -243,6 +243,25 @@
         older = operator_changes(1, is_snapshot=True, version=5)
         self.assertFalse(await self.read(older))
 
+    async def test_a_report_during_the_first_read_counts(self) -> None:
+        # The store answers late, and the first reports arrive before.
+        async def report_then_answer(
+            after_revision: int | None, wait_s: float
+        ) -> OperatorChanges:
+            if after_revision is not None:
+                await asyncio.Event().wait()
+            self.clock.advance(0.5)
+            self.feeds.record_reported_config(6)
+            return operator_changes(1, is_snapshot=True, version=5)
+
+        with mock.patch.object(self.platform, "operator_changes", report_then_answer):
+            task = asyncio.create_task(self.feeds.follow_operator())
+            await asyncio.sleep(0.02)
+            task.cancel()
+        assert self.state.config is not None
+        self.assertEqual(self.state.config.version, 5)
+        self.assertEqual(self.state.config_confirmed_s, -math.inf)
+
     async def test_a_version_that_is_not_written_again_is_given_up(self) -> None:
         await self.start()
         self.feeds.record_reported_config(6)
