Do not count other hosts' evidence for a configuration that was replaced

A host whose configuration is older than one that another host reported does not count its own reads of the store as evidence. Reports of hosts with the same older configuration counted all the same: two hosts that started on a restored store confirmed the older configuration to each other, and accepted a withdrawn key for up to 4.5 s after one of them had heard of the newer one.

Evidence of other hosts now passes the same check as own reads. What was confirmed before the report of the newer configuration counts as before, except on a host that has just started.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -332,9 +332,7 @@
         # The evidence had the stated age when the other host sent the report. That was
         # after this host had sent the clock value that the report echoes.
         confirmed_s = (report.echoed_clock_ms - report.evidence_age_ms) / 1000.0
-        self._state.config_confirmed_s = max(
-            self._state.config_confirmed_s, confirmed_s
-        )
+        self._feeds.apply_config_evidence(confirmed_s)
 
     def _apply_store_reads(
         self, peer: Peer, echoed_clock_ms: int, large: LargeFleetReport
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -183,6 +183,32 @@
         self.exchange()
         self.assertEqual(self.one.state.config_confirmed_s, float("-inf"))
 
+    def test_evidence_for_a_configuration_that_others_have_replaced_is_ignored(
+        self,
+    ) -> None:
+        # Two hosts start on a restored store. One of them has not heard of the newer
+        # configuration yet, and reports that it has just read the older one.
+        self.exchange()
+        self.one.feeds.record_reported_config(2)
+        self.clock.advance(0.2)
+        self.two.state.config_confirmed_s = self.clock.now_s()
+        self.exchange()
+        self.assertEqual(self.one.state.config_confirmed_s, float("-inf"))
+
+    def test_only_earlier_evidence_counts_once_a_newer_configuration_is_known(
+        self,
+    ) -> None:
+        self.exchange()
+        self.clock.advance(20.0)
+        self.two.state.config_confirmed_s = self.clock.now_s()
+        self.one.feeds.record_reported_config(2)
+        self.exchange()
+        self.assertAlmostEqual(self.one.state.config_confirmed_s, 120.0, places=2)
+        self.clock.advance(1.0)
+        self.two.state.config_confirmed_s = self.clock.now_s()
+        self.exchange()
+        self.assertAlmostEqual(self.one.state.config_confirmed_s, 120.0, places=2)
+
     def test_requests_of_other_hosts_are_counted(self) -> None:
         self.exchange()
         organisation = config().organisations["salsa"]
