Count the time for first reports from the first configuration

A host that starts in an outage of the store reads its first configuration later than three seconds after its start. The first reports of other hosts may arrive during that read, as the table of hosts is read at the same time; they disproved the read only within three seconds after the start.

test_a_report_during_a_late_first_read_counts fails before this change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -70,7 +70,7 @@
 # Upstreams that still run write them again within about 2 s.
 LAPSED_ENTRY_TIMEOUT_S = 2.2
 # A host may have read its first configuration from a store that was restored from an
-# older copy. It hears from all other hosts within this time after its start.
+# older copy. It hears from all other hosts within this time after that.
 FIRST_REPORTS_S = 3.0
 # Reads that do not show the newest version reported by another host are no evidence for
 # this long; the operator writes it to the store again.
@@ -163,6 +163,8 @@
         self._lost_orders_due_s = math.inf
         # Instances without an entry in the store that are still in this host's state.
         self._lapsed: set[str] = set()
+        # Time of the start, or of the first configuration once that has been read: the
+        # store may be away when the host starts.
         self._started_s = clock.now_s()
         # Newest version that another host has reported, and when it was first reported.
         self._reported_config = (0, math.inf)
@@ -427,6 +429,8 @@
                 CONFIG_OLDER, version=config.version, in_force=before.version
             )
             return
+        if before is None:
+            self._started_s = self._clock.now_s()
         self._state.config = config
         self._listener.on_config()
         self._telemetry.log(
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -32,6 +32,7 @@
 from cardamomquay_daemon.edge import RevisionCompacted
 from cardamomquay_daemon.edge import UpstreamChanges
 from cardamomquay_daemon.edge._feeds import AGE_CHECK_PERIOD_S
+from cardamomquay_daemon.edge._feeds import FIRST_REPORTS_S
 from cardamomquay_daemon.edge._feeds import LAPSED_ENTRY_TIMEOUT_S
 from cardamomquay_daemon.edge._feeds import OUTDATED_ENTRY_HEARTBEATS
 from cardamomquay_daemon.edge._feeds import REPORTED_CONFIG_TIMEOUT_S
@@ -262,6 +263,11 @@
         self.assertEqual(self.state.config.version, 5)
         self.assertEqual(self.state.config_confirmed_s, -math.inf)
 
+    async def test_a_report_during_a_late_first_read_counts(self) -> None:
+        # The host started in an outage of the store.
+        self.clock.advance(FIRST_REPORTS_S + 7.0)
+        await self.test_a_report_during_the_first_read_counts()
+
     async def test_a_version_that_is_not_written_again_is_given_up(self) -> None:
         await self.start()
         self.feeds.record_reported_config(6)
