Do not take an earlier start in a restored store for a later one

An entry of a restored store with another start time than the known one counted as a new start, whose entry says how long the upstream stays cold. A copy made before the upstream started again has the entry of the earlier start, which is warm: hosts dropped what they knew of the restart. By the hosts' logs, all of them read another start of it when the store came back, and the right one when the upstream wrote its entry again.

In a restored store, entries with an earlier start time are set aside like older reports of the same start.

test_an_entry_of_an_earlier_start_is_not_applied fails before this change in both cases.

--- a/packages/core/src/cardamomquay/traffic/_upstreams.py
+++ b/packages/core/src/cardamomquay/traffic/_upstreams.py
@@ -51,6 +51,10 @@
         """Whether both are known to be reports of the same start."""
         return self.started_at_ms == other.started_at_ms != 0
 
+    def is_earlier_start(self, other: Upstream) -> bool:
+        """Whether this is a report of an earlier start, by its machine's clock."""
+        return 0 < self.started_at_ms < other.started_at_ms
+
 
 class UpstreamTable:
     """The currently registered upstreams, by instance and by service."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -505,13 +505,17 @@
         if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
             return False
         known = self._state.upstreams.by_instance.get(upstream.instance)
-        if known is not None:
-            return upstream.is_same_start(known) and upstream.sequence < known.sequence
         left, _ = self._left.get(upstream.instance, (None, 0.0))
-        return (
-            left is not None
-            and upstream.is_same_start(left)
-            and upstream.sequence <= left.sequence
+        latest = known or left
+        if latest is None:
+            return False
+        if upstream.is_earlier_start(latest):
+            return True
+        if not upstream.is_same_start(latest):
+            return False
+        # The last report of an upstream that has left says nothing new.
+        return upstream.sequence < latest.sequence or (
+            known is None and upstream.sequence == latest.sequence
         )
 
     def _is_known_to_leave(self, upstream: Upstream) -> bool:
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -430,6 +430,39 @@
         await self.run_for(2.0)
         self.assertEqual(known["i-1"].capacity, 3)
 
+    async def test_an_entry_of_an_earlier_start_is_not_applied(self) -> None:
+        # Soak seed 3: hosts took it for another start, of an upstream that is warm, and
+        # sent 18 requests in a second to one that was cold.
+        restarted = replace(self.ready, started_at_ms=2000, sequence=1)
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                self.setUp()
+                known = self.state.upstreams.by_instance
+                await self.read_snapshot(self.ready)
+                await self.read(restarted)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                before = dict(known)
+                await self.read_restored(self.ready)
+                await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S - 1.0)
+                self.assertEqual(known, before)
+                again = replace(restarted, started_at_ms=3000)
+                await self.read(again)
+                self.assertEqual(known, {"i-1": again})
+
+    async def test_a_start_that_seems_earlier_is_applied_in_the_end(self) -> None:
+        # The wall clock of the upstream's machine was set back before it started.
+        await self.read_snapshot(self.ready)
+        await self.read_restored(replace(self.ready, started_at_ms=500))
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        known = self.state.upstreams.by_instance
+        self.assertEqual(known["i-1"].started_at_ms, 500)
+        # Without a restore it is applied at once.
+        await self.read(replace(self.ready, started_at_ms=400))
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S)
+        await self.read(replace(self.ready, started_at_ms=300))
+        self.assertEqual(known["i-1"].started_at_ms, 300)
+
     async def test_without_sequences_an_entry_that_stays_is_applied(self) -> None:
         # No later report could be told from an older one.
         unnumbered = replace(self.ready, sequence=0)
