Read after a failed write on connections to servers only

The rest of an answer is read after a failed write. The same was done on connections of callers, where a request that is read after that has no caller any more. It was cancelled before it ran.

ResetTest guards against requests that run for a caller that has reset its connection; it passes before as well.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -74,8 +74,6 @@
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
-        if exc is not None:
-            self._read_rest()
         self._ended = True
         self._error = exc
         if isinstance(exc, ConnectionResetError | BrokenPipeError):
@@ -83,21 +81,6 @@
         self._can_write.set()
         self._wake()
 
-    def _read_rest(self) -> None:
-        """Read what arrived before a failed write closed the connection.
-
-        A server that answers early and closes the connection with unread bytes resets
-        it. The event loop does not read from the socket after a failed write, which
-        would lose the answer.
-        """
-        fd = self.transport.get_extra_info("socket").fileno()
-        with suppress(OSError):
-            while len(self._received) <= HIGH_WATER_BYTES and (
-                data := os.read(fd, READ_BYTES)
-            ):
-                self._received += data
-                self.last_received_s = asyncio.get_running_loop().time()
-
     def _record_end_by_peer(self) -> None:
         if not self.was_ended_by_peer:
             self.was_ended_by_peer = True
@@ -179,6 +162,30 @@
             self._waiter.set_result(None)
 
 
+class ClientStream(ByteStream):
+    """A connection to a server, whose answer is also read after a failed write."""
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if exc is not None:
+            self._read_rest()
+        super().connection_lost(exc)
+
+    def _read_rest(self) -> None:
+        """Read what arrived before a failed write closed the connection.
+
+        A server that answers early and closes the connection with unread bytes resets
+        it. The event loop does not read from the socket after a failed write, which
+        would lose the answer.
+        """
+        fd = self.transport.get_extra_info("socket").fileno()
+        with suppress(OSError):
+            while len(self._received) <= HIGH_WATER_BYTES and (
+                data := os.read(fd, READ_BYTES)
+            ):
+                self._received += data
+                self.last_received_s = asyncio.get_running_loop().time()
+
+
 async def connect(address: tuple[str, int], timeout_s: float) -> ByteStream:
     """Open a TCP connection.
 
@@ -201,6 +208,6 @@
     loop = asyncio.get_running_loop()
     async with asyncio.timeout(timeout_s):
         _, stream = await loop.create_connection(
-            lambda: ByteStream(UNACKNOWLEDGED_TIMEOUT_MS), *address
+            lambda: ClientStream(UNACKNOWLEDGED_TIMEOUT_MS), *address
         )
     return stream
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import gc
+import socket
+import struct
 import unittest
 from contextlib import asynccontextmanager
 from dataclasses import replace
@@ -181,6 +183,29 @@
         self.assertEqual(self.connections, set())
 
 
+class ResetTest(CallerConnTest):
+    """Guards against requests that start although their caller has gone."""
+
+    async def handle(self, request: CallerRequest) -> CallerAnswer:
+        self.started.append(request.target)
+        # The caller sends another request and resets the connection before the answer
+        # is written, which then fails. The request has arrived, but was not read.
+        self.sock.sendall(self.get(b"/2"))
+        linger = struct.pack("ii", 1, 0)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.sock.close()
+        return CallerAnswer(200, [], b"")
+
+    async def test_nothing_is_read_after_a_failed_write(self) -> None:
+        async with self.caller() as (_, writer):
+            address = writer.get_extra_info("peername")[:2]
+            self.sock = socket.create_connection(address)
+            self.sock.sendall(self.get(b"/1"))
+            await self.wait_for_started(1)
+            await asyncio.sleep(0.1)
+        self.assertEqual(self.started, [b"/1"])
+
+
 class LimitTest(CallerConnTest):
     """Guards against malformed, oversized and slow requests."""
 
