--- a/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_feeds.py
@@ -16,11 +16,13 @@
 from abc import ABC
 from abc import abstractmethod
 from contextlib import suppress
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import revision_era
 from cardamomquay.platform import revision_version
+from cardamomquay.traffic import UpstreamState
 from cardamomquay_daemon.edge._events import CONFIG_IN_FORCE
 from cardamomquay_daemon.edge._events import CONFIG_OLDER
 from cardamomquay_daemon.edge._events import STORE_LOST
@@ -68,14 +70,15 @@
 # Upstreams that still run write them again within about 2 s.
 LAPSED_ENTRY_TIMEOUT_S = 2.2
 # A host may have read its first configuration from a store that was restored from an
-# older copy. It hears from all other hosts within this time after its start.
+# older copy. It hears from all other hosts within this time after that.
 FIRST_REPORTS_S = 3.0
 # Reads that do not show the newest version reported by another host are no evidence for
 # this long; the operator writes it to the store again.
 REPORTED_CONFIG_TIMEOUT_S = 10.0
 # Entries in a restored store that are older than the known state of their upstreams are
 # not applied for this many heartbeats. Upstreams that still run write them again, and
-# the store removes the others after three heartbeats.
+# the store removes the others after three heartbeats. An entry of an upstream that is
+# known to leave is not applied after that either.
 OUTDATED_ENTRY_HEARTBEATS = 4.0
 # Upstreams that left are remembered for this long; a copy of the store is younger.
 LEFT_UPSTREAM_TIMEOUT_S = 60.0
@@ -160,6 +163,8 @@
         self._lost_orders_due_s = math.inf
         # Instances without an entry in the store that are still in this host's state.
         self._lapsed: set[str] = set()
+        # Time of the start, or of the first configuration once that has been read: the
+        # store may be away when the host starts.
         self._started_s = clock.now_s()
         # Newest version that another host has reported, and when it was first reported.
         self._reported_config = (0, math.inf)
@@ -246,7 +251,7 @@
         ):
             self._apply_deferred_changes()
             wait_s = due_s() - self._clock.now_s()
-            if self._lapsed or self._outdated:
+            if self._has_deferred_changes:
                 wait_s = AGE_CHECK_PERIOD_S
             with suppress(TimeoutError):
                 async with asyncio.timeout(
@@ -283,10 +288,31 @@
         now_s = self._clock.now_s()
         if version > self._reported_config[0]:
             self._reported_config = (version, now_s)
-        has_started = now_s - self._started_s >= FIRST_REPORTS_S
-        if not has_started and self._is_config_outdated():
+        if not self._has_started and self._is_config_outdated():
             self._state.config_confirmed_s = -math.inf
 
+    def apply_config_evidence(self, confirmed_s: float) -> None:
+        """Record that the store had no newer configuration, unless that is disproved.
+
+        A read of the store, by any host, that does not show what another host had read
+        before proves nothing. On a host that has just started, neither do those from
+        before the first report of a newer configuration: the store may have been
+        restored before all of them.
+
+        Parameters
+        ----------
+        confirmed_s : float
+            Time at which the read began.
+        """
+        if not self._is_config_outdated(confirmed_s if self._has_started else math.inf):
+            state = self._state
+            state.config_confirmed_s = max(state.config_confirmed_s, confirmed_s)
+
+    @property
+    def _has_started(self) -> bool:
+        """Whether all other hosts have had the time to report to this one."""
+        return self._clock.now_s() - self._started_s >= FIRST_REPORTS_S
+
     def _is_config_outdated(self, before_s: float = math.inf) -> bool:
         """Whether another host reported a newer configuration, before a given time."""
         config = self._state.config
@@ -329,9 +355,9 @@
         for change in changes:
             if change.entry is None:
                 self._lapsed.discard(change.instance)
-                self._remove(change.instance)
+                self._remove(change.instance, change.last_sequence)
             else:
-                self._put(change.entry.to_upstream(change.instance))
+                self._put_or_defer(change.entry.to_upstream(change.instance))
 
     def _record_call(self, feed: str, answer: object) -> None:
         self._telemetry.count(f"store.{feed}_calls")
@@ -379,9 +405,7 @@
             self._telemetry.log(ZONE_EVACUATED, zone=zone, is_evacuated=is_evacuated)
         for service, order in changes.rollouts.items():
             self._listener.on_rollout(service, order)
-        # A read that does not show what other hosts had read before proves nothing.
-        if not self._is_config_outdated(began_s):
-            state.config_confirmed_s = max(state.config_confirmed_s, began_s)
+        self.apply_config_evidence(began_s)
         state.orders_confirmed_s = max(state.orders_confirmed_s, began_s)
 
     def _withdraw_missing_orders(self, changes: OperatorChanges) -> None:
@@ -405,6 +429,8 @@
                 CONFIG_OLDER, version=config.version, in_force=before.version
             )
             return
+        if before is None:
+            self._started_s = self._clock.now_s()
         self._state.config = config
         self._listener.on_config()
         self._telemetry.log(
@@ -441,14 +467,17 @@
         removed = set(changes.removed)
         if changes.is_snapshot:
             present = {upstream.instance for upstream in changes.present}
-            removed |= set(state.upstreams.by_instance) - present
-        for upstream in changes.present:
-            if self._is_outdated(upstream):
-                self._lapsed.discard(upstream.instance)
-                self._outdated[upstream.instance] = upstream
+            removed |= {*state.upstreams.by_instance, *self._outdated} - present
+        for instance in removed & self._outdated.keys():
+            # The older entry is gone. It must not be applied later, when the removal
+            # will not be read again.
+            if instance in state.upstreams.by_instance:
+                del self._outdated[instance]
             else:
-                self._put(upstream)
-        self._lapsed |= removed
+                self._remove(instance)
+        for upstream in changes.present:
+            self._put_or_defer(upstream)
+        self._lapsed |= removed & state.upstreams.by_instance.keys()
         self._apply_deferred_changes()
 
     @property
@@ -460,19 +489,53 @@
         """
         return bool(self._lapsed)
 
+    @property
+    def _has_deferred_changes(self) -> bool:
+        """Whether changes are to be applied when their time has passed."""
+        return bool(self._lapsed) or any(
+            not self._is_known_to_leave(upstream)
+            for upstream in self._outdated.values()
+        )
+
     def _is_outdated(self, upstream: Upstream) -> bool:
         """Whether an entry in a restored store is older than the known state."""
+        if self._is_known_to_leave(upstream):
+            return True
         now_s = self._clock.now_s()
         if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
             return False
         known = self._state.upstreams.by_instance.get(upstream.instance)
+        left, _ = self._left.get(upstream.instance, (None, 0.0))
+        latest = known or left
+        if latest is None:
+            return False
+        if upstream.is_earlier_start(latest):
+            return True
+        if not upstream.is_same_start(latest):
+            return False
+        # The last report of an upstream that has left says nothing new.
+        return upstream.sequence < latest.sequence or (
+            known is None and upstream.sequence == latest.sequence
+        )
+
+    def _is_known_to_leave(self, upstream: Upstream) -> bool:
+        """Whether a later report of the same start said that an upstream leaves.
+
+        An upstream whose entry was removed has left; its last report is the latest one
+        that is known. Reports without a number cannot be told from later ones.
+        """
+        known = self._state.upstreams.by_instance.get(upstream.instance)
         if known is not None:
-            return upstream.is_same_start(known) and upstream.sequence < known.sequence
+            return (
+                known.state is UpstreamState.DRAINING
+                and upstream.is_same_start(known)
+                and upstream.sequence < known.sequence
+            )
         left, _ = self._left.get(upstream.instance, (None, 0.0))
         return (
             left is not None
             and upstream.is_same_start(left)
-            and upstream.sequence <= left.sequence
+            and upstream.sequence <= left.sequence != 0
         )
 
     def _apply_deferred_changes(self) -> None:
@@ -480,7 +543,8 @@
 
         After an outage of the store, upstreams first have `LAPSED_ENTRY_TIMEOUT_S` to
         write their entries again. An outdated entry that is still there after
-        `OUTDATED_ENTRY_HEARTBEATS` is renewed by its upstream.
+        `OUTDATED_ENTRY_HEARTBEATS` is renewed by its upstream, unless that is known to
+        leave.
         """
         now_s = self._clock.now_s()
         if now_s - self._store_regained_s >= LAPSED_ENTRY_TIMEOUT_S:
@@ -489,23 +553,41 @@
             self._lapsed.clear()
         if now_s - self._entries_restored_s >= self._outdated_entry_timeout_s:
             for upstream in tuple(self._outdated.values()):
-                self._put(upstream)
+                if not self._is_known_to_leave(upstream):
+                    self._put(upstream)
+
+    def _put_or_defer(self, upstream: Upstream) -> None:
+        """Apply an entry, unless it is older than the known state."""
+        if self._is_outdated(upstream):
+            self._lapsed.discard(upstream.instance)
+            self._outdated[upstream.instance] = upstream
+        else:
+            self._put(upstream)
 
     def _put(self, upstream: Upstream) -> None:
+        # Hosts that have read the store have another state of this upstream, which they
+        # replace only if the change log contains this one.
+        was_deferred = (
+            upstream.instance in self._lapsed or upstream.instance in self._outdated
+        )
         self._lapsed.discard(upstream.instance)
         self._outdated.pop(upstream.instance, None)
         self._left.pop(upstream.instance, None)
         before = self._state.upstreams.put(upstream)
-        if before != upstream:
+        if before != upstream or was_deferred:
             self._record_change(upstream.instance, upstream)
+        if before != upstream:
             self._notify_and_log(before, upstream)
 
-    def _remove(self, instance: str) -> None:
-        self._outdated.pop(instance, None)
+    def _remove(self, instance: str, last_sequence: int = 0) -> None:
+        was_outdated = self._outdated.pop(instance, None) is not None
         before = self._state.upstreams.remove(instance)
         if before is not None:
-            self._record_left(before)
-            self._record_change(instance, None)
+            last_sequence = max(last_sequence, before.sequence)
+            self._record_left(replace(before, sequence=last_sequence))
+        if before is not None or was_outdated:
+            self._record_change(instance, None, last_sequence)
+        if before is not None:
             self._notify_and_log(before, None)
 
     def _record_left(self, upstream: Upstream) -> None:
@@ -517,9 +599,13 @@
             del self._left[instance]
         self._left[upstream.instance] = (upstream, now_s)
 
-    def _record_change(self, instance: str, upstream: Upstream | None) -> None:
+    def _record_change(
+        self, instance: str, upstream: Upstream | None, last_sequence: int = 0
+    ) -> None:
         revision = self._state.upstreams_revision
-        self.upstream_change_log.record_change(instance, upstream, revision)
+        self.upstream_change_log.record_change(
+            instance, upstream, revision, last_sequence
+        )
 
     def _notify_and_log(self, before: Upstream | None, after: Upstream | None) -> None:
         self._listener.on_upstream(before, after)
--- a/packages/daemon/tests/edge/test_feeds.py
+++ b/packages/daemon/tests/edge/test_feeds.py
@@ -23,6 +23,8 @@
 from cardamomquay.platform import Transaction
 from cardamomquay.platform import Unavailable
 from cardamomquay.platform import Write
+from cardamomquay.platform import make_revision
+from cardamomquay.platform import revision_era
 from cardamomquay.traffic import UpstreamState
 from cardamomquay_daemon.edge import Bounds
 from cardamomquay_daemon.edge import OperatorChanges
@@ -30,7 +32,9 @@
 from cardamomquay_daemon.edge import RevisionCompacted
 from cardamomquay_daemon.edge import UpstreamChanges
 from cardamomquay_daemon.edge._feeds import AGE_CHECK_PERIOD_S
+from cardamomquay_daemon.edge._feeds import FIRST_REPORTS_S
 from cardamomquay_daemon.edge._feeds import LAPSED_ENTRY_TIMEOUT_S
+from cardamomquay_daemon.edge._feeds import OUTDATED_ENTRY_HEARTBEATS
 from cardamomquay_daemon.edge._feeds import REPORTED_CONFIG_TIMEOUT_S
 from cardamomquay_daemon.edge._feeds import UPSTREAM_READ_PERIOD_S
 from cardamomquay_daemon.edge._feeds import FeedListener
@@ -240,6 +244,30 @@
         older = operator_changes(1, is_snapshot=True, version=5)
         self.assertFalse(await self.read(older))
 
+    async def test_a_report_during_the_first_read_counts(self) -> None:
+        # The store answers late, and the first reports arrive before.
+        async def report_then_answer(
+            after_revision: int | None, wait_s: float
+        ) -> OperatorChanges:
+            if after_revision is not None:
+                await asyncio.Event().wait()
+            self.clock.advance(0.5)
+            self.feeds.record_reported_config(6)
+            return operator_changes(1, is_snapshot=True, version=5)
+
+        with mock.patch.object(self.platform, "operator_changes", report_then_answer):
+            task = asyncio.create_task(self.feeds.follow_operator())
+            await asyncio.sleep(0.02)
+            task.cancel()
+        assert self.state.config is not None
+        self.assertEqual(self.state.config.version, 5)
+        self.assertEqual(self.state.config_confirmed_s, -math.inf)
+
+    async def test_a_report_during_a_late_first_read_counts(self) -> None:
+        # The host started in an outage of the store.
+        self.clock.advance(FIRST_REPORTS_S + 7.0)
+        await self.test_a_report_during_the_first_read_counts()
+
     async def test_a_version_that_is_not_written_again_is_given_up(self) -> None:
         await self.start()
         self.feeds.record_reported_config(6)
@@ -298,6 +326,249 @@
         self.assertEqual(present, {"i-1"})
 
 
+class RestoredUpstreamsTest(FeedCase):
+    """Guards against upstreams that a restored store brings back after they left.
+
+    The store is restored from a copy in which they were still ready.
+    """
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.state.config = config()
+        self.ready = upstream("h:1", "i-1", started_at_ms=1000, sequence=3)
+        self.draining = replace(self.ready, state=DRAINING, sequence=4)
+        self.revision = 0
+
+    async def read(self, *present: Upstream, removed: tuple[str, ...] = ()) -> None:
+        """Read changes from the store."""
+        self.revision += 1
+        changes = UpstreamChanges(self.revision, False, present, removed)
+        self.platform.upstreams = [changes]
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def read_snapshot(self, *present: Upstream) -> None:
+        """Read the whole table, as after a restore or a compaction."""
+        self.revision += 1
+        changes = UpstreamChanges(self.revision, True, present, ())
+        self.platform.upstreams = [changes]
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def read_restored(self, *present: Upstream) -> None:
+        """Read the whole table of a store that was restored."""
+        self.revision = make_revision(revision_era(self.revision) + 1, 1)
+        await self.read_snapshot(*present)
+
+    async def run_for(self, seconds: float) -> None:
+        """Read the store regularly; it has no changes."""
+        end_s = self.clock.now_s() + seconds
+        while self.clock.now_s() < end_s:
+            self.clock.advance(UPSTREAM_READ_PERIOD_S)
+            await self.read()
+
+    def is_ready(self) -> bool:
+        known = self.state.upstreams.by_instance.get("i-1")
+        return known is not None and known.state is UpstreamState.READY
+
+    async def test_a_removal_read_after_a_gap_is_kept(self) -> None:
+        # Soak seed 15: the host could not read the store for more than a heartbeat when
+        # its time to wait for newer entries ended. The removal was read with that read.
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                self.setUp()
+                await self.read_snapshot(self.ready)
+                await self.read(self.draining)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                await self.read_restored(self.ready)
+                self.clock.advance(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 0.1)
+                await self.read(removed=("i-1",))
+                self.assertFalse(self.is_ready())
+                await self.run_for(LAPSED_ENTRY_TIMEOUT_S + 1.0)
+                self.assertEqual(self.state.upstreams.by_instance, {})
+
+    async def test_an_older_entry_does_not_bring_it_back(self) -> None:
+        # The entry stays in the store, since nothing removes or renews it.
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                self.setUp()
+                await self.read_snapshot(self.ready)
+                await self.read(self.draining)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                await self.read_restored(self.ready)
+                await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 2.0)
+                self.assertFalse(self.is_ready())
+                # Changes were compacted, so that the whole table is read again.
+                await self.read_snapshot(self.ready)
+                self.assertFalse(self.is_ready())
+                await self.read(self.ready)
+                self.assertFalse(self.is_ready())
+
+    async def test_a_later_report_brings_it_back(self) -> None:
+        later = replace(self.ready, sequence=5)
+        restarted = replace(self.ready, started_at_ms=2000, sequence=1)
+        for back in (later, restarted):
+            for has_left in (False, True):
+                with self.subTest(back=back, has_left=has_left):
+                    self.setUp()
+                    await self.read_snapshot(self.ready)
+                    await self.read(self.draining)
+                    if has_left:
+                        await self.read(removed=("i-1",))
+                    await self.read_restored(self.ready)
+                    await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 2.0)
+                    await self.read(back)
+                    self.assertTrue(self.is_ready())
+
+    async def test_an_older_entry_of_one_that_stays_is_applied_in_the_end(self) -> None:
+        # The wait is for entries that are renewed; this one is not.
+        await self.read_snapshot(replace(self.ready, capacity=5, sequence=4))
+        await self.read_restored(self.ready)
+        known = self.state.upstreams.by_instance
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S - 1.0)
+        self.assertEqual(known["i-1"].capacity, 5)
+        await self.run_for(2.0)
+        self.assertEqual(known["i-1"].capacity, 3)
+
+    async def test_an_entry_of_an_earlier_start_is_not_applied(self) -> None:
+        # Soak seed 3: hosts took it for another start, of an upstream that is warm, and
+        # sent 18 requests in a second to one that was cold.
+        restarted = replace(self.ready, started_at_ms=2000, sequence=1)
+        for has_left in (False, True):
+            with self.subTest(has_left=has_left):
+                self.setUp()
+                known = self.state.upstreams.by_instance
+                await self.read_snapshot(self.ready)
+                await self.read(restarted)
+                if has_left:
+                    await self.read(removed=("i-1",))
+                before = dict(known)
+                await self.read_restored(self.ready)
+                await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S - 1.0)
+                self.assertEqual(known, before)
+                again = replace(restarted, started_at_ms=3000)
+                await self.read(again)
+                self.assertEqual(known, {"i-1": again})
+
+    async def test_a_start_that_seems_earlier_is_applied_in_the_end(self) -> None:
+        # The wall clock of the upstream's machine was set back before it started.
+        await self.read_snapshot(self.ready)
+        await self.read_restored(replace(self.ready, started_at_ms=500))
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        known = self.state.upstreams.by_instance
+        self.assertEqual(known["i-1"].started_at_ms, 500)
+        # Without a restore it is applied at once.
+        await self.read(replace(self.ready, started_at_ms=400))
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S)
+        await self.read(replace(self.ready, started_at_ms=300))
+        self.assertEqual(known["i-1"].started_at_ms, 300)
+
+    async def test_without_sequences_an_entry_that_stays_is_applied(self) -> None:
+        # No later report could be told from an older one.
+        unnumbered = replace(self.ready, sequence=0)
+        await self.read_snapshot(unnumbered)
+        await self.read(removed=("i-1",))
+        await self.read_restored(unnumbered)
+        self.assertFalse(self.is_ready())
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        self.assertTrue(self.is_ready())
+
+    async def test_an_entry_missing_in_a_later_snapshot_is_not_applied(self) -> None:
+        await self.read_snapshot(self.ready)
+        await self.read(removed=("i-1",))
+        await self.read_restored(self.ready)
+        # The removal is among compacted changes.
+        await self.read_snapshot()
+        await self.run_for(OUTDATED_ENTRY_HEARTBEATS * HEARTBEAT_S + 1.0)
+        self.assertEqual(self.state.upstreams.by_instance, {})
+
+
+class RestoredReaderTest(FeedCase):
+    """Guards against changes in a restored store that a reader does not report.
+
+    Another host, which has started since the restore, has read the store as it is. The
+    reader still knows the state before the restore, and reports the difference to its
+    own state only.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.state.config = config()
+        self.ready = upstream("h:1", "i-1", started_at_ms=1000, sequence=3)
+        self.draining = replace(self.ready, state=DRAINING, sequence=4)
+        self.restored = make_revision(1, 1)
+        self.other_state = HostState(has_read_hosts=True, config=config())
+        self.other_platform = FakePlatform()
+        self.other = StoreFeeds(
+            self.other_platform,
+            self.other_state,
+            self.clock,
+            self.telemetry,  # type: ignore[arg-type]
+            HEARTBEAT_S,
+            Bounds(),
+            self.listener,
+            lambda: False,
+        )
+
+    async def read(self, *changes: UpstreamChanges) -> None:
+        """Let the reader read changes."""
+        self.platform.upstreams = list(changes)
+        await self.run_script(self.feeds.follow_upstreams())
+
+    async def start_other(self, *present: Upstream) -> None:
+        """Let the other host start, and the reader read the restored store as well."""
+        changes = UpstreamChanges(self.restored, True, present, ())
+        await self.read(changes)
+        self.other_platform.upstreams = [changes]
+        task = asyncio.create_task(self.other.follow_upstreams())
+        await asyncio.sleep(0.02)
+        task.cancel()
+        self.report()
+
+    def report(self) -> None:
+        """Let the reader report to the other host."""
+        if self.feeds.has_lapsed_entries:
+            return
+        now_s = self.clock.now_s()
+        delta = self.feeds.upstream_change_log.delta(
+            self.state.upstreams_revision, now_s
+        )
+        self.other.apply_upstream_delta(("h1", 7), delta, now_s)
+
+    def known_to_other(self) -> Upstream | None:
+        return self.other_state.upstreams.by_instance.get("i-1")
+
+    async def test_the_removal_of_an_older_entry_is_reported(self) -> None:
+        await self.read(
+            UpstreamChanges(1, True, (self.ready,), ()),
+            UpstreamChanges(2, False, (), ("i-1",)),
+        )
+        await self.start_other(self.ready)
+        self.assertEqual(self.known_to_other(), self.ready)
+        await self.read(UpstreamChanges(self.restored + 1, False, (), ("i-1",)))
+        self.report()
+        self.assertIsNone(self.known_to_other())
+
+    async def test_a_state_that_is_written_again_is_reported(self) -> None:
+        await self.read(
+            UpstreamChanges(1, True, (self.ready,), ()),
+            UpstreamChanges(2, False, (self.draining,), ()),
+        )
+        await self.start_other(self.ready)
+        again = replace(self.draining, sequence=5)
+        await self.read(UpstreamChanges(self.restored + 1, False, (again,), ()))
+        self.report()
+        self.assertEqual(self.known_to_other(), self.draining)
+
+    async def test_an_entry_that_is_written_again_is_reported(self) -> None:
+        await self.read(UpstreamChanges(1, True, (self.ready,), ()))
+        await self.start_other()
+        self.assertIsNone(self.known_to_other())
+        again = replace(self.ready, sequence=4)
+        await self.read(UpstreamChanges(self.restored + 1, False, (again,), ()))
+        self.report()
+        self.assertEqual(self.known_to_other(), self.ready)
+
+
 class UpstreamDeltaTest(FeedCase):
     """Guards against hosts that miss or undo changes that their reader reports."""
 
@@ -343,6 +614,40 @@
         self.apply_delta(3)
         self.assertEqual(self.known_upstreams(), {"i-1", "i-2"})
 
+    async def test_a_removed_upstream_stays_away_after_a_restore(self) -> None:
+        # The reader has read reports that repeat the state, and are not in its changes.
+        ready = upstream("10.0.0.2:80", "i-2", started_at_ms=1000, sequence=3)
+        self.reader_log.record_change("i-2", ready, 2)
+        self.apply_delta(2)
+        self.reader_log.record_change("i-2", None, 3, last_sequence=9)
+        self.apply_delta(3)
+        self.assertEqual(self.known_upstreams(), {"i-1"})
+        self.is_reader = True
+        older = replace(ready, sequence=8)
+        await self.read(make_revision(1, 1), self.first, older)
+        self.assertEqual(self.known_upstreams(), {"i-1"})
+        await self.read(make_revision(1, 2), replace(ready, sequence=10))
+        self.assertEqual(self.known_upstreams(), {"i-1", "i-2"})
+
+    async def test_an_older_entry_that_another_host_reports_is_not_applied(
+        self,
+    ) -> None:
+        # The reader did not know that the upstream leaves when the store was restored.
+        draining = upstream(
+            "10.0.0.2:80", "i-2", started_at_ms=1000, sequence=4, state=DRAINING
+        )
+        self.is_reader = True
+        await self.read(2, draining)
+        self.is_reader = False
+        ready = replace(draining, state=UpstreamState.READY, sequence=3)
+        self.reader_log.record_change("i-2", ready, 3)
+        self.apply_delta(3)
+        known = self.state.upstreams.by_instance
+        self.assertIs(known["i-2"].state, DRAINING)
+        self.reader_log.record_change("i-2", replace(ready, sequence=5), 4)
+        self.apply_delta(4)
+        self.assertIs(known["i-2"].state, UpstreamState.READY)
+
     async def test_a_host_that_missed_too_much_reads_the_store(self) -> None:
         self.apply_delta(1)
         self.reader_log.record_change("i-2", upstream("10.0.0.2:80", "i-2"), 2)
