Report the usage of windows to the platform

Cause: with the duty metering in the settings, one host at a time has to report what upstreams began to run for each organisation in each window.

Change: cardamomquay.usage counts and merges, derives true time from the clocks of all hosts, and decides on holder, agreed body and right to send with one row of the store. edge/_usage_reports.py exchanges the counts in datagrams of their own and calls the platform.

No tests of the parts yet.

--- a/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/__init__.py
@@ -29,6 +29,7 @@
 from cardamomquay_daemon.edge._settings import Bounds
 from cardamomquay_daemon.edge._settings import EdgeSettings
 from cardamomquay_daemon.edge._settings import Listeners
+from cardamomquay_daemon.edge._settings import UsageSettings
 from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
 
 __all__ = [
@@ -53,6 +54,7 @@
     "PlatformStore",
     "ReadLimits",
     "UpstreamChanges",
+    "UsageSettings",
     "check_header_value",
     "decode_json",
     "parse_address",
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -36,6 +36,7 @@
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
     from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
+    from cardamomquay_daemon.edge._usage_reports import UsageReports
     from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
 
 MISDIRECTED_STATUS = 421
@@ -118,6 +119,8 @@
         Whether the connection had been idle before.
     is_warming_up : bool
         Whether the upstream counted as cold after a start.
+    usage_window : int or None
+        Window of the usage reports in which the attempt was counted.
     """
 
     instance: str
@@ -138,6 +141,7 @@
     conn_opened_s: float = 0.0
     conn_was_idle: bool = False
     is_warming_up: bool = False
+    usage_window: int | None = None
 
     @property
     def may_have_run(self) -> bool:
@@ -201,6 +205,8 @@
     report_urgently : callable
         Reports to the other hosts ahead of the period.
     restart_watch : RestartWatch
+    usage_reports : UsageReports or None, default=None
+        Counts the attempts that upstreams begin to run.
     """
 
     def __init__(
@@ -216,7 +222,9 @@
         telemetry: EdgeTelemetry,
         report_urgently: Callable[[], None],
         restart_watch: RestartWatch,
+        usage_reports: UsageReports | None = None,
     ) -> None:
+        self._usage_reports = usage_reports
         self._report_urgently = report_urgently
         self._restart_watch = restart_watch
         self._notices = AnswerNotices(
@@ -303,6 +311,7 @@
             if object_id is not None:
                 record.clear_warming(object_id)
         attempt.outcome = result.outcome
+        self._take_back_usage(context, attempt)
         if pending is not None:
             self._end_rollout_count(pending, attempt, result)
         self._record_result(candidate, context, record, attempt, result)
@@ -334,6 +343,10 @@
             request_id = context.request_id.encode("latin-1")
             id_header = (self._names.request_id, request_id) if request_id else None
             attempt.sent_s = self._clock.now_s()
+            if self._usage_reports is not None and organisation is not None:
+                attempt.usage_window = self._usage_reports.count_begun(
+                    organisation, attempt.sent_s
+                )
             attempt.conn_opened_s = conn.opened_s
             attempt.conn_was_idle = conn.idle_since_s > 0.0
             answer = await conn.exchange(request, context.request.body, id_header)
@@ -350,6 +363,17 @@
                 self._connections.keep(conn, answer)
             return answer
 
+    def _take_back_usage(self, context: RequestContext, attempt: Attempt) -> None:
+        """Take the count of an attempt back if the upstream did not begin to run it."""
+        window, organisation = attempt.usage_window, context.organisation
+        if (
+            self._usage_reports is not None
+            and window is not None
+            and organisation is not None
+            and not attempt.may_have_run
+        ):
+            self._usage_reports.count_not_run(organisation.name, window)
+
     def _classify_answer(
         self, answer: HttpAnswer, context: RequestContext, attempt: Attempt
     ) -> AttemptResult:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -81,6 +81,20 @@
     "The host began or stopped forwarding reports between its zone and the others.",
 )
 ROLLOUT_CHANGED = LogEvent(6101, "rollout_changed", "A roll-out changed its state.")
+USAGE_HOLDER_CHANGED = LogEvent(
+    6201, "usage_holder_changed", "This host became the holder of the usage reports."
+)
+USAGE_REPORTED = LogEvent(
+    6202, "usage_reported", "The platform accepted the usage report of a window."
+)
+USAGE_REFUSED = LogEvent(
+    6203,
+    "usage_report_failed",
+    "The platform did not accept a usage report, or did not respond.",
+)
+USAGE_MISSED = LogEvent(
+    6204, "usage_windows_missed", "Windows were given up; they will not be reported."
+)
 REQUEST_DONE = LogEvent(
     7101, "request_done", "A request got its final answer; `tries` lists the attempts."
 )
@@ -124,6 +138,14 @@
     "peers.observations_rejected": (
         "Observations in reports of other hosts that made no sense."
     ),
+    "usage.holder_changes": "Times that this host became the holder of usage reports.",
+    "usage.malformed": "Messages of other hosts on usage that could not be read.",
+    "usage.platform_calls": "Usage reports sent to the platform, repeats included.",
+    "usage.platform_failed": "Usage reports that the platform did not accept.",
+    "usage.store_calls": "Calls to the store for usage reports.",
+    "usage.windows_late": "Windows reported later than the bound.",
+    "usage.windows_missed": "Windows that were given up.",
+    "usage.windows_reported": "Windows reported by this host.",
     "upstreams.connections_lost": (
         "Times that an upstream ended all connections of this host."
     ),
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -39,6 +39,7 @@
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._upstream_connections import UpstreamConnections
+from cardamomquay_daemon.edge._usage_reports import UsageReports
 from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
 
 if TYPE_CHECKING:
@@ -146,6 +147,19 @@
             poison_guard,
             int.from_bytes(os.urandom(4), "big"),
         )
+        self._usage_reports: UsageReports | None = None
+        if settings.usage is not None:
+            self._usage_reports = UsageReports(
+                settings.usage,
+                self._fleet,
+                self._state,
+                platform,
+                self._clock,
+                telemetry,
+                int.from_bytes(os.urandom(8), "big") >> 1,
+                self._peers.send_usage_message,
+            )
+            self._peers.usage_reports = self._usage_reports
         restart_watch = RestartWatch(
             self._state,
             self._upstream_connections,
@@ -169,6 +183,7 @@
             telemetry,
             self._peers.report_urgently,
             restart_watch,
+            self._usage_reports,
         )
         self._relay = Relay(
             self._state,
@@ -234,6 +249,7 @@
             self._background("upstream feed", self._feeds.follow_upstreams()),
             self._background("roll-outs", self._rollouts.run()),
             self._background("housekeeping", self._run_housekeeping()),
+            self._report_usage(),
         ):
             self._telemetry.log(STARTED, zone=self._settings.zone, pid=os.getpid())
             await self._stop.wait()
@@ -321,6 +337,17 @@
         ):
             yield
 
+    @asynccontextmanager
+    async def _report_usage(self) -> AsyncGenerator[None]:
+        if self._usage_reports is None:
+            yield
+            return
+        async with (
+            self._background("usage messages", self._usage_reports.exchange()),
+            self._background("usage reports", self._usage_reports.report()),
+        ):
+            yield
+
     @asynccontextmanager
     async def _open(self, listener: Listener) -> AsyncGenerator[Listener]:
         task: asyncio.Task[None] | None = None
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -40,6 +40,7 @@
 from cardamomquay_daemon.edge._reports import Report
 from cardamomquay_daemon.edge._reports import ReportContent
 from cardamomquay_daemon.edge._reports import RolloutReport
+from cardamomquay_daemon.edge._reports import UsageDatagram
 from cardamomquay_daemon.edge._usage_totals import UsageTotals
 
 if TYPE_CHECKING:
@@ -56,6 +57,8 @@
     from cardamomquay_daemon.edge._state import HostState
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
     from cardamomquay_daemon.edge._upstream_deltas import UpstreamDelta
+    from cardamomquay_daemon.edge._usage_reports import UsageMessage
+    from cardamomquay_daemon.edge._usage_reports import UsageReports
     from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
 
 REPORT_PERIOD_S = 1.0
@@ -105,6 +108,8 @@
     ----------
     restart_watch : RestartWatch or None
         Gets the observations of other hosts.
+    usage_reports : UsageReports or None
+        Gets their messages about usage; None if this host does not report usage.
     """
 
     def __init__(
@@ -134,7 +139,7 @@
         self._telemetry = telemetry
         self._incarnation = incarnation
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Report)
+        self._decoder = msgspec.msgpack.Decoder(UsageDatagram)
         self._by_address: dict[tuple[str, int], Peer] = {}
         self._by_short_id: dict[int, Peer] = {}
         self.gateway = Gateway(
@@ -146,6 +151,7 @@
             eligibility.observations,
         )
         self.restart_watch: RestartWatch | None = None
+        self.usage_reports: UsageReports | None = None
         # Hosts of an earlier version, whose reports contain no observations.
         self._without_observations: set[str] = set()
         self._clock_to_echo_ms: dict[str, int] = {}
@@ -171,6 +177,10 @@
             self._telemetry.log(ROW_REJECTED, source="peer", error=str(exc))
             return
         peer = self._by_address.get(addr)
+        if report.usage_message is not None:
+            if self.usage_reports is not None:
+                self.usage_reports.apply(peer, report.usage_message)
+            return
         if report.sender is not None:
             name, caller_address, peer_port, zone, region = report.sender
             record = HostRecord(name, caller_address, addr[0], peer_port, zone, region)
@@ -634,6 +644,27 @@
         with suppress(OSError):
             self._transport.sendto(data, (peer.record.peer_ip, peer.record.peer_port))
 
+    def send_usage_message(self, peer: Peer, message: UsageMessage) -> None:
+        """Send a message about usage in a datagram of its own."""
+        if self._transport is None:
+            return
+        # The report's clock value 0 is lower than that of any earlier report.
+        datagram = UsageDatagram(
+            self._incarnation,
+            int(self._fleet.own_phase),
+            0,
+            0,
+            self._state.config.version if self._state.config else 0,
+            self._usage.names_hash,
+            -1,
+            observations=[],
+            usage_message=message,
+        )
+        data = self._encoder.encode(datagram)
+        self._telemetry.count("peers.bytes_sent", len(data))
+        with suppress(OSError):
+            self._transport.sendto(data, (peer.record.peer_ip, peer.record.peer_port))
+
     def _observations(
         self, receiver: Peer, now_s: float, content: ReportContent
     ) -> list[Observation]:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -191,6 +191,21 @@
         return self.large is None or self.large.is_usage_full
 
 
+class UsageDatagram(Report, array_like=True):
+    """A report that contains only a message about usage.
+
+    Hosts of an earlier version read it as a report that is older than the latest one,
+    and ignore it.
+
+    Parameters
+    ----------
+    usage_message : UsageMessage or None
+        Checked by `UsageReports`; None in other reports.
+    """
+
+    usage_message: Any = None
+
+
 @dataclass(frozen=True, slots=True)
 class ReportContent:
     """Content from which the reports to several hosts are made.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from cardamomquay.usage import UsageBounds
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,28 @@
     directory_ttl_s: float = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class UsageSettings:
+    """Settings of the usage reports.
+
+    Parameters
+    ----------
+    address : tuple of str and int
+        Of the platform.
+    path : bytes
+        Target of the call that reports a window.
+    holder_header, token_header : bytes
+        Names of the headers with the name of the holder and with its token.
+    bounds : UsageBounds
+    """
+
+    address: tuple[str, int]
+    path: bytes
+    holder_header: bytes
+    token_header: bytes
+    bounds: UsageBounds
+
+
 @dataclass(frozen=True, slots=True)
 class EdgeSettings:
     """Settings of one host.
@@ -104,6 +130,8 @@
     bounds : Bounds
     memory_bytes : int
         Memory that the process may use.
+    usage : UsageSettings or None
+        None if the host does not report usage.
     """
 
     name: str
@@ -116,3 +144,4 @@
     heartbeat_s: float
     bounds: Bounds
     memory_bytes: int = 300_000_000
+    usage: UsageSettings | None = None
