--- a/packages/core/src/cardamomquay/usage/_reporter.py
+++ b/packages/core/src/cardamomquay/usage/_reporter.py
@@ -218,6 +218,7 @@
         self._send_call_s = -math.inf
         self._send_delay_s = RETRY_DELAY_MIN_S
         self._holder_heard_s = -math.inf
+        self._progress_s = -math.inf
 
     @property
     def is_holder(self) -> bool:
@@ -243,10 +244,11 @@
         """Record that another host has said that it is the holder."""
         self._holder_heard_s = now_s
 
-    def apply_news(self, sent_through: int) -> None:
+    def apply_news(self, sent_through: int, now_s: float) -> None:
         """Apply what another host knows to be reported or given up."""
         if sent_through > self._sent_through:
             self._sent_through = sent_through
+            self._progress_s = now_s
             self._counts.drop_before(sent_through + 1)
 
     def apply_era(self, era: int) -> None:
@@ -299,7 +301,8 @@
         delay_s = TAKEOVER_S + rank * RANK_DELAY_S
         if now_s - self._holder_heard_s < HOLDER_SILENT_S:
             delay_s += HOLDER_HEARD_TAKEOVER_S
-        return true_s >= due_s + delay_s
+        # A holder that catches up reports windows that have been due for longer.
+        return true_s >= due_s + delay_s and now_s - self._progress_s >= TAKEOVER_S
 
     def _holder_step(
         self, now_s: float, true_s: float, *, may_agree: bool
@@ -489,7 +492,7 @@
             return
         self._remember(content)
         # A row names all bodies that may not have been sent.
-        self.apply_news(min(content.bodies, default=content.through + 1) - 1)
+        self.apply_news(min(content.bodies, default=content.through + 1) - 1, now_s)
         token = content.token or token_of(version)
         if content.start != self._start:
             self._token = 0
@@ -551,7 +554,7 @@
             self._send_delay_s = RETRY_DELAY_MIN_S
             spacing_s = 1.0 / (DUTY_SHARE * self._bounds.duty_per_s)
             self._send_call_s = now_s + spacing_s
-            self._record_done(send.window)
+            self._record_done(send.window, now_s)
         else:
             kind = ReporterEventKind.REFUSED
             self._send_call_s = now_s + self._send_delay_s
@@ -573,17 +576,15 @@
         )
         if self._refusals >= REFUSALS_MAX:
             self._refusals = 0
-            self._record_done(send.window)
+            self._record_done(send.window, now_s)
             self._events.append(
                 ReporterEvent(ReporterEventKind.MISSED, send.window, token=send.token)
             )
 
-    def _record_done(self, window: int) -> None:
+    def _record_done(self, window: int, now_s: float) -> None:
         self._sent.add(window)
         row = self._row
-        if row is not None and not self._unsent(row):
-            self._record_sent_through(row)
-
-    def _record_sent_through(self, row: UsageRow) -> None:
-        self.apply_news(row.through)
-        self._sent = {w for w in self._sent if w > self._sent_through}
+        if row is not None:
+            unsent = self._unsent(row)
+            self.apply_news(unsent[0] - 1 if unsent else row.through, now_s)
+            self._sent = {w for w in self._sent if w > self._sent_through}
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -289,7 +289,7 @@
         self._counts.record_heard(
             source, message.present_window, message.version, now_s
         )
-        self._reporter.apply_news(message.sent_through)
+        self._reporter.apply_news(message.sent_through, now_s)
         if message.is_holder:
             self._reporter.record_holder_heard(now_s)
         if peer is None:
