Wait for the counts that other hosts have of a silent one

Cause: a host that began to collect agreed a body before the others had sent it the counts of the host that was killed; a test with 27 hosts lost all 100 of its counts in a window.

Change: collectors tell each other what they have of a silent host, a body waits for it, and a new collector takes over only after 4 s.

--- a/packages/core/src/cardamomquay/usage/_window_counts.py
+++ b/packages/core/src/cardamomquay/usage/_window_counts.py
@@ -17,6 +17,8 @@
 # A host that was heard in this time may still run and have counts. It has to be longer
 # than the time until a body is agreed without them.
 HEARD_S = 8.0
+# A host that was not heard for this time may have ended; what others have of it counts.
+SILENT_S = 2.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,8 +66,10 @@
     changed_window: int = 0
     # From its latest message, received directly.
     present_window: int = -1
-    stated_version: int = 0
     heard_s: float = -math.inf
+    # Version that the source, or for a silent one another host, was said to have.
+    stated_version: int = 0
+    stated_s: float = -math.inf
     entries: dict[int, WindowEntry] = field(default_factory=dict)
 
 
@@ -118,8 +122,15 @@
         own.changed_window = max(own.changed_window, window)
 
     def known_versions(self) -> dict[int, int]:
-        """Return up to which version the entries of each source are complete."""
-        return {name: source.known_version for name, source in self._sources.items()}
+        """Return up to which version the entries of each source are complete.
+
+        Sources without entries are left out.
+        """
+        return {
+            name: source.known_version
+            for name, source in self._sources.items()
+            if source.entries
+        }
 
     def known_version(self, source: int) -> int:
         """Return up to which version the entries of a source are complete."""
@@ -179,15 +190,28 @@
         heard = self._sources.setdefault(source, _Source())
         heard.present_window = max(heard.present_window, present_window)
         heard.stated_version = max(heard.stated_version, version)
-        heard.heard_s = now_s
+        heard.heard_s = heard.stated_s = now_s
+
+    def record_known_elsewhere(self, source: int, version: int, now_s: float) -> None:
+        """Record up to which version another host has the entries of a source."""
+        known = self._sources.setdefault(source, _Source())
+        if source != self.own_source and now_s - known.heard_s >= SILENT_S:
+            known.stated_version = max(known.stated_version, version)
+            known.stated_s = now_s
 
     def is_complete(self, window: int, now_s: float) -> bool:
-        """Whether the counts of all hosts that were heard recently are there."""
-        return all(
-            source.present_window > window
-            and source.known_version >= source.stated_version
+        """Whether all counts are there, as far as hosts that were heard recently say.
+
+        These are the counts of hosts that were heard, and of others what other hosts
+        have of them.
+        """
+        return not any(
+            (now_s - source.heard_s < HEARD_S and source.present_window <= window)
+            or (
+                now_s - source.stated_s < HEARD_S
+                and source.known_version < source.stated_version
+            )
             for source in self._sources.values()
-            if now_s - source.heard_s < HEARD_S
         )
 
     def totals(self, window: int) -> dict[str, int]:
--- a/packages/core/tests/usage/simulated_usage.py
+++ b/packages/core/tests/usage/simulated_usage.py
@@ -191,6 +191,8 @@
         self.reporter.apply_news(other.reporter.sent_through, now_s)
         if other.reporter.is_holder:
             self.reporter.record_holder_heard(now_s)
+        for source, version in other.counts.known_versions().items():
+            self.counts.record_known_elsewhere(source, version, now_s)
         self.heard[other.name] = now_s
         self.known[other.name] = other.counts.known_versions()
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -75,6 +75,9 @@
 # Counts of other hosts are sent on only if the receiver still lacks them after this
 # time, since it gets them from the hosts themselves.
 FORWARD_AFTER_S = 1.5
+# A host that begins to collect has the counts of the others after this time: two
+# periods and `FORWARD_AFTER_S`.
+COLLECT_S = 4.0
 # Windows whose counts are kept while nothing can be reported: ten minutes of 5 s.
 
 KEPT_WINDOWS_MAX = 120
@@ -186,6 +189,7 @@
         # Time since which a peer lacks entries of a source that this host has.
         self._lacking_s: dict[tuple[str, int], float] = {}
         self._first_window: int | None = None
+        self._collector_since_s = math.inf
         # Name of the host that last said that it is the holder, and when it did.
         self._holder = ("", -math.inf)
         self._news = asyncio.Event()
@@ -228,16 +232,19 @@
     async def report(self) -> None:
         """Take part in the reports to the platform until cancelled."""
         while True:
-            now_s = self._clock.now_s()
-            self._reporter.apply_era(revision_era(self._state.orders_revision))
-            step = self._reporter.next_step(
-                now_s, self._time.true_s(now_s), self._rank(now_s)
-            )
-            if step is None:
+            if not await self.take_step():
                 await asyncio.sleep(STEP_PERIOD_S)
-            else:
-                await self._carry_out(step)
-            self._log_events()
+
+    async def take_step(self) -> bool:
+        """Make the next call that is due; return False if there is none."""
+        now_s = self._clock.now_s()
+        self._reporter.apply_era(revision_era(self._state.orders_revision))
+        true_s = self._time.true_s(now_s)
+        step = self._reporter.next_step(now_s, true_s, self._rank(now_s))
+        if step is not None:
+            await self._carry_out(step)
+        self._log_events()
+        return step is not None
 
     def send_messages(self) -> None:
         """Send this host's counts, and what collectors lack."""
@@ -298,6 +305,8 @@
             self._holder = (peer.record.name, now_s)
         known = dict(zip(message.known[::2], message.known[1::2], strict=False))
         heard = self._heard.get(peer.record.name)
+        for listed, version in known.items():
+            self._counts.record_known_elsewhere(listed, version, now_s)
         if heard is not None and heard.source == source:
             heard.heard_s = now_s
             heard.known.update(known)
@@ -336,8 +345,13 @@
         """
         own = self._fleet.own.name
         collectors = self._collectors(now_s)
+        if own not in collectors:
+            self._collector_since_s = math.inf
+            return None
+        self._collector_since_s = min(self._collector_since_s, now_s)
+        has_collected = now_s - self._collector_since_s >= COLLECT_S
         hears_most = 2 * self._time.heard_clocks() > self._fleet.host_count(now_s)
-        if own not in collectors or not hears_most or self._state.is_stopping:
+        if not has_collected or not hears_most or self._state.is_stopping:
             return None
         return sorted(collectors).index(own)
 
@@ -378,8 +392,10 @@
         known = heard.known if heard is not None else {}
         own_known = self._counts.known_versions()
         listed: list[int] = []
-        for source, version in own_known.items():
-            if version and (is_collector or (heard and heard.source == source)):
+        if heard is not None:
+            listed += (heard.source, self._counts.known_version(heard.source))
+        if is_collector:
+            for source, version in own_known.items():
                 listed += (source, version)
         after = {self._start: known.get(self._start, 0)}
         if is_collector and heard is not None:
