--- a/packages/core/src/cardamomquay/usage/_reporter.py
+++ b/packages/core/src/cardamomquay/usage/_reporter.py
@@ -217,6 +217,7 @@
         self._store_delay_s = RETRY_DELAY_MIN_S
         self._send_call_s = -math.inf
         self._send_delay_s = RETRY_DELAY_MIN_S
+        self._heard_holder = ""
         self._holder_heard_s = -math.inf
         self._progress_s = -math.inf
 
@@ -226,6 +227,21 @@
         row = self._row
         return self._is_trusted and row is not None and row.start == self._start
 
+    @property
+    def token(self) -> int:
+        """Token of this host's term, 0 if it is not the holder."""
+        return self._token
+
+    def can_report(self, now_s: float) -> bool:
+        """Whether this host is the holder, and store and platform answer it.
+
+        The others need not wait for a holder that cannot report.
+        """
+        confirmed_s = self._right_until_s - RIGHT_S
+        has_failed = max(self._store_delay_s, self._send_delay_s) > RETRY_DELAY_MIN_S
+        is_recent = now_s - confirmed_s < self._bounds.window_s + PARTIAL_S
+        return self.is_holder and is_recent and not has_failed
+
     @property
     def sent_through(self) -> int:
         """Last window up to which all are reported or given up; -1 if unknown."""
@@ -240,9 +256,13 @@
         """Return the last window whose body may be agreed."""
         return math.floor((true_s - SETTLE_S) / self._bounds.window_s) - 1
 
-    def record_holder_heard(self, now_s: float) -> None:
-        """Record that another host has said that it is the holder."""
-        self._holder_heard_s = now_s
+    def record_holder(self, host: str, can_report: bool, now_s: float) -> None:
+        """Record whether another host has said that it is the holder and can report."""
+        if can_report:
+            self._heard_holder = host
+            self._holder_heard_s = now_s
+        elif host == self._heard_holder:
+            self._holder_heard_s = -math.inf
 
     def apply_news(self, sent_through: int, now_s: float) -> None:
         """Apply what another host knows to be reported or given up."""
--- a/packages/core/tests/usage/simulated_usage.py
+++ b/packages/core/tests/usage/simulated_usage.py
@@ -189,8 +189,8 @@
             now_s,
         )
         self.reporter.apply_news(other.reporter.sent_through, now_s)
-        if other.reporter.is_holder:
-            self.reporter.record_holder_heard(now_s)
+        can_report = other.reporter.can_report(other.now_s())
+        self.reporter.record_holder(other.name, can_report, now_s)
         for source, version in other.counts.known_versions().items():
             self.counts.record_known_elsewhere(source, version, now_s)
         self.heard[other.name] = now_s
@@ -258,8 +258,13 @@
                     self._step(host)
 
     def holder(self) -> str | None:
-        """Return the host that believes to be the holder, if there is one."""
-        return next((h.name for h in self.hosts.values() if h.reporter.is_holder), None)
+        """Return the holder, if there is one.
+
+        An earlier one that does not reach the store believes to be the holder too.
+        """
+        holders = [h for h in self.hosts.values() if h.reporter.is_holder]
+        latest = max(holders, key=lambda host: host.reporter.token, default=None)
+        return latest.name if latest is not None else None
 
     def _exchange(self) -> None:
         for host in self.hosts.values():
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -102,6 +102,7 @@
     sent_through : int
         Last window that is known to be reported or given up, -1 if none is.
     is_holder : bool
+        Whether the sender is the holder and can report.
     known : list of int
         Alternating source and version up to which the sender has its entries.
     changes : list
@@ -297,10 +298,9 @@
             source, message.present_window, message.version, now_s
         )
         self._reporter.apply_news(message.sent_through, now_s)
-        if message.is_holder:
-            self._reporter.record_holder_heard(now_s)
         if peer is None:
             return
+        self._reporter.record_holder(peer.record.name, message.is_holder, now_s)
         if message.is_holder:
             self._holder = (peer.record.name, now_s)
         known = dict(zip(message.known[::2], message.known[1::2], strict=False))
@@ -368,7 +368,7 @@
             self._time.clock_count,
             self._reporter.sent_through,
             # While it stops, the others need not wait for it.
-            self._reporter.is_holder and not self._state.is_stopping,
+            self._reporter.can_report(now_s) and not self._state.is_stopping,
             known,
             [
                 (
