--- a/packages/core/src/cardamomquay/usage/_reporter.py
+++ b/packages/core/src/cardamomquay/usage/_reporter.py
@@ -556,6 +556,15 @@
             and send.until_s - now_s >= SEND_TIME_MIN_S
         )
 
+    def may_send_until_s(self, send: Send) -> float:
+        """Return until when a call that was begun may last; minus infinity if it ends.
+
+        The store may have confirmed the term again since the call was begun.
+        """
+        if not self.is_holder or send.token != self._token:
+            return -math.inf
+        return self._right_until_s
+
     def on_sent(
         self, send: Send, status: int | None, now_s: float, true_s: float
     ) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -48,12 +48,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from collections.abc import Coroutine
 
     from cardamomquay.clock import Clock
     from cardamomquay.fleet import FleetView
     from cardamomquay.fleet import Peer
     from cardamomquay.usage import Step
     from cardamomquay.usage import WriteRow
+    from cardamomquay_daemon.edge._http_client import HttpAnswer
     from cardamomquay_daemon.edge._platform_store import PlatformStore
     from cardamomquay_daemon.edge._settings import UsageSettings
     from cardamomquay_daemon.edge._state import HostState
@@ -82,6 +84,11 @@
 
 KEPT_WINDOWS_MAX = 120
 CONNECT_TIMEOUT_S = 0.6
+# A call is abandoned without a response after this time; a slow platform takes seconds.
+RESPONSE_TIME_MAX_S = 5.0
+# The right to send is renewed so long before its end; the store answers in 0.5 s when
+# it is slow.
+RENEWAL_LEAD_S = 0.8
 
 
 class UsageMessage(msgspec.Struct, array_like=True):
@@ -239,7 +246,9 @@
     async def take_step(self) -> bool:
         """Make the next call that is due; return False if there is none."""
         now_s = self._clock.now_s()
-        self._reporter.apply_era(revision_era(self._state.orders_revision))
+        state = self._state
+        revision = max(state.orders_revision, state.latest_order_revision)
+        self._reporter.apply_era(revision_era(revision))
         true_s = self._time.true_s(now_s)
         step = self._reporter.next_step(now_s, true_s, self._rank(now_s))
         if step is not None:
@@ -499,9 +508,8 @@
                 now_s = self._clock.now_s()
                 if not self._reporter.may_send(send, now_s):
                     return
-                async with asyncio.timeout(send.until_s - now_s):
-                    status = (await conn.exchange(request, body)).status
-            except (TimeoutError, ExchangeError):
+                status = await self._wait_for_status(send, conn.exchange(request, body))
+            except ExchangeError:
                 # It may have been received; the same bytes are sent again.
                 pass
             finally:
@@ -511,6 +519,35 @@
         # Others take over if they do not hear of the report.
         self._news.set()
 
+    async def _wait_for_status(
+        self, send: Send, exchange: Coroutine[Any, Any, HttpAnswer]
+    ) -> int | None:
+        """Return the status of the platform's response, None if it takes too long.
+
+        While the platform is slow, the right to send is renewed by reading the row.
+        Without that the call is abandoned.
+        """
+        task = asyncio.create_task(exchange)
+        until_s = send.until_s
+        abandoned_s = self._clock.now_s() + RESPONSE_TIME_MAX_S
+        try:
+            while True:
+                left_s = min(until_s, abandoned_s) - self._clock.now_s()
+                lead_s = RENEWAL_LEAD_S if until_s < abandoned_s else 0.0
+                await asyncio.wait({task}, timeout=max(0.0, left_s - lead_s))
+                if task.done():
+                    return task.result().status
+                if self._clock.now_s() + lead_s >= abandoned_s:
+                    return None
+                with suppress(TimeoutError):
+                    async with asyncio.timeout(lead_s):
+                        await self._read()
+                until_s = self._reporter.may_send_until_s(send)
+                if until_s - self._clock.now_s() <= RENEWAL_LEAD_S:
+                    return task.result().status if task.done() else None
+        finally:
+            task.cancel()
+
     def _log_events(self) -> None:
         for event in self._reporter.take_events():
             if event.kind is ReporterEventKind.HOLDER_CHANGED:
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -275,7 +275,7 @@
             lambda: None,
         )
         self.connections.listener = self.restart_watch
-        attempt_sender = AttemptSender(
+        attempt_sender = self.attempt_sender = AttemptSender(
             self.connections,
             self.placement,
             zone_latencies,
--- a/packages/daemon/tests/edge/test_usage_reports.py
+++ b/packages/daemon/tests/edge/test_usage_reports.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import unittest
 from collections import Counter
 from dataclasses import replace
@@ -16,8 +17,12 @@
 from unittest import mock
 
 import msgspec
+from edge.support import SHED_ANSWER
+from edge.support import RelayFixture
 from edge.support import answer
+from edge.support import config
 from edge.support import scripted_server
+from edge.support import upstream
 from edge.test_gateways import Fleet
 from edge.test_peers import Host
 
@@ -247,6 +252,45 @@
         self.assertEqual(fleet.hosts()[0].telemetry.counters["usage.malformed"], 4)
 
 
+class CountedAttemptsTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against counts of requests that no upstream ran, and lost ones."""
+
+    async def count(self, *upstreams: Any, method: bytes = b"GET") -> tuple[int, int]:
+        """Return how many attempts were counted, and taken back."""
+        fixture = RelayFixture(ManualClock(100.0), config(), *upstreams)
+        self.addCleanup(fixture.connections.close)
+        usage = fixture.attempt_sender._usage_reports = mock.Mock()
+        usage.count_begun.return_value = 7
+        await fixture.ask(method)
+        for call in usage.count_begun.call_args_list:
+            self.assertEqual(call.args[0], "salsa")
+        for call in usage.count_not_run.call_args_list:
+            self.assertEqual(call.args, ("salsa", 7))
+        return usage.count_begun.call_count, usage.count_not_run.call_count
+
+    async def test_answers(self) -> None:
+        for reply, counts in (
+            (answer(), (1, 0)),
+            (answer(status=500), (1, 0)),
+            (answer(status=404), (1, 0)),
+            (SHED_ANSWER, (1, 1)),
+            (answer(status=421), (1, 1)),
+            (answer(headers=b""), (1, 0)),
+        ):
+            with self.subTest(reply):
+                async with scripted_server(reply) as server:
+                    got = await self.count(upstream(server.address))
+                self.assertEqual(got, counts)
+
+    async def test_an_attempt_without_an_answer_counts(self) -> None:
+        async with scripted_server(None) as server:
+            self.assertEqual(await self.count(upstream(server.address)), (1, 0))
+
+    async def test_an_upstream_that_cannot_be_reached_does_not_count(self) -> None:
+        begun, taken_back = await self.count(upstream("127.0.0.1:1"))
+        self.assertEqual(begun - taken_back, 0)
+
+
 class PlatformCallTest(unittest.IsolatedAsyncioTestCase):
     """Guards against calls that are sent without the right, or that last too long."""
 
@@ -258,6 +302,8 @@
         usage._settings = replace(SETTINGS, address=parse_address(address))
         usage._reporter = mock.Mock()
         usage._reporter.may_send.return_value = True
+        usage._reporter.on_read.return_value = None
+        usage._reporter.may_send_until_s.return_value = -math.inf
         now_s = self.fleet.clock.now_s()
         send = Send(7, '{"window":7,"counts":{}}', 42, now_s + until_s)
         await UsageReports._report(usage, send)
@@ -282,6 +328,30 @@
             async with asyncio.timeout(1.0):
                 await server.connection_ended.wait()
 
+    async def test_a_slow_call_goes_on_while_the_store_confirms_the_term(self) -> None:
+        async def answer_late(reader: Any, writer: Any) -> None:
+            await asyncio.sleep(0.3)
+            writer.write(answer())
+            await writer.drain()
+
+        for is_confirmed in (True, False):
+            with self.subTest(is_confirmed):
+                usage = self.fleet.usage["a0"]
+                usage._reporter = mock.Mock()
+                usage._reporter.may_send.return_value = True
+                usage._reporter.on_read.return_value = None
+                usage._reporter.may_send_until_s.return_value = (
+                    self.fleet.clock.now_s() + 2.0 if is_confirmed else -math.inf
+                )
+                send = Send(7, "{}", 42, self.fleet.clock.now_s() + 0.9)
+                async with scripted_server(answer_late) as server:
+                    usage._settings = replace(
+                        SETTINGS, address=parse_address(server.address)
+                    )
+                    await UsageReports._report(usage, send)
+                status = usage._reporter.on_sent.call_args.args[1]
+                self.assertEqual(status, 200 if is_confirmed else None)
+
     async def test_a_host_that_lost_the_right_while_it_connected_sends_nothing(
         self,
     ) -> None:
