Forward only counts that a collector lacks for some time

Cause: the latest version of a running host rises all the time, so each collector seemed to lack it and got it from all others.

Change: compare with the version of 1.5 s before. Wait for the platform by the clock that also runs while the machine is frozen.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -89,6 +89,7 @@
 # The right to send is renewed so long before its end; the store answers in 0.5 s when
 # it is slow.
 RENEWAL_LEAD_S = 0.8
+RESPONSE_POLL_S = 0.1
 
 
 class UsageMessage(msgspec.Struct, array_like=True):
@@ -194,8 +195,8 @@
             fleet.own.name, start, self._counts, settings.bounds, clock.now_s()
         )
         self._heard: dict[str, _Heard] = {}
-        # Time since which a peer lacks entries of a source that this host has.
-        self._lacking_s: dict[tuple[str, int], float] = {}
+        # Version of a source that a peer lacked, and since when, by peer and source.
+        self._lacked: dict[tuple[str, int], tuple[int, float]] = {}
         self._first_window: int | None = None
         self._collector_since_s = math.inf
         # Name of the host that last said that it is the holder, and when it did.
@@ -430,15 +431,17 @@
     ) -> dict[int, int]:
         """Return the sources of which a collector lacks entries for some time."""
         after = {}
+        for key in [key for key in self._lacked if key[1] not in own_known]:
+            del self._lacked[key]
         for source, version in own_known.items():
             if source in (self._start, heard.source):
                 continue
             theirs = heard.known.get(source, 0)
-            if theirs >= version:
-                self._lacking_s.pop((name, source), None)
-                continue
-            since_s = self._lacking_s.setdefault((name, source), now_s)
-            if now_s - since_s >= FORWARD_AFTER_S:
+            lacked, since_s = self._lacked.get((name, source), (0, now_s))
+            if theirs >= lacked:
+                # The version of a host that runs rises all the time.
+                self._lacked[(name, source)] = (version, now_s)
+            elif now_s - since_s >= FORWARD_AFTER_S:
                 after[source] = theirs
         return after
 
@@ -532,19 +535,21 @@
         abandoned_s = self._clock.now_s() + RESPONSE_TIME_MAX_S
         try:
             while True:
-                left_s = min(until_s, abandoned_s) - self._clock.now_s()
-                lead_s = RENEWAL_LEAD_S if until_s < abandoned_s else 0.0
-                await asyncio.wait({task}, timeout=max(0.0, left_s - lead_s))
+                # The event loop's clock stops while the machine is frozen, so its
+                # timers alone would end the call too late.
+                await asyncio.wait({task}, timeout=RESPONSE_POLL_S)
                 if task.done():
                     return task.result().status
-                if self._clock.now_s() + lead_s >= abandoned_s:
+                now_s = self._clock.now_s()
+                if now_s >= abandoned_s:
                     return None
-                with suppress(TimeoutError):
-                    async with asyncio.timeout(lead_s):
-                        await self._read()
-                until_s = self._reporter.may_send_until_s(send)
-                if until_s - self._clock.now_s() <= RENEWAL_LEAD_S:
-                    return task.result().status if task.done() else None
+                if until_s - now_s <= RENEWAL_LEAD_S:
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(max(0.0, until_s - now_s)):
+                            await self._read()
+                    until_s = self._reporter.may_send_until_s(send)
+                    if until_s - self._clock.now_s() <= RENEWAL_LEAD_S:
+                        return task.result().status if task.done() else None
         finally:
             task.cancel()
 
--- a/packages/daemon/tests/edge/test_usage_reports.py
+++ b/packages/daemon/tests/edge/test_usage_reports.py
@@ -343,7 +343,7 @@
                 usage._reporter.may_send_until_s.return_value = (
                     self.fleet.clock.now_s() + 2.0 if is_confirmed else -math.inf
                 )
-                send = Send(7, "{}", 42, self.fleet.clock.now_s() + 0.9)
+                send = Send(7, "{}", 42, self.fleet.clock.now_s() + 0.5)
                 async with scripted_server(answer_late) as server:
                     usage._settings = replace(
                         SETTINGS, address=parse_address(server.address)
