Count a request that waited at an upstream when it began

Cause: under a changing load, requests that wait in an upstream's queue for a second were counted in the window before.

Change: an answered request that found no free slot moves to the window that results from its answer and the expected work, while the window may still change.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -311,7 +311,7 @@
             if object_id is not None:
                 record.clear_warming(object_id)
         attempt.outcome = result.outcome
-        self._take_back_usage(context, attempt)
+        self._settle_usage(candidate, context, record, attempt)
         if pending is not None:
             self._end_rollout_count(pending, attempt, result)
         self._record_result(candidate, context, record, attempt, result)
@@ -363,16 +363,32 @@
                 self._connections.keep(conn, answer)
             return answer
 
-    def _take_back_usage(self, context: RequestContext, attempt: Attempt) -> None:
-        """Take the count of an attempt back if the upstream did not begin to run it."""
-        window, organisation = attempt.usage_window, context.organisation
-        if (
-            self._usage_reports is not None
-            and window is not None
-            and organisation is not None
-            and not attempt.may_have_run
+    def _settle_usage(
+        self,
+        candidate: Candidate,
+        context: RequestContext,
+        record: UpstreamRecord,
+        attempt: Attempt,
+    ) -> None:
+        """Correct the count of an attempt that did not run, or waited before it ran."""
+        usage, organisation = self._usage_reports, context.organisation
+        window = attempt.usage_window
+        if usage is None or organisation is None or window is None:
+            return
+        if not attempt.may_have_run:
+            usage.count_not_run(organisation.name, window)
+        elif (
+            attempt.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.FAILED)
+            and attempt.estimated_load >= record.slots
         ):
-            self._usage_reports.count_not_run(organisation.name, window)
+            route = context.route
+            assert route is not None
+            now_s = self._clock.now_s()
+            times = self._placement.work_times(route.name, route.objective_s)
+            work_s = times.expected_s(candidate.is_warm) * record.work_factor(now_s)
+            work_s += self._zone_latencies.round_trip_s(attempt.zone) / 2.0
+            begun_s = max(attempt.sent_s, now_s - work_s)
+            usage.move(organisation.name, window, begun_s)
 
     def _classify_answer(
         self, answer: HttpAnswer, context: RequestContext, attempt: Attempt
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -84,6 +84,9 @@
 
 KEPT_WINDOWS_MAX = 120
 CONNECT_TIMEOUT_S = 0.6
+# From the end of a window, requests are moved out of it for this time. It is agreed
+# half a second later, when the change has reached the collectors of a small fleet.
+MOVE_TIME_S = 1.0
 # A call is abandoned without a response after this time; a slow platform takes seconds.
 RESPONSE_TIME_MAX_S = 5.0
 # The right to send is renewed so long before its end; the store answers in 0.5 s when
@@ -220,6 +223,24 @@
         """Take back a request that was counted and did not run."""
         self._counts.add(window, organisation, -1)
 
+    def move(self, organisation: str, window: int, begun_s: float) -> None:
+        """Count a request in the window in which it began, if that is a later one.
+
+        Parameters
+        ----------
+        organisation : str
+        window : int
+            Window in which it was counted. It stays there if that may be agreed.
+        begun_s : float
+            Time on the host's clock.
+        """
+        begun_window = self._window(begun_s)
+        ended_s = (window + 1) * self._window_s
+        is_open = self._time.true_s(self._clock.now_s()) - ended_s < MOVE_TIME_S
+        if begun_window > window and is_open:
+            self._counts.add(window, organisation, -1)
+            self._counts.add(begun_window, organisation)
+
     def _window(self, at_s: float) -> int:
         if not self._time.is_known:
             self._time.record_clock(self._start, self._time_of_day(), at_s)
--- a/packages/daemon/tests/edge/test_usage_reports.py
+++ b/packages/daemon/tests/edge/test_usage_reports.py
@@ -282,6 +282,49 @@
                     got = await self.count(upstream(server.address))
                 self.assertEqual(got, counts)
 
+    async def test_a_request_that_waited_counts_when_it_began(self) -> None:
+        async def answer_late(reader: Any, writer: Any) -> None:
+            clock.advance(2.0)
+            writer.write(answer())
+            await writer.drain()
+
+        for load, moves in ((1.0, 0), (5.0, 1)):
+            with self.subTest(load):
+                clock = ManualClock(100.0)
+                async with scripted_server(answer_late) as server:
+                    entry = upstream(server.address)
+                    fixture = RelayFixture(clock, config(), entry)
+                    self.addCleanup(fixture.connections.close)
+                    usage = fixture.attempt_sender._usage_reports = mock.Mock()
+                    usage.count_begun.return_value = 7
+                    record = fixture.placement.record_of(entry)
+                    with mock.patch.object(
+                        type(record), "estimated_load", return_value=load
+                    ):
+                        await fixture.ask()
+                self.assertEqual(usage.move.call_count, moves)
+                if moves:
+                    organisation, window, begun_s = usage.move.call_args.args
+                    self.assertEqual((organisation, window), ("salsa", 7))
+                    self.assertGreater(begun_s, 101.0)
+                    self.assertLess(begun_s, 102.0)
+
+    async def test_a_moved_request_is_counted_once(self) -> None:
+        fleet = MeteredFleet(hosts_per_zone=1)
+        usage = fleet.usage["a0"]
+        window_s = BOUNDS.window_s
+        for late_s, moved in ((0.5, True), (1.2, False)):
+            with self.subTest(late_s):
+                # In a window without earlier requests.
+                left_s = window_s - fleet.clock.now_s() % window_s
+                fleet.clock.advance(left_s + 2.0 * window_s - 0.1)
+                sent_window = usage.count_begun("x", fleet.clock.now_s())
+                fleet.clock.advance(0.1 + late_s)
+                usage.move("x", sent_window, fleet.clock.now_s())
+                totals = [usage._counts.totals(sent_window + n) for n in (0, 1)]
+                expected = [{}, {"x": 1}] if moved else [{"x": 1}, {}]
+                self.assertEqual(totals, expected)
+
     async def test_an_attempt_without_an_answer_counts(self) -> None:
         async with scripted_server(None) as server:
             self.assertEqual(await self.count(upstream(server.address)), (1, 0))
