Decide by priority and value which requests are sent under overload

Cause: hosts read the priorities of routes and organisations, but under overload refused requests of all priorities alike. Change: an abstract class for admission, with the present rule as one implementation and ValueAdmission as another. The latter decides for services whose requests can have different priorities. The load model gets routes, priorities and impatient callers.

--- a/packages/core/src/cardamomquay/placement/__init__.py
+++ b/packages/core/src/cardamomquay/placement/__init__.py
@@ -2,6 +2,12 @@
 
 from __future__ import annotations
 
+from cardamomquay.placement._admission import AdmissionClaim
+from cardamomquay.placement._admission import AdmissionControl
+from cardamomquay.placement._admission import AdmissionDecision
+from cardamomquay.placement._admission import AdmissionRequest
+from cardamomquay.placement._admission import FleetScarcity
+from cardamomquay.placement._admission import UnknownScarcity
 from cardamomquay.placement._observations import LoadReport
 from cardamomquay.placement._observations import UpstreamRecord
 from cardamomquay.placement._overload import CallerTimeouts
@@ -12,18 +18,26 @@
 from cardamomquay.placement._placement import PlacementRequest
 from cardamomquay.placement._ranking import rendezvous_hash
 from cardamomquay.placement._ranking import short_id
+from cardamomquay.placement._value_admission import ValueAdmission
 from cardamomquay.placement._work_times import WorkTimes
 from cardamomquay.placement._zone_latencies import ZoneLatencies
 
 __all__ = [
+    "AdmissionClaim",
+    "AdmissionControl",
+    "AdmissionDecision",
+    "AdmissionRequest",
     "CallerTimeouts",
     "Candidate",
+    "FleetScarcity",
     "LoadReport",
     "OverloadControl",
     "Placement",
     "PlacementRequest",
     "RequestTiming",
+    "UnknownScarcity",
     "UpstreamRecord",
+    "ValueAdmission",
     "WorkTimes",
     "ZoneLatencies",
     "rendezvous_hash",
--- a/packages/core/src/cardamomquay/placement/_overload.py
+++ b/packages/core/src/cardamomquay/placement/_overload.py
@@ -16,9 +16,13 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from cardamomquay.placement._admission import AdmissionControl
+from cardamomquay.placement._admission import AdmissionDecision
+
 if TYPE_CHECKING:
     import random
 
+    from cardamomquay.placement._admission import AdmissionRequest
     from cardamomquay.placement._placement import Candidate
 
 # Requests expected to exceed the objective by up to this factor still often meet it,
@@ -90,8 +94,8 @@
         return spent_s if spent_s > DEADLINE_TOLERANCE_S else 0.0
 
 
-class OverloadControl:
-    """Decides whether a request may join a queue.
+class OverloadControl(AdmissionControl):
+    """Decides whether a request may join a queue, whatever its priority.
 
     Parameters
     ----------
@@ -103,6 +107,11 @@
         self._rng = rng
         self._recent_queued: dict[str, deque[bool]] = {}
 
+    def decide(self, request: AdmissionRequest, now_s: float) -> AdmissionDecision:
+        """Decide by `retry_delay_s`."""
+        delay_s = self.retry_delay_s(request.candidate, request.timing)
+        return AdmissionDecision("sent" if delay_s is None else "queue", delay_s)
+
     def retry_delay_s(
         self, candidate: Candidate, timing: RequestTiming
     ) -> float | None:
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -103,6 +103,8 @@
         Seconds until another request has loaded the object; 0 to send at once.
     queue_wait_s : float
         Expected seconds until a slot is free.
+    work_s : float
+        Expected seconds for which the request occupies a slot.
     """
 
     upstream: Upstream
@@ -112,6 +114,7 @@
     is_warm: bool
     object_load_wait_s: float
     queue_wait_s: float
+    work_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,6 +313,7 @@
             is_warm,
             object_load_wait_s,
             queue_wait_s,
+            work_s,
         )
 
     @staticmethod
--- a/packages/core/src/cardamomquay/traffic/_config.py
+++ b/packages/core/src/cardamomquay/traffic/_config.py
@@ -36,7 +36,7 @@
     objective_s : float
         Latency objective of answers.
     priority : int
-        0 is the highest. Edge hosts do not use priorities.
+        0 is the highest; see `TrafficConfig.has_competing_priorities`.
     weighted_services : tuple of WeightedService
     max_attempts : int
         Largest number of upstreams to which one request of a caller may be sent.
@@ -96,8 +96,7 @@
     ----------
     name : str
     priority : int
-        Takes precedence over the priority of the route; 0 is the highest. Edge hosts do
-        not use priorities.
+        Takes precedence over the priority of the route; 0 is the highest.
     rate_per_s, burst : float
         Quota for all hosts together; a rate of 0 means no limit.
     allowed_regions : frozenset of str
@@ -146,6 +145,10 @@
     _routes_by_hostname: dict[str, tuple[Route, ...]] = field(
         init=False, repr=False, default_factory=dict
     )
+    _prioritised_services: frozenset[str] = field(
+        init=False, repr=False, default=frozenset()
+    )
+    _public_priority: int = field(init=False, repr=False, default=0)
 
     def __post_init__(self) -> None:
         names = tuple(sorted(self.organisations))
@@ -156,12 +159,42 @@
         for hostname, routes in grouped.items():
             routes.sort(key=lambda route: -len(route.prefix))
             self._routes_by_hostname[hostname] = tuple(routes)
+        ranks = sorted(org.priority for org in self.organisations.values())
+        if ranks:
+            object.__setattr__(self, "_public_priority", ranks[len(ranks) // 2])
+        priorities: dict[str, set[tuple[int, int]]] = {}
+        for route in self.routes:
+            levels = {self._public_priority} if route.is_public else set(ranks)
+            for weighted in route.weighted_services:
+                if weighted.weight > 0.0:
+                    known = priorities.setdefault(weighted.service, set())
+                    known.update((level, route.priority) for level in levels)
+        prioritised = frozenset(name for name, p in priorities.items() if len(p) > 1)
+        object.__setattr__(self, "_prioritised_services", prioritised)
 
     @property
     def organisation_names(self) -> tuple[str, ...]:
         """Sorted names of the organisations; reports between hosts use the indices."""
         return self._organisation_names
 
+    def has_competing_priorities(self, service: str) -> bool:
+        """Return whether requests of a service can have different priorities.
+
+        They do if its routes, or the organisations that may use them, differ.
+        """
+        return service in self._prioritised_services
+
+    def priority_of(
+        self, route: Route, organisation: Organisation | None
+    ) -> tuple[int, int]:
+        """Return the priorities of organisation and route, in order of precedence.
+
+        A request without an organisation has the median of the organisations.
+        """
+        if organisation is None:
+            return (self._public_priority, route.priority)
+        return (organisation.priority, route.priority)
+
     def match(self, hostname: str, path: str) -> Route | None:
         """Return the route with the longest prefix that begins the path.
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -4,6 +4,7 @@
 
 import math
 import random
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -25,17 +26,23 @@
 from cardamomquay.gossip import ObservationLog
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.placement import AdmissionClaim
+from cardamomquay.placement import AdmissionRequest
 from cardamomquay.placement import OverloadControl
+from cardamomquay.placement import ValueAdmission
 from cardamomquay.placement import short_id
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Collection
 
     from cardamomquay.fleet import FleetView
     from cardamomquay.gossip import Observation
+    from cardamomquay.placement import AdmissionControl
     from cardamomquay.placement import Candidate
+    from cardamomquay.placement import FleetScarcity
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
     from cardamomquay.placement import RequestTiming
@@ -76,6 +83,10 @@
     bounds : Bounds
     now_s : float
         Start time of the host, from which the retry budgets grow.
+    count : callable, optional
+        Adds to the counter of a name.
+    scarcity : FleetScarcity, optional
+        What the other hosts know about the scarcity of services.
     """
 
     def __init__(
@@ -85,6 +96,8 @@
         fleet: FleetView,
         bounds: Bounds,
         now_s: float,
+        count: Callable[[str], None] | None = None,
+        scarcity: FleetScarcity | None = None,
     ) -> None:
         self._state = state
         self._placement = placement
@@ -100,6 +113,8 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._rng = random.Random()
         self._overload_control = OverloadControl(self._rng)
+        self.value_admission = ValueAdmission(self._rng, scarcity)
+        self._count = count
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
         self.notices = UpstreamNotices()
@@ -288,6 +303,7 @@
         tried: Collection[str],
         timing: RequestTiming,
         now_s: float,
+        claim: AdmissionClaim | None = None,
     ) -> Candidate | Refusal:
         """Choose an upstream for the next attempt of a request.
 
@@ -299,6 +315,8 @@
             overload.
         timing : RequestTiming
         now_s : float
+        claim : AdmissionClaim, optional
+            Used if the requests of the service have different priorities.
 
         Returns
         -------
@@ -338,18 +356,54 @@
             retry_after_s = min((RETRY_AFTER_MAX_S / 2, *waits_s.values()))
             detail = "rate limits named by upstreams" if waits_s else ""
             return Refusal(reason, detail, max(RETRY_AFTER_MIN_S, retry_after_s))
-        retry_delay_s = self._overload_control.retry_delay_s(candidate, timing)
-        if retry_delay_s is not None and not tried:
-            detail = (
-                f"best {candidate.upstream.instance} warm={candidate.is_warm} "
-                f"wait={candidate.object_load_wait_s:.2f} "
-                f"queue={candidate.queue_wait_s:.2f} "
-                f"finish={candidate.expected_latency_s:.2f} "
-                f"left={timing.remaining_s:.2f} "
-                f"objective_left={timing.objective_left_s:.2f}"
-            )
-            return Refusal(RefusalReason.POOL_BUSY, detail, retry_delay_s)
-        return candidate
+        refusal = self._overload_refusal(
+            request, candidate, timing, claim, bool(tried), now_s
+        )
+        return refusal or candidate
+
+    def _overload_refusal(
+        self,
+        request: PlacementRequest,
+        candidate: Candidate,
+        timing: RequestTiming,
+        claim: AdmissionClaim | None,
+        is_retry: bool,
+        now_s: float,
+    ) -> Refusal | None:
+        """Return a refusal because of overload; None if the request may be sent."""
+        config = self._state.config
+        control: AdmissionControl = self._overload_control
+        if claim is None:
+            claim = AdmissionClaim((0, 0), request.route)
+        elif config is not None and config.has_competing_priorities(request.service):
+            control = self.value_admission
+            # An attempt after the first belongs to a request that was admitted.
+            claim = replace(claim, is_admitted=claim.is_admitted or is_retry)
+        decision = control.decide(
+            AdmissionRequest(
+                candidate, timing, claim, request.objective_s, request.allowed_regions
+            ),
+            now_s,
+        )
+        if is_retry:
+            return None
+        is_by_value = control is self.value_admission
+        if is_by_value and self._count is not None and not claim.is_admitted:
+            self._count(f"admission.{decision.rule}")
+        if decision.retry_delay_s is None:
+            return None
+        detail = (
+            f"best {candidate.upstream.instance} warm={candidate.is_warm} "
+            f"wait={candidate.object_load_wait_s:.2f} "
+            f"queue={candidate.queue_wait_s:.2f} "
+            f"finish={candidate.expected_latency_s:.2f} "
+            f"left={timing.remaining_s:.2f} "
+            f"objective_left={timing.objective_left_s:.2f}"
+        )
+        if decision.inputs:
+            detail += "".join(f" {k}={v}" for k, v in decision.inputs.items())
+            detail += f" rule={decision.rule}"
+        return Refusal(RefusalReason.POOL_BUSY, detail, decision.retry_delay_s)
 
     def _of_allowed_version(
         self, request: PlacementRequest, is_retry: bool
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -119,6 +119,7 @@
             self._fleet,
             settings.bounds,
             self._clock.now_s(),
+            self._telemetry.count,
         )
         self._warm_objects = WarmObjectReports(self._placement, self._clock)
         self._rollouts = RolloutControl(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -11,6 +11,7 @@
 
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
+from cardamomquay.placement import AdmissionClaim
 from cardamomquay.placement import CallerTimeouts
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import RequestTiming
@@ -67,6 +68,9 @@
 START_WAIT_MAX_S = 0.3
 START_DURATION_S = 1.0
 START_POLL_INTERVAL_S = 0.01
+# A caller that has spent at least this time counts as one that has waited before it
+# came back; one that was refused and retries at once has spent less.
+RETURN_WAIT_MIN_S = 0.1
 STALE_CONFIG_RETRY_AFTER_S = 0.5
 
 
@@ -91,6 +95,10 @@
         caller has spent on its own earlier attempts.
     caller_timeout_at_s : float
         Time at which the caller gives up.
+    is_return : bool
+        Whether the caller has waited before it sent the request again.
+    is_admitted : bool
+        Whether an upstream was chosen, for which the request may still wait.
     attempts : list of Attempt
         Attempts of this host.
     fingerprint : int or None
@@ -106,6 +114,8 @@
     timeout_at_s: float = 0.0
     objective_at_s: float = 0.0
     caller_timeout_at_s: float = 0.0
+    is_return: bool = False
+    is_admitted: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     fingerprint: int | None = None
 
@@ -274,6 +284,7 @@
         context.timeout_at_s = min(timeout_at_s, self._state.answers_due_s)
         context.objective_at_s = request.received_s + route.objective_s - spent_s
         context.caller_timeout_at_s = request.received_s + caller_timeout_s
+        context.is_return = spent_s >= RETURN_WAIT_MIN_S
         return None
 
     def _stale_config_refusal(self) -> Refusal:
@@ -319,9 +330,21 @@
             context.objective_at_s - loop_time_s,
             context.caller_timeout_at_s - loop_time_s,
         )
-        return self._eligibility.choose(
-            placement_request, tried, timing, self._clock.now_s()
+        config = self._state.config
+        assert config is not None
+        organisation = context.organisation
+        claim = AdmissionClaim(
+            config.priority_of(route, organisation),
+            route.name,
+            organisation.name if organisation else "",
+            context.is_return,
+            context.is_admitted,
+        )
+        result = self._eligibility.choose(
+            placement_request, tried, timing, self._clock.now_s(), claim
         )
+        context.is_admitted = not isinstance(result, Refusal)
+        return result
 
     def _may_retry(
         self, context: RequestContext, failed: AttemptResult, candidate: Candidate
--- a/packages/dev/src/cardamomquay_dev/lab/load_model.py
+++ b/packages/dev/src/cardamomquay_dev/lab/load_model.py
@@ -14,9 +14,13 @@
 from abc import abstractmethod
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
+from cardamomquay.placement import AdmissionClaim
+from cardamomquay.placement import AdmissionControl
+from cardamomquay.placement import AdmissionRequest
 from cardamomquay.placement import Candidate
 from cardamomquay.placement import LoadReport
 from cardamomquay.placement import OverloadControl
@@ -69,13 +73,18 @@
 
 @dataclass
 class Server:
-    """An upstream with slots, a queue, and the keys of its warm objects."""
+    """An upstream with slots, a queue, and the keys of its warm objects.
+
+    `busy_s` is the time that its slots spent on requests, and `discarded_s` the part of
+    it spent on requests that ended without an answer.
+    """
 
     upstream: Upstream
     running: list[ServerRequest] = field(default_factory=list)
     queue: list[ServerRequest] = field(default_factory=list)
     warm: set[str] = field(default_factory=set)
     busy_s: float = 0.0
+    discarded_s: float = 0.0
 
     @property
     def load(self) -> int:
@@ -93,6 +102,8 @@
 
     asked_s: float
     zone: str = ""
+    route: str = "r"
+    priority: int = 0
     answered_s: float | None = None
     refused: bool = False
 
@@ -176,7 +187,9 @@
     servers : list of Server
     seed : int
     overload_control : OverloadControl, optional
-        Decides whether a request may join an upstream's queue.
+        Decides whether a request may join an upstream's queue, for all hosts.
+    admission : callable, optional
+        Makes the admission control of each host; takes precedence.
     """
 
     def __init__(
@@ -186,12 +199,20 @@
         servers: list[Server],
         seed: int,
         overload_control: OverloadControl | None = None,
+        admission: Callable[[], AdmissionControl] | None = None,
     ) -> None:
         self.policy = policy
         self.zones = zones
         self.servers = servers
         self.random = random.Random(seed)
-        self._overload_control = overload_control or OverloadControl(self.random)
+        control = overload_control or OverloadControl(self.random)
+        self._controls: list[AdmissionControl] = [
+            admission() if admission else control for _ in zones
+        ]
+        # Refused requests are repeated at most this often. An impatient caller does not
+        # wait for the retry delay.
+        self.retries_max = 1
+        self.impatient_share = 0.0
         self.now_s = 0.0
         self.outcomes: list[Outcome] = []
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -210,16 +231,38 @@
         self._sequence += 1
         heapq.heappush(self._events, (time_s, self._sequence, action))
 
-    def offer(self, from_s: float, to_s: float, per_s: float, objects: int) -> None:
-        """Schedule random requests of all zones' callers for objects of their zone."""
+    @property
+    def discarded_s(self) -> float:
+        """Time that all slots have spent on requests without an answer, in seconds."""
+        servers = (*self.servers, *self._lost_servers)
+        return sum(server.discarded_s for server in servers)
+
+    def offer(
+        self,
+        from_s: float,
+        to_s: float,
+        per_s: float,
+        objects: int,
+        route: str = "r",
+        priority: int = 0,
+        zones: tuple[str, ...] = (),
+    ) -> None:
+        """Schedule random requests of the zones' callers for objects of their zone.
+
+        Without `zones`, callers are in the zones of all hosts.
+        """
+        hosts = [n for n, z in enumerate(self.zones) if not zones or z in zones]
         time_s = from_s
         while time_s < to_s:
             time_s += self.random.expovariate(per_s)
-            host = self.random.randrange(len(self.zones))
+            host = hosts[self.random.randrange(len(hosts))]
             key = f"{self.zones[host]}-{self.random.randrange(objects)}"
-            outcome = Outcome(time_s, self.zones[host])
+            outcome = Outcome(time_s, self.zones[host], route, priority)
             self.outcomes.append(outcome)
-            self.at(time_s, partial(self._start_attempt, host, key, outcome, True))
+            attempt = partial(
+                self._start_attempt, host, key, outcome, self.retries_max, 0.0
+            )
+            self.at(time_s, attempt)
 
     def lose_zone(self, time_s: float, zone: str) -> None:
         """Schedule the loss of all upstreams of a zone.
@@ -255,10 +298,13 @@
         return sum(o.answered_s is not None for o in requested) / max(1, len(requested))
 
     def _start_attempt(
-        self, host: int, key: str, outcome: Outcome, may_retry: bool
+        self, host: int, key: str, outcome: Outcome, retries: int, waited_s: float
     ) -> None:
         timeout_at_s = self.now_s + ATTEMPT_TIMEOUT_S
-        self._choose(host, key, outcome, timeout_at_s, may_retry)
+        claim = AdmissionClaim(
+            (0, outcome.priority), outcome.route, is_return=waited_s >= 0.1
+        )
+        self._choose(host, key, outcome, timeout_at_s, retries, claim)
 
     def _choose(
         self,
@@ -266,7 +312,8 @@
         key: str,
         outcome: Outcome,
         timeout_at_s: float,
-        may_retry: bool,
+        retries: int,
+        claim: AdmissionClaim,
     ) -> None:
         choice = self.policy.choose(host, key, self.servers, self.now_s)
         candidate = choice if isinstance(choice, Candidate) else None
@@ -277,22 +324,30 @@
                 outcome.asked_s + OBJECTIVE_S - self.now_s,
                 deadline_left_s,
             )
-            delay_s = self._overload_control.retry_delay_s(candidate, timing)
+            request = AdmissionRequest(candidate, timing, claim, OBJECTIVE_S)
+            delay_s = self._controls[host].decide(request, self.now_s).retry_delay_s
             if delay_s is not None:
                 outcome.refused = True
-                if may_retry:
+                if retries > 0:
                     # Callers accept a delay of up to a third of their remaining time.
-                    retry_at_s = self.now_s + min(delay_s, deadline_left_s / 3)
+                    wait_s = min(delay_s, deadline_left_s / 3)
+                    if self.impatient_share > self.random.random():
+                        wait_s = 0.02
                     self.at(
-                        retry_at_s,
-                        lambda: self._start_attempt(host, key, outcome, False),
+                        self.now_s + wait_s,
+                        lambda: self._start_attempt(
+                            host, key, outcome, retries - 1, wait_s
+                        ),
                     )
                 return
             if candidate.object_load_wait_s > 0.0:
                 retry_at_s = self.now_s + min(0.05, candidate.object_load_wait_s)
+                admitted = replace(claim, is_admitted=True)
                 self.at(
                     retry_at_s,
-                    lambda: self._choose(host, key, outcome, timeout_at_s, may_retry),
+                    lambda: self._choose(
+                        host, key, outcome, timeout_at_s, retries, admitted
+                    ),
                 )
                 return
         upstream = candidate.upstream if candidate else choice
@@ -335,6 +390,7 @@
             done_s = min(self.now_s + service_s, request.timeout_at_s)
             is_complete = done_s < request.timeout_at_s
             server.busy_s += done_s - self.now_s
+            server.discarded_s += 0.0 if is_complete else done_s - self.now_s
             self.at(done_s, partial(self._finish_service, server, request, is_complete))
 
     def _finish_service(
