Tune admission by value, and let idle slots be used

Change: a request whose queue is almost empty is sent, retry delays follow from the time until there is room, a request needs a probability of 0.8 to end within its timeout, and a route is not sent more than a more urgent one.

--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -180,6 +180,10 @@
         self._peer_requests = max(self._peer_requests, ahead - self.in_flight)
         self._load_updated_s = now_s
 
+    def load_age_s(self, now_s: float) -> float:
+        """Return the age of the last load report or timeout; infinite without one."""
+        return now_s - self._load_updated_s
+
     def is_warm(self, object_id: int) -> bool:
         """Return whether the upstream is assumed to have an object cached."""
         return object_id in self._warm_objects
--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -105,6 +106,8 @@
         Expected seconds until a slot is free.
     work_s : float
         Expected seconds for which the request occupies a slot.
+    load_age_s : float
+        Age in seconds of the upstream's last load report; infinite without one.
     """
 
     upstream: Upstream
@@ -115,6 +118,7 @@
     object_load_wait_s: float
     queue_wait_s: float
     work_s: float = 0.0
+    load_age_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -314,6 +318,7 @@
             object_load_wait_s,
             queue_wait_s,
             work_s,
+            record.load_age_s(now_s),
         )
 
     @staticmethod
--- a/packages/core/src/cardamomquay/placement/_value_admission.py
+++ b/packages/core/src/cardamomquay/placement/_value_admission.py
@@ -28,28 +28,32 @@
 
     from cardamomquay.placement._admission import AdmissionRequest
     from cardamomquay.placement._admission import FleetScarcity
+    from cardamomquay.placement._placement import Candidate
 
-# Queue wait at which the share neither grows nor falls, as a part of the objective,
-# and its limits in seconds. Waits of 0.2 s are expected even with two thirds of the
-# slots taken, since load reports are delayed.
-TARGET_WAIT_OBJECTIVES = 0.5
-TARGET_WAIT_RANGE_S = (0.2, 1.0)
+# Mean queue wait at which the share neither grows nor falls, as a part of the
+# objective, and its limits in seconds. With 0.5, fewer requests of the load model were
+# answered within the objective, since they wait in addition to their own work.
+TARGET_WAIT_OBJECTIVES = 0.3
+TARGET_WAIT_RANGE_S = (0.1, 1.0)
 # Time constant over which queue waits are averaged. A single estimate is based on a
 # report that is up to a second old.
-WAIT_EWMA_S = 0.3
+PRESSURE_EWMA_S = 0.2
 # Rates at which the logarithm of the share changes in a second: falling at the largest
 # error, growing with free slots. A queue turns over within about a second.
-SHARE_FALL_PER_S = 1.0
-SHARE_GROWTH_PER_S = 0.7
+SHARE_FALL_PER_S = 3.0
+SHARE_GROWTH_PER_S = 1.5
 # Part by which the share is reduced at once for each target wait above the target; it
 # damps the oscillation that the delay of load reports causes.
 PROPORTIONAL_PART = 0.3
 # Longest time between two choices that counts in the averages; a host without choices
 # has learnt nothing about the queues.
 STEP_MAX_S = 0.25
-# A service loses at most this much of its capacity to demand: with a smaller share,
-# a host would send too few requests to notice that the queues are gone.
-SHARE_MIN = 0.1
+# Shortest time that a choice counts for in the mean pressure, so that several choices
+# in the same instant are averaged too.
+STEP_MIN_S = 0.01
+# Smallest share: in a retry storm, callers repeat each request several times, and with
+# a larger one the repetitions alone would keep the queues full.
+SHARE_MIN = 0.03
 # Part of the share that is reserved for each class, route and organisation. The bound
 # is a quarter of the mean; the rest allows for chance in small numbers.
 FLOOR_PART = 0.35
@@ -67,13 +71,29 @@
 WAIT_DEVIATION = 0.4
 WAIT_DEVIATION_MIN_S = 0.03
 # A request is refused if the probability that it ends within its timeout is lower.
-TIMELY_PROBABILITY_MIN = 0.25
-# Range of the retry delay as a part of the caller's remaining time. Callers accept a
-# delay of up to a third of it.
-RETRY_DELAY_PARTS = (0.1, 0.32)
+TIMELY_PROBABILITY_MIN = 0.8
+# Longest retry delay as a part of the caller's remaining time. Callers accept a delay
+# of up to a third of it.
+RETRY_DELAY_PART = 0.32
 # Retry delays are multiplied by a random factor between these.
-RETRY_SPREAD = (0.85, 1.0)
+RETRY_SPREAD = (0.6, 1.0)
 RETRY_DELAY_MIN_S = 0.1
+# Value of an answer to a returning caller, compared with 1 for a new one in time.
+RETURN_VALUE = 1.05
+# A request whose queue is not expected to last longer is sent whatever its value: the
+# slot would be idle otherwise. Hosts see too little of the load to fill slots exactly.
+IDLE_QUEUE_MAX_S = 0.05
+# Shortest time until the objective is missed in which a return is worthwhile.
+RETURN_SLACK_MIN_S = 0.1
+# Shortest work with which the value of a request is divided.
+WORK_MIN_S = 0.001
+# Part of the caller's remaining time that is added to the retry delay of a request that
+# could not end within its timeout: its return needs the queue to be shorter for good.
+LATE_RETURN_PART = 0.1
+# A route is not sent a larger share than a more urgent one by more than the margin, if
+# both have had this many requests lately. Chance explains smaller differences.
+ROUTE_SHARE_MARGIN = 0.03
+ROUTE_REQUESTS_MIN = 10.0
 
 
 @dataclass(slots=True)
@@ -86,14 +106,27 @@
     )
 
 
+@dataclass(slots=True)
+class _RouteShare:
+    """Recent requests of a route of one priority, and how many of them were sent."""
+
+    priority: int
+    asked: float = 0.0
+    sent: float = 0.0
+
+
 @dataclass(slots=True)
 class _Pool:
-    """What one service has free in one set of regions, as this host sees it."""
+    """What one service has free in one set of regions, as this host sees it.
+
+    `share` is the part of the offered work that is sent, and `pressure` the mean of
+    the queue waits, each divided by its target.
+    """
 
     updated_s: float
     share: float = 1.0
-    wait_s: float = 0.0
-    target_s: float = TARGET_WAIT_RANGE_S[0]
+    pressure: float = 0.0
+    routes: dict[str, _RouteShare] = field(default_factory=dict)
     classes: dict[tuple[int, int], _Class] = field(default_factory=dict)
     credits: dict[str, float] = field(default_factory=dict)
 
@@ -124,33 +157,43 @@
     def decide(self, request: AdmissionRequest, now_s: float) -> AdmissionDecision:
         """Decide about a request by its value and the capacity.
 
-        The rule of the decision is ``sent``, ``floor`` (sent since its route or
-        organisation would starve), ``hopeless`` (not expected to end within its
-        timeout) or ``value``.
+        The rule of the decision is ``sent``, ``idle`` (sent since a slot is free),
+        ``floor`` (sent since its route or organisation would starve), ``hopeless``
+        (refused, since it is not expected to end within its timeout) or ``value``
+        (refused, since others go before it).
         """
         pool = self._pool(request, now_s)
         timely, in_objective = _probabilities(request)
         claim = request.claim
-        if timely < TIMELY_PROBABILITY_MIN:
-            return self._refused("hopeless", request, pool, timely, 0.0, 0.0)
         if claim.is_admitted:
-            return AdmissionDecision("sent")
-        work_s = max(request.candidate.work_s, 1e-3)
-        value = in_objective + LATE_ANSWER_VALUE * (timely - in_objective)
-        score = value / work_s
-        if claim.is_return:
-            # Its caller has waited as it was told, so it goes before all new requests.
-            score = 1e3 + timely / work_s
+            if timely >= TIMELY_PROBABILITY_MIN or not _is_late_by_waiting(request):
+                return AdmissionDecision("sent")
+            return self._refused("hopeless", request, pool, timely, 1.0, 1.0)
+        route = pool.routes.setdefault(claim.route, _RouteShare(claim.priority[1]))
+        route.priority = claim.priority[1]
+        route.asked += 1.0
         share = self._effective_share(request, pool, now_s)
         class_share = self._class_share(request, pool, share)
-        rank = self._rank(pool.classes[claim.priority], score, work_s)
+        if timely < TIMELY_PROBABILITY_MIN and _is_late_by_waiting(request):
+            return self._refused("hopeless", request, pool, timely, 1.0, class_share)
+        work_s = max(request.candidate.work_s, WORK_MIN_S)
+        value = in_objective + LATE_ANSWER_VALUE * (timely - in_objective)
+        if claim.is_return:
+            # Its caller has waited as it was told: it goes before new requests with as
+            # much work, also if it is late by now.
+            value = RETURN_VALUE * timely
+        rank = self._rank(pool.classes[claim.priority], value / work_s, work_s)
         has_credit = self._add_credits(request, pool, share)
-        if rank < class_share:
+        is_ahead = share < 1.0 and _is_ahead(route, pool)
+        if rank < class_share and not is_ahead:
             rule = "sent"
+        elif request.candidate.queue_wait_s <= IDLE_QUEUE_MAX_S and not is_ahead:
+            rule = "idle"
         elif has_credit:
             rule = "floor"
         else:
             return self._refused("value", request, pool, timely, rank, class_share)
+        route.sent += 1.0
         for group in _groups(request):
             pool.credits[group] = max(0.0, pool.credits[group] - 1.0)
         return AdmissionDecision(rule)
@@ -163,18 +206,21 @@
             pool = self._pools[key] = _Pool(now_s)
         low_s, high_s = TARGET_WAIT_RANGE_S
         target_s = TARGET_WAIT_OBJECTIVES * request.objective_s
-        pool.target_s = min(high_s, max(low_s, target_s))
+        pressure = request.candidate.queue_wait_s / min(high_s, max(low_s, target_s))
         step_s = min(STEP_MAX_S, max(0.0, now_s - pool.updated_s))
         pool.updated_s = now_s
-        weight = 1.0 - math.exp(-max(step_s, 0.01) / WAIT_EWMA_S)
-        pool.wait_s += weight * (request.candidate.queue_wait_s - pool.wait_s)
-        error = max(-1.0, min(1.0, pool.wait_s / pool.target_s - 1.0))
+        weight = 1.0 - math.exp(-max(step_s, STEP_MIN_S) / PRESSURE_EWMA_S)
+        pool.pressure += weight * (pressure - pool.pressure)
+        error = max(-1.0, min(1.0, pool.pressure - 1.0))
         rate = SHARE_FALL_PER_S if error > 0.0 else SHARE_GROWTH_PER_S
         pool.share *= math.exp(-rate * error * step_s)
         pool.share = min(1.0, max(SHARE_MIN, pool.share))
         decay = math.exp(-step_s / DEMAND_EWMA_S)
         for other in pool.classes.values():
             other.demand_s *= decay
+        for route in pool.routes.values():
+            route.asked *= decay
+            route.sent *= decay
         if not request.claim.is_admitted:
             own = pool.classes.setdefault(request.claim.priority, _Class())
             own.demand_s += request.candidate.work_s
@@ -183,7 +229,7 @@
     def _effective_share(
         self, request: AdmissionRequest, pool: _Pool, now_s: float
     ) -> float:
-        excess = max(0.0, pool.wait_s / pool.target_s - 1.0)
+        excess = max(0.0, pool.pressure - 1.0)
         share = pool.share * max(0.0, 1.0 - PROPORTIONAL_PART * excess)
         known = self._scarcity.admitted_share(
             request.service, request.allowed_regions, now_s
@@ -238,11 +284,21 @@
         class_share: float,
     ) -> AdmissionDecision:
         timing, candidate, claim = request.timing, request.candidate, request.claim
-        low, high = RETRY_DELAY_PARTS
-        # More urgent classes have room again earlier; the others wait as long as they
-        # accept.
-        part = high if rule == "hopeless" else high - (high - low) * class_share
-        delay_s = timing.caller_left_s * part * self._rng.uniform(*RETRY_SPREAD)
+        # Once the queues are short, the share grows at a known rate. That gives the
+        # time until it reaches the rank of the request; urgent classes come earlier.
+        growth = max(1.0, rank / max(class_share, SHARE_MIN))
+        room_s = math.log(growth) / SHARE_GROWTH_PER_S
+        if rule == "hopeless":
+            # The queue has to become shorter by the time that the request lacks.
+            room_s += max(0.0, candidate.expected_latency_s - timing.remaining_s)
+            room_s += LATE_RETURN_PART * timing.caller_left_s
+        delay_s = min(room_s, timing.caller_left_s * RETRY_DELAY_PART)
+        without_wait_s = candidate.expected_latency_s - _wait_s(candidate)
+        slack_s = timing.objective_left_s - without_wait_s
+        if slack_s > RETURN_SLACK_MIN_S:
+            # A return can still be in time, and goes before new requests.
+            delay_s = min(delay_s, slack_s)
+        delay_s *= self._rng.uniform(*RETRY_SPREAD)
         delay_s = max(RETRY_DELAY_MIN_S, candidate.object_load_wait_s, delay_s)
         return AdmissionDecision(
             rule,
@@ -255,7 +311,8 @@
                 "rank": round(rank, 3),
                 "timely": round(timely, 3),
                 "work": round(candidate.work_s, 3),
-                "mean_queue": round(pool.wait_s, 3),
+                "pressure": round(pool.pressure, 3),
+                "load_age": round(candidate.load_age_s, 2),
             },
         )
 
@@ -265,10 +322,35 @@
     return (f"r:{request.claim.route}", f"o:{request.claim.organisation}")
 
 
+def _is_ahead(own: _RouteShare, pool: _Pool) -> bool:
+    """Return whether a route is sent a larger share than a more urgent one."""
+    own_share = own.sent / own.asked
+    return own.asked >= ROUTE_REQUESTS_MIN and any(
+        other.priority < own.priority
+        and other.asked >= ROUTE_REQUESTS_MIN
+        and own_share > other.sent / other.asked + ROUTE_SHARE_MARGIN
+        for other in pool.routes.values()
+    )
+
+
+def _is_late_by_waiting(request: AdmissionRequest) -> bool:
+    """Return whether a request would be in time if it did not have to wait.
+
+    If it is late even at a free slot, the estimate of its work may be wrong, and only
+    sending such requests corrects it.
+    """
+    candidate, timing = request.candidate, request.timing
+    without_wait_s = candidate.expected_latency_s - _wait_s(candidate)
+    return (
+        candidate.min_latency_s > timing.remaining_s
+        or without_wait_s <= timing.remaining_s
+    )
+
+
 def _probabilities(request: AdmissionRequest) -> tuple[float, float]:
     """Return the probabilities to end within the timeout and the objective."""
     candidate, timing = request.candidate, request.timing
-    wait_s = max(candidate.queue_wait_s, candidate.object_load_wait_s)
+    wait_s = _wait_s(candidate)
     deviation_s = math.hypot(
         WORK_DEVIATION * candidate.work_s,
         WAIT_DEVIATION * wait_s,
@@ -280,5 +362,10 @@
     return timely, min(timely, in_objective)
 
 
+def _wait_s(candidate: Candidate) -> float:
+    """Return the expected time until the upstream begins to run a request."""
+    return max(candidate.queue_wait_s, candidate.object_load_wait_s)
+
+
 def _normal_cdf(deviations: float) -> float:
     return 0.5 * (1.0 + math.erf(deviations / math.sqrt(2.0)))
