--- a/packages/core/src/cardamomquay/placement/_value_admission.py
+++ b/packages/core/src/cardamomquay/placement/_value_admission.py
@@ -97,7 +97,7 @@
 
 
 @dataclass(slots=True)
-class _Class:
+class ClassState:
     """Requests of one priority."""
 
     demand_s: float = 0.0
@@ -116,7 +116,7 @@
 
 
 @dataclass(slots=True)
-class _Pool:
+class PoolState:
     """What one service has free in one set of regions, as this host sees it.
 
     `share` is the part of the offered work that is sent, and `pressure` the mean of
@@ -127,7 +127,7 @@
     share: float = 1.0
     pressure: float = 0.0
     routes: dict[str, _RouteShare] = field(default_factory=dict)
-    classes: dict[tuple[int, int], _Class] = field(default_factory=dict)
+    classes: dict[tuple[int, int], ClassState] = field(default_factory=dict)
     credits: dict[str, float] = field(default_factory=dict)
 
 
@@ -147,7 +147,7 @@
     ) -> None:
         self._rng = rng
         self._scarcity = scarcity or UnknownScarcity()
-        self._pools: dict[tuple[str, frozenset[str]], _Pool] = {}
+        self._pools: dict[tuple[str, frozenset[str]], PoolState] = {}
 
     def admitted_share(self, service: str, regions: frozenset[str]) -> float:
         """Return the share of the offered work for which this host sees capacity."""
@@ -198,12 +198,12 @@
             pool.credits[group] = max(0.0, pool.credits[group] - 1.0)
         return AdmissionDecision(rule)
 
-    def _pool(self, request: AdmissionRequest, now_s: float) -> _Pool:
+    def _pool(self, request: AdmissionRequest, now_s: float) -> PoolState:
         """Return the pool of a request, with the request's choice included."""
         key = (request.service, request.allowed_regions)
         pool = self._pools.get(key)
         if pool is None:
-            pool = self._pools[key] = _Pool(now_s)
+            pool = self._pools[key] = PoolState(now_s)
         low_s, high_s = TARGET_WAIT_RANGE_S
         target_s = TARGET_WAIT_OBJECTIVES * request.objective_s
         pressure = request.candidate.queue_wait_s / min(high_s, max(low_s, target_s))
@@ -222,12 +222,12 @@
             route.asked *= decay
             route.sent *= decay
         if not request.claim.is_admitted:
-            own = pool.classes.setdefault(request.claim.priority, _Class())
+            own = pool.classes.setdefault(request.claim.priority, ClassState())
             own.demand_s += request.candidate.work_s
         return pool
 
     def _effective_share(
-        self, request: AdmissionRequest, pool: _Pool, now_s: float
+        self, request: AdmissionRequest, pool: PoolState, now_s: float
     ) -> float:
         excess = max(0.0, pool.pressure - 1.0)
         share = pool.share * max(0.0, 1.0 - PROPORTIONAL_PART * excess)
@@ -239,8 +239,9 @@
             share = math.sqrt(max(share, SHARE_MIN) * max(known, SHARE_MIN))
         return min(1.0, max(SHARE_MIN, share))
 
-    @staticmethod
-    def _class_share(request: AdmissionRequest, pool: _Pool, share: float) -> float:
+    def _class_share(
+        self, request: AdmissionRequest, pool: PoolState, share: float
+    ) -> float:
         """Return the share of the work of the request's class that is sent.
 
         Each class gets `FLOOR_PART` of the mean share; the rest goes to the classes in
@@ -256,7 +257,7 @@
         left_s = (share - reserved) * total_s - (1.0 - reserved) * ahead_s
         return min(1.0, reserved + max(0.0, left_s) / own_s)
 
-    def _rank(self, own: _Class, score: float, work_s: float) -> float:
+    def _rank(self, own: ClassState, score: float, work_s: float) -> float:
         """Return the part of the recent work of a class that goes before a request."""
         before_s = sum(work for other, work in own.scores if other > score)
         equal_s = work_s + sum(work for other, work in own.scores if other == score)
@@ -265,7 +266,7 @@
         return (before_s + self._rng.random() * equal_s) / total_s
 
     @staticmethod
-    def _add_credits(request: AdmissionRequest, pool: _Pool, share: float) -> bool:
+    def _add_credits(request: AdmissionRequest, pool: PoolState, share: float) -> bool:
         """Add to the credits of the request's groups; return whether one has enough."""
         is_due = False
         for group in _groups(request):
@@ -278,7 +279,7 @@
         self,
         rule: str,
         request: AdmissionRequest,
-        pool: _Pool,
+        pool: PoolState,
         timely: float,
         rank: float,
         class_share: float,
@@ -322,7 +323,7 @@
     return (f"r:{request.claim.route}", f"o:{request.claim.organisation}")
 
 
-def _is_ahead(own: _RouteShare, pool: _Pool) -> bool:
+def _is_ahead(own: _RouteShare, pool: PoolState) -> bool:
     """Return whether a route is sent a larger share than a more urgent one."""
     own_share = own.sent / own.asked
     return own.asked >= ROUTE_REQUESTS_MIN and any(
--- a/packages/core/tests/traffic/test_traffic.py
+++ b/packages/core/tests/traffic/test_traffic.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from dataclasses import replace
 
+from cardamomquay.traffic import Organisation
 from cardamomquay.traffic import Route
 from cardamomquay.traffic import RouteKind
 from cardamomquay.traffic import TrafficConfig
@@ -50,6 +51,35 @@
                 self.assertEqual(found.name if found else None, expected)
 
 
+class PrioritiesTest(unittest.TestCase):
+    """Guards against admission by priority where all priorities are equal."""
+
+    def test_services_whose_requests_have_different_priorities(self) -> None:
+        plain = route("a", "/a/")
+        urgent = replace(plain, name="b", priority=1)
+        public = replace(urgent, is_public=True)
+        apart = replace(urgent, weighted_services=(WeightedService("other", 1.0),))
+        unused = replace(urgent, weighted_services=(WeightedService("browse", 0.0),))
+        same = {name: Organisation(name, 1) for name in "xyz"}
+        mixed = same | {"x": Organisation("x", 0)}
+        for routes, organisations, competes in (
+            ((plain, urgent), same, True),
+            ((plain, public), same, True),
+            ((plain,), mixed, True),
+            ((plain,), same, False),
+            ((plain, apart), same, False),
+            ((plain, unused), same, False),
+            ((public,), mixed, False),
+            ((plain,), {}, False),
+        ):
+            config = TrafficConfig(1, routes, organisations=organisations)
+            self.assertEqual(config.has_competing_priorities("browse"), competes)
+            # A public request has the median of the organisations.
+            rank = 1 if organisations else 0
+            self.assertEqual(config.priority_of(public, None), (rank, 1))
+        self.assertEqual(config.priority_of(plain, mixed["x"]), (0, 0))
+
+
 class WeightedRoundRobinTest(unittest.TestCase):
     """Guards against shares that deviate from the weights in short windows."""
 
--- a/packages/daemon/tests/edge/support.py
+++ b/packages/daemon/tests/edge/support.py
@@ -252,7 +252,12 @@
         self.placement = Placement(zone_latencies)
         # The host started 20 s ago, so the retry budgets have reached their full size.
         self.eligibility = Eligibility(
-            self.state, self.placement, self.fleet, Bounds(), clock.now_s() - 20.0
+            self.state,
+            self.placement,
+            self.fleet,
+            Bounds(),
+            clock.now_s() - 20.0,
+            self.telemetry.count,
         )
         self.state.config = traffic_config
         self.state.config_confirmed_s = clock.now_s()
