--- a/packages/core/tests/placement/test_value_admission.py
+++ b/packages/core/tests/placement/test_value_admission.py
@@ -163,6 +163,22 @@
             self.ask("all", AdmissionClaim((0, 0), "r", "o"), candidate(0.1))
         self.assertLess(self.served("all"), 0.6)
 
+    def test_single_long_queues_cause_no_refusals(self) -> None:
+        # One choice in eight meets a queue, as with an estimate that is too old.
+        for number in range(200):
+            wait_s = 0.5 if number % 8 == 0 else 0.02
+            self.ask("all", AdmissionClaim((0, 0), "r", "o"), candidate(wait_s))
+        self.assertGreater(self.served("all"), 0.95)
+
+    def test_one_choice_after_a_freeze_does_not_change_the_share_much(self) -> None:
+        for _ in range(100):
+            self.ask("all", AdmissionClaim((0, 0), "r", "o"), self.steady_queue())
+        before = self.admission.admitted_share("browse", frozenset())
+        self.now_s += 60.0
+        self.decide(AdmissionClaim((0, 0), "r", "o"), candidate(0.0))
+        after = self.admission.admitted_share("browse", frozenset())
+        self.assertLess(after, 1.5 * before)
+
     def test_pools_of_different_regions_are_independent(self) -> None:
         # A region that is full must not cause refusals in the others.
         bound = frozenset({"leinster"})
