--- a/packages/dev/src/cardamomquay_dev/lab/admission.py
+++ b/packages/dev/src/cardamomquay_dev/lab/admission.py
@@ -213,6 +213,8 @@
         Share of the value of all requests that was answered within the objective.
     in_time, answered : dict of int to float
         Shares of the requests of each priority.
+    answered_by_zone : dict of str to float
+        Shares of the requests of the callers of each zone.
     discarded : float
         Share of the used slot time that went to requests without an answer.
     busy : float
@@ -222,6 +224,7 @@
     value: float
     in_time: dict[int, float]
     answered: dict[int, float]
+    answered_by_zone: dict[str, float]
     discarded: float
     busy: float
 
@@ -233,6 +236,8 @@
 ) -> Result:
     """Return the result of a rule on a load pattern, over all seeds."""
     asked: Counter[int] = Counter()
+    zone_asked: Counter[str] = Counter()
+    zone_answered: Counter[str] = Counter()
     in_time: Counter[int] = Counter()
     answered: Counter[int] = Counter()
     busy_s = discarded_s = 0.0
@@ -254,8 +259,10 @@
         discarded_s += model.discarded_s
         for outcome in model.outcomes:
             asked[outcome.priority] += 1
+            zone_asked[outcome.zone] += 1
             if outcome.answered_s is not None:
                 answered[outcome.priority] += 1
+                zone_answered[outcome.zone] += 1
                 took_s = outcome.answered_s - outcome.asked_s
                 in_time[outcome.priority] += took_s <= OBJECTIVE_S
     value = sum(VALUES[p] * n for p, n in in_time.items())
@@ -263,6 +270,7 @@
         value / sum(VALUES[p] * n for p, n in asked.items()),
         {p: in_time[p] / n for p, n in sorted(asked.items())},
         {p: answered[p] / n for p, n in sorted(asked.items())},
+        {zone: zone_answered[zone] / n for zone, n in sorted(zone_asked.items())},
         discarded_s / busy_s,
         busy_s,
     )
