--- a/packages/core/src/cardamomquay/placement/__init__.py
+++ b/packages/core/src/cardamomquay/placement/__init__.py
@@ -6,6 +6,7 @@
 from cardamomquay.placement._admission import AdmissionControl
 from cardamomquay.placement._admission import AdmissionDecision
 from cardamomquay.placement._admission import AdmissionRequest
+from cardamomquay.placement._admission import AdmissionRule
 from cardamomquay.placement._admission import FleetScarcity
 from cardamomquay.placement._admission import UnknownScarcity
 from cardamomquay.placement._observations import LoadReport
@@ -27,6 +28,7 @@
     "AdmissionControl",
     "AdmissionDecision",
     "AdmissionRequest",
+    "AdmissionRule",
     "CallerTimeouts",
     "Candidate",
     "FleetScarcity",
--- a/packages/core/src/cardamomquay/placement/_admission.py
+++ b/packages/core/src/cardamomquay/placement/_admission.py
@@ -6,6 +6,7 @@
 from abc import abstractmethod
 from dataclasses import dataclass
 from dataclasses import field
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -65,21 +66,47 @@
         return self.candidate.upstream.service
 
 
+class AdmissionRule(StrEnum):
+    """Why a request is sent or refused.
+
+    Attributes
+    ----------
+    SENT
+        There is room for it.
+    IDLE
+        Sent since a slot is free, though others go first.
+    FLOOR
+        Sent since its route or organisation would starve.
+    HOPELESS
+        Refused since it is not expected to end within its timeout.
+    VALUE
+        Refused since others go first.
+    QUEUE
+        Refused by the rule that knows no priorities.
+    """
+
+    SENT = "sent"
+    IDLE = "idle"
+    FLOOR = "floor"
+    HOPELESS = "hopeless"
+    VALUE = "value"
+    QUEUE = "queue"
+
+
 @dataclass(frozen=True, slots=True)
 class AdmissionDecision:
     """Whether a request is sent, and why.
 
     Parameters
     ----------
-    rule : str
-        Name of the rule that decided, used in counters and log lines.
+    rule : AdmissionRule
     retry_delay_s : float or None
         Delay after which a refused caller should return; None if the request is sent.
     inputs : dict of str to object
         What the decision was based on, for the log line of a refusal.
     """
 
-    rule: str
+    rule: AdmissionRule
     retry_delay_s: float | None = None
     inputs: dict[str, object] = field(default_factory=dict)
 
--- a/packages/core/src/cardamomquay/placement/_overload.py
+++ b/packages/core/src/cardamomquay/placement/_overload.py
@@ -18,6 +18,7 @@
 
 from cardamomquay.placement._admission import AdmissionControl
 from cardamomquay.placement._admission import AdmissionDecision
+from cardamomquay.placement._admission import AdmissionRule
 
 if TYPE_CHECKING:
     import random
@@ -110,7 +111,8 @@
     def decide(self, request: AdmissionRequest, now_s: float) -> AdmissionDecision:
         """Decide by `retry_delay_s`."""
         delay_s = self.retry_delay_s(request.candidate, request.timing)
-        return AdmissionDecision("sent" if delay_s is None else "queue", delay_s)
+        rule = AdmissionRule.SENT if delay_s is None else AdmissionRule.QUEUE
+        return AdmissionDecision(rule, delay_s)
 
     def retry_delay_s(
         self, candidate: Candidate, timing: RequestTiming
--- a/packages/core/src/cardamomquay/placement/_value_admission.py
+++ b/packages/core/src/cardamomquay/placement/_value_admission.py
@@ -21,6 +21,7 @@
 
 from cardamomquay.placement._admission import AdmissionControl
 from cardamomquay.placement._admission import AdmissionDecision
+from cardamomquay.placement._admission import AdmissionRule
 from cardamomquay.placement._admission import UnknownScarcity
 
 if TYPE_CHECKING:
@@ -167,15 +168,19 @@
         claim = request.claim
         if claim.is_admitted:
             if timely >= TIMELY_PROBABILITY_MIN or not _is_late_by_waiting(request):
-                return AdmissionDecision("sent")
-            return self._refused("hopeless", request, pool, timely, 1.0, 1.0)
+                return AdmissionDecision(AdmissionRule.SENT)
+            return self._refused(
+                AdmissionRule.HOPELESS, request, pool, timely, 1.0, 1.0
+            )
         route = pool.routes.setdefault(claim.route, _RouteShare(claim.priority[1]))
         route.priority = claim.priority[1]
         route.asked += 1.0
         share = self._effective_share(request, pool, now_s)
         class_share = self._class_share(request, pool, share)
         if timely < TIMELY_PROBABILITY_MIN and _is_late_by_waiting(request):
-            return self._refused("hopeless", request, pool, timely, 1.0, class_share)
+            return self._refused(
+                AdmissionRule.HOPELESS, request, pool, timely, 1.0, class_share
+            )
         work_s = max(request.candidate.work_s, WORK_MIN_S)
         value = in_objective + LATE_ANSWER_VALUE * (timely - in_objective)
         if claim.is_return:
@@ -186,13 +191,15 @@
         has_credit = self._add_credits(request, pool, share)
         is_ahead = share < 1.0 and _is_ahead(route, pool)
         if rank < class_share and not is_ahead:
-            rule = "sent"
+            rule = AdmissionRule.SENT
         elif request.candidate.queue_wait_s <= IDLE_QUEUE_MAX_S and not is_ahead:
-            rule = "idle"
+            rule = AdmissionRule.IDLE
         elif has_credit:
-            rule = "floor"
+            rule = AdmissionRule.FLOOR
         else:
-            return self._refused("value", request, pool, timely, rank, class_share)
+            return self._refused(
+                AdmissionRule.VALUE, request, pool, timely, rank, class_share
+            )
         route.sent += 1.0
         for group in _groups(request):
             pool.credits[group] = max(0.0, pool.credits[group] - 1.0)
@@ -277,7 +284,7 @@
 
     def _refused(
         self,
-        rule: str,
+        rule: AdmissionRule,
         request: AdmissionRequest,
         pool: PoolState,
         timely: float,
@@ -289,7 +296,7 @@
         # time until it reaches the rank of the request; urgent classes come earlier.
         growth = max(1.0, rank / max(class_share, SHARE_MIN))
         room_s = math.log(growth) / SHARE_GROWTH_PER_S
-        if rule == "hopeless":
+        if rule == AdmissionRule.HOPELESS:
             # The queue has to become shorter by the time that the request lacks.
             room_s += max(0.0, candidate.expected_latency_s - timing.remaining_s)
             room_s += LATE_RETURN_PART * timing.caller_left_s
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -108,6 +108,12 @@
 
 # Meanings of the counters, except for those named after a refusal reason or a status.
 COUNTERS = {
+    "admission.floor": "Requests sent since their route or organisation would starve.",
+    "admission.hopeless": "Requests refused since they would not end within their "
+    "timeout.",
+    "admission.idle": "Requests sent since a slot was free, though others go first.",
+    "admission.sent": "Requests sent by priority and value.",
+    "admission.value": "Requests refused since others go first.",
     "log.lines_dropped": "Log lines dropped because their reader was slow.",
     "lookups.answered": "Look-ups answered with at least one host.",
     "lookups.empty": "Look-ups refused because no host was ready.",
--- a/packages/dev/src/cardamomquay_dev/catalogue.py
+++ b/packages/dev/src/cardamomquay_dev/catalogue.py
@@ -96,6 +96,7 @@
         "as `_` and `cardamomquay_` before the name. `refused.<reason>` counts as",
         "above; `requests.<status>` counts final answers, 0 for callers that left;",
         "`cardamomquay_requests_seconds_bucket` is a histogram of their latency.",
+        "`admission.<rule>` counts only for services with different priorities.",
         "",
         "| counter | meaning |",
         "| --- | --- |",
--- a/packages/dev/src/cardamomquay_dev/lab/admission.py
+++ b/packages/dev/src/cardamomquay_dev/lab/admission.py
@@ -17,6 +17,7 @@
 
 from cardamomquay.placement import AdmissionControl
 from cardamomquay.placement import AdmissionDecision
+from cardamomquay.placement import AdmissionRule
 from cardamomquay.placement import OverloadControl
 from cardamomquay.placement import ValueAdmission
 from cardamomquay_dev.lab.load_model import OBJECTIVE_S
@@ -185,12 +186,14 @@
             self._short_s, self._refused = now_s, 0
         is_due = now_s >= max(self._short_s + 0.3, self._next_s)
         if candidate.min_latency_s <= timing.remaining_s and not is_due:
-            return AdmissionDecision("sent")
+            return AdmissionDecision(AdmissionRule.SENT)
         if is_due:
             self._refused += 1
             self._next_s = now_s + 0.3 / math.sqrt(self._refused)
         delay_s = timing.caller_left_s * self._rng.uniform(0.22, 0.32)
-        return AdmissionDecision("queue", max(candidate.object_load_wait_s, delay_s))
+        return AdmissionDecision(
+            AdmissionRule.QUEUE, max(candidate.object_load_wait_s, delay_s)
+        )
 
 
 RULES: dict[str, Callable[[random.Random], AdmissionControl]] = {
--- a/packages/dev/tests/test_catalogue.py
+++ b/packages/dev/tests/test_catalogue.py
@@ -13,6 +13,7 @@
 from cardamomquay.outcomes import RETRY_MEANINGS
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.outcomes import RetryReason
+from cardamomquay.placement import AdmissionRule
 from cardamomquay_daemon._telemetry import CATALOGUE
 from cardamomquay_daemon._telemetry import COUNTERS
 from cardamomquay_daemon.edge._events import CATALOGUE as EDGE_CATALOGUE
@@ -76,6 +77,9 @@
         counted |= {"log.lines_dropped", "tasks.failed"}
         counted |= {"lookups.answered", "lookups.empty"}
         counted |= {name for name in EDGE_COUNTERS if name.startswith("store.")}
+        # Decisions of the rule that knows no priorities are not counted.
+        rules = set(AdmissionRule) - {AdmissionRule.QUEUE}
+        counted |= {f"admission.{rule}" for rule in rules}
         self.assertEqual(counted, set(EDGE_COUNTERS))
 
 
