--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -103,6 +104,10 @@
         Seconds until another request has loaded the object; 0 to send at once.
     queue_wait_s : float
         Expected seconds until a slot is free.
+    work_s : float
+        Expected seconds for which the request occupies a slot.
+    load_age_s : float
+        Age in seconds of the upstream's last load report; infinite without one.
     """
 
     upstream: Upstream
@@ -112,6 +117,8 @@
     is_warm: bool
     object_load_wait_s: float
     queue_wait_s: float
+    work_s: float = 0.0
+    load_age_s: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
@@ -310,6 +317,8 @@
             is_warm,
             object_load_wait_s,
             queue_wait_s,
+            work_s,
+            record.load_age_s(now_s),
         )
 
     @staticmethod
