Share the scarcity of regions and reject bound requests beyond it

Cause: requests of organisations that are bound to a small region were sent to upstreams that shed them, and at the end of other traffic the returning ones made up most of the requests of their callers' region.

Change: hosts count per service and region what was admitted, answered, shed and rejected in the last 2 s, and add a summary to their reports while a service is scarce in a region. Requests that may run elsewhere leave a scarce region first. Bound requests beyond its room get 503 region_full and a Retry-After at once, and a limit on the share of requests in the region applies when other traffic drops. Active only if the settings name maxShift and the configuration binds a route or organisation to regions.

--- a/packages/core/src/cardamomquay/placement/_placement.py
+++ b/packages/core/src/cardamomquay/placement/_placement.py
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
     from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from cardamomquay.placement._zone_latencies import ZoneLatencies
     from cardamomquay.traffic import Upstream
@@ -263,6 +264,11 @@
         weight = OWN_REGION_WEIGHT if is_same_region else 1.0
         return weighted_rendezvous_score(request.object_key, upstream.instance, weight)
 
+    @property
+    def region_of_zone(self) -> Mapping[str, str]:
+        """Region by availability zone."""
+        return self._zone_latencies.region_of
+
     def region_of(self, upstream: Upstream) -> str | None:
         """Return the region of an upstream; None if its zone is unknown."""
         return self._zone_latencies.region_of.get(upstream.zone)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_attempts.py
@@ -267,7 +267,9 @@
             self._warm_objects.record_warming(
                 record, upstream.instance, object_id, candidate.expected_latency_s
             )
-        self._eligibility.record_sent(upstream, self._clock.now_s())
+        self._eligibility.record_sent(
+            upstream, self._clock.now_s(), context.region_choice
+        )
         pending = self._begin_rollout_count(candidate, context)
         try:
             async with asyncio.timeout_at(context.timeout_at_s):
@@ -404,6 +406,7 @@
                 record.record_load_report(report, now_s)
         if result.outcome is AttemptOutcome.ANSWERED:
             record.record_success(now_s)
+            self._eligibility.record_answered(candidate.upstream, report, now_s)
             self._record_speed(candidate, context, record, attempt, now_s)
         elif (
             result.outcome is AttemptOutcome.NOT_SENT
@@ -418,6 +421,7 @@
             is_full = report is None or report.running >= report.slots
             if is_full:
                 record.full_until_s = now_s + FULL_DURATION_S
+                self._eligibility.record_shed(candidate.upstream, now_s)
             else:
                 # It sheds requests although it has free slots.
                 record.record_failure(now_s)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -27,18 +27,22 @@
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.placement import OverloadControl
 from cardamomquay.placement import short_id
+from cardamomquay.regional_capacity import RegionalCapacity
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
+    from collections.abc import Mapping
 
     from cardamomquay.fleet import FleetView
     from cardamomquay.gossip import Observation
     from cardamomquay.placement import Candidate
+    from cardamomquay.placement import LoadReport
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
     from cardamomquay.placement import RequestTiming
+    from cardamomquay.regional_capacity import RegionChoice
     from cardamomquay.traffic import Organisation
     from cardamomquay.traffic import Upstream
     from cardamomquay_daemon.edge._settings import Bounds
@@ -100,6 +104,7 @@
         self._retry_budgets: dict[str, FleetRetryBudget] = {}
         self._rng = random.Random()
         self._overload_control = OverloadControl(self._rng)
+        self.regions = RegionalCapacity(fleet.own.region, bounds.max_shift, self._rng)
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
         self.notices = UpstreamNotices()
@@ -142,6 +147,10 @@
         config = self._state.config
         if config is None:
             return
+        self.regions.apply_config(
+            has_bound_requests=any(route.allowed_regions for route in config.routes)
+            or any(org.allowed_regions for org in config.organisations.values())
+        )
         is_first_config = self._known_organisations is None
         known = self._known_organisations or set()
         self._known_organisations = known | set(config.organisations)
@@ -173,8 +182,38 @@
         hosts = self._fleet.host_count(now_s)
         return self._retry_budget(service).try_take(now_s, hosts)
 
-    def record_sent(self, upstream: Upstream, now_s: float) -> None:
+    @property
+    def region_of_zone(self) -> Mapping[str, str]:
+        """Region by availability zone."""
+        return self._placement.region_of_zone
+
+    def record_answered(
+        self, upstream: Upstream, report: LoadReport | None, now_s: float
+    ) -> None:
+        """Record that an upstream ran and answered a request, and its load report."""
+        region = self._placement.region_of(upstream)
+        if region is not None and self.regions.is_active:
+            is_queued = report is not None and report.waiting > report.slots
+            self.regions.record_answered(
+                upstream.service, region, now_s, is_queued=is_queued
+            )
+
+    def record_shed(self, upstream: Upstream, now_s: float) -> None:
+        """Record that an upstream shed a request since all its slots were taken."""
+        region = self._placement.region_of(upstream)
+        if region is not None and self.regions.is_active:
+            self.regions.record_shed(upstream.service, region, now_s)
+
+    def record_sent(
+        self,
+        upstream: Upstream,
+        now_s: float,
+        choice: RegionChoice | None = None,
+    ) -> None:
         """Record that a request is sent to an upstream."""
+        region = self._placement.region_of(upstream)
+        if region is not None and choice is not None and self.regions.is_active:
+            self.regions.record_sent(upstream.service, region, choice, now_s)
         self.rate_limits.record_sent(upstream.instance)
         if self.is_cold(upstream, now_s):
             self._warm_up_limiter.record_sent(
@@ -288,6 +327,7 @@
         tried: Collection[str],
         timing: RequestTiming,
         now_s: float,
+        region_choice: RegionChoice | None = None,
     ) -> Candidate | Refusal:
         """Choose an upstream for the next attempt of a request.
 
@@ -299,11 +339,14 @@
             overload.
         timing : RequestTiming
         now_s : float
+        region_choice : RegionChoice, optional
+            What was decided for the request from the room of regions.
 
         Returns
         -------
         Candidate or Refusal
         """
+        region_choice = region_choice or self.regions.begin()
         allowed = [
             upstream
             for upstream in self._of_allowed_version(request, bool(tried))
@@ -316,8 +359,9 @@
         # the set of upstreams changes.
         pauses_s = self._pauses_s(upstreams, now_s)
         waits_s = self._rate_limit_waits_s(upstreams, now_s) | pauses_s
-        candidate = self._placement.choose(
-            request, upstreams, {*tried, *waits_s} if waits_s else tried, now_s
+        excluded = {*tried, *waits_s} if waits_s else tried
+        candidate = self._choose_by_region(
+            request, upstreams, excluded, region_choice, now_s
         )
         if (
             candidate is None
@@ -339,6 +383,18 @@
             detail = "rate limits named by upstreams" if waits_s else ""
             return Refusal(reason, detail, max(RETRY_AFTER_MIN_S, retry_after_s))
         retry_delay_s = self._overload_control.retry_delay_s(candidate, timing)
+        is_refused = retry_delay_s is not None and not tried
+        rejection = self._reject_bound(
+            request,
+            allowed,
+            candidate,
+            region_choice,
+            now_s,
+            is_refused=is_refused,
+            is_retry=bool(tried),
+        )
+        if rejection is not None:
+            return rejection
         if retry_delay_s is not None and not tried:
             detail = (
                 f"best {candidate.upstream.instance} warm={candidate.is_warm} "
@@ -351,6 +407,78 @@
             return Refusal(RefusalReason.POOL_BUSY, detail, retry_delay_s)
         return candidate
 
+    def _choose_by_region(
+        self,
+        request: PlacementRequest,
+        upstreams: list[Upstream],
+        excluded: Collection[str],
+        choice: RegionChoice,
+        now_s: float,
+    ) -> Candidate | None:
+        """Choose an upstream, in a region with room if the request may run there."""
+        if not self.regions.is_active:
+            return self._placement.choose(request, upstreams, excluded, now_s)
+        regions = self._regions_of(upstreams) - {""}
+        if request.allowed_regions:
+            regions &= request.allowed_regions
+        avoided = self.regions.avoided_regions(request.service, regions, choice, now_s)
+        candidate = None
+        if avoided:
+            left = {
+                upstream.instance
+                for upstream in upstreams
+                if self._placement.region_of(upstream) in avoided
+            }
+            candidate = self._placement.choose(
+                request, upstreams, {*excluded, *left}, now_s
+            )
+        if candidate is None:
+            avoided = set()
+            candidate = self._placement.choose(request, upstreams, excluded, now_s)
+        if candidate is not None:
+            chosen = self._placement.region_of(candidate.upstream) or ""
+            self.regions.record_choice(
+                request.service, regions, avoided, chosen, choice
+            )
+        return candidate
+
+    def _regions_of(self, upstreams: Collection[Upstream]) -> set[str]:
+        return {self._placement.region_of(upstream) or "" for upstream in upstreams}
+
+    def _reject_bound(
+        self,
+        request: PlacementRequest,
+        upstreams: Collection[Upstream],
+        candidate: Candidate,
+        choice: RegionChoice,
+        now_s: float,
+        *,
+        is_refused: bool,
+        is_retry: bool,
+    ) -> Refusal | None:
+        """Return the rejection of a request that only scarce regions may run."""
+        if not self.regions.is_active or not request.allowed_regions:
+            return None
+        service = request.service
+        region = self._placement.region_of(candidate.upstream)
+        present = self._regions_of(upstreams)
+        if region is None or present <= request.allowed_regions:
+            return None
+        others = (present & request.allowed_regions) - {region}
+        if any(not self.regions.is_scarce(service, other) for other in others):
+            return None
+        if is_refused:
+            self.regions.record_refused(service, region, now_s)
+            return None
+        rejection = self.regions.admit(
+            service, region, choice, now_s, is_retry=is_retry
+        )
+        if rejection is None:
+            return None
+        return Refusal(
+            RefusalReason.REGION_FULL, rejection.detail, rejection.retry_delay_s
+        )
+
     def _of_allowed_version(
         self, request: PlacementRequest, is_retry: bool
     ) -> tuple[Upstream, ...]:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -80,6 +80,11 @@
     "zone_gateway",
     "The host began or stopped forwarding reports between its zone and the others.",
 )
+REGION_SCARCITY = LogEvent(
+    4104,
+    "region_scarcity",
+    "A service began or ceased to be scarce in a region, as seen by this host.",
+)
 ROLLOUT_CHANGED = LogEvent(6101, "rollout_changed", "A roll-out changed its state.")
 REQUEST_DONE = LogEvent(
     7101, "request_done", "A request got its final answer; `tries` lists the attempts."
@@ -113,6 +118,19 @@
     "lookups.empty": "Look-ups refused because no host was ready.",
     "peers.bytes_sent": "Bytes of reports to other hosts.",
     "peers.malformed": "Reports of other hosts that could not be read.",
+    "peers.regional_rejected": (
+        "Reports of other hosts whose summaries of regions could not be read."
+    ),
+    "regions.avoided": (
+        "Choices of an upstream that left out a region in which the service is scarce."
+    ),
+    "regions.rejected": (
+        "Requests bound to a region that were rejected for its lack of room."
+    ),
+    "regions.shift_rejected": (
+        "Requests bound to a region that were rejected because too large a share of "
+        "the requests would have run there."
+    ),
     "rows.rejected": "Rows of the store that could not be read and were skipped.",
     "requests.bodies_rejected": (
         "Requests refused because there was no memory for their body."
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -372,6 +372,7 @@
             self._telemetry.flush()
             self._peers.report_warm_objects()
             self._peers.report_due_news()
+            self._peers.regional.record_telemetry()
             await asyncio.sleep(HOUSEKEEPING_PERIOD_S)
 
     def _can_serve(self) -> bool:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_peers.py
@@ -35,11 +35,13 @@
 from cardamomquay_daemon.edge._events import UPSTREAM_RATE_LIMIT
 from cardamomquay_daemon.edge._gateway import Gateway
 from cardamomquay_daemon.edge._host_table import HostTable
+from cardamomquay_daemon.edge._regional_reports import RegionalReports
 from cardamomquay_daemon.edge._reports import HostDigest
 from cardamomquay_daemon.edge._reports import LargeFleetReport
 from cardamomquay_daemon.edge._reports import Report
 from cardamomquay_daemon.edge._reports import ReportContent
 from cardamomquay_daemon.edge._reports import RolloutReport
+from cardamomquay_daemon.edge._reports import ScarcityReport
 from cardamomquay_daemon.edge._usage_totals import UsageTotals
 
 if TYPE_CHECKING:
@@ -134,7 +136,7 @@
         self._telemetry = telemetry
         self._incarnation = incarnation
         self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Report)
+        self._decoder = msgspec.msgpack.Decoder(ScarcityReport)
         self._by_address: dict[tuple[str, int], Peer] = {}
         self._by_short_id: dict[int, Peer] = {}
         self.gateway = Gateway(
@@ -145,6 +147,9 @@
             lambda now_s: self._content(now_s, self._rollout_reports()),
             eligibility.observations,
         )
+        self.regional = RegionalReports(
+            fleet, eligibility.regions, eligibility.region_of_zone, clock, telemetry
+        )
         self.restart_watch: RestartWatch | None = None
         # Hosts of an earlier version, whose reports contain no observations.
         self._without_observations: set[str] = set()
@@ -179,7 +184,7 @@
             return
         self._apply_report(peer, report)
 
-    def _apply_report(self, peer: Peer, report: Report) -> None:
+    def _apply_report(self, peer: Peer, report: ScarcityReport) -> None:
         now_s = self._clock.now_s()
         if (
             report.incarnation == peer.incarnation
@@ -210,6 +215,8 @@
         self._apply_rate_limits(peer, report, now_s)
         self._apply_leaving(peer, report, now_s)
         self._apply_observations(peer, report, now_s)
+        transit_max_s = _transit_max_s(report, now_s)
+        self.regional.apply(peer, report.regional, transit_max_s, now_s)
         if is_new or (report.sender is not None and self._is_via_gateway(peer)):
             # The other host has no totals of this one, or the first report was lost.
             self._full_usage_sent_s.pop(peer.record.name, None)
@@ -605,7 +612,9 @@
         if name in self._without_observations:
             crashes = self._poison_guard.unidentified_entries(observations)
             observations = []
-        report = Report(
+        regional = self.regional.entries(peer, now_s)
+        report_type = partial(ScarcityReport, regional=regional) if regional else Report
+        report = report_type(
             self._incarnation,
             int(self._fleet.own_phase),
             int(now_s * 1000),
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -14,6 +14,7 @@
 from cardamomquay.placement import CallerTimeouts
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import RequestTiming
+from cardamomquay.regional_capacity import RegionChoice
 from cardamomquay.traffic import RouteKind
 from cardamomquay.traffic import WeightedRoundRobin
 from cardamomquay_daemon.edge._attempts import NOT_RUN_STATUSES
@@ -95,6 +96,8 @@
         Attempts of this host.
     fingerprint : int or None
         Identifies the same request of the same caller; None until it is needed.
+    region_choice : RegionChoice
+        What was decided from the room of regions.
     """
 
     request: CallerRequest
@@ -108,6 +111,7 @@
     caller_timeout_at_s: float = 0.0
     attempts: list[Attempt] = field(default_factory=list)
     fingerprint: int | None = None
+    region_choice: RegionChoice = field(default_factory=RegionChoice)
 
 
 class Relay:
@@ -160,6 +164,7 @@
         """Answer a request; an unexpected exception results in status 500."""
         request_id = (request.header(self._names.request_id) or b"").decode("latin-1")
         context = RequestContext(request, request_id)
+        context.region_choice = self._eligibility.regions.begin()
         try:
             result = await self._answer(context)
         except asyncio.CancelledError:
@@ -320,7 +325,11 @@
             context.caller_timeout_at_s - loop_time_s,
         )
         return self._eligibility.choose(
-            placement_request, tried, timing, self._clock.now_s()
+            placement_request,
+            tried,
+            timing,
+            self._clock.now_s(),
+            context.region_choice,
         )
 
     def _may_retry(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_reports.py
@@ -191,6 +191,22 @@
         return self.large is None or self.large.is_usage_full
 
 
+class ScarcityReport(Report, array_like=True):
+    """Report of a host while services are scarce in some region.
+
+    Other reports are sent without the further field, so that they have no more bytes.
+    Hosts of an earlier version ignore it.
+
+    Parameters
+    ----------
+    regional : list or None
+        Summaries as in `cardamomquay_daemon.edge._regional_reports`. Not checked here,
+        so that a wrong one does not make the whole report malformed.
+    """
+
+    regional: Any = None
+
+
 @dataclass(frozen=True, slots=True)
 class ReportContent:
     """Content from which the reports to several hosts are made.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -64,6 +64,9 @@
         times the factor `warm_up_overage`, plus `warm_up_slack` requests.
     directory_ttl_s : float
         Longest time for which callers may cache a look-up answer.
+    max_shift : float
+        Largest share of the requests from one region that may change the region in
+        which they run from one window of 2 s to the next; 0 for no bound.
     """
 
     drain_s: float = 2.5
@@ -82,6 +85,7 @@
     warm_up_overage: float = 1.5
     warm_up_slack: float = 5.0
     directory_ttl_s: float = 5.0
+    max_shift: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
