Reject bound requests relative to what other regions shed

Change: the admitted share is taken relative to the share that the service's other regions answer, queues that grow lower it before upstreams shed, and requests that may run anywhere leave a region only while another has room.

--- a/packages/core/src/cardamomquay/regional_capacity/_capacity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_capacity.py
@@ -54,12 +54,15 @@
         Whether the request was counted and admitted or rejected.
     is_recorded : bool
         Whether it was counted where the request is sent.
+    is_sent : bool
+        Whether an attempt was made, so that the next one is a retry.
     """
 
     draw: float = 1.0
     is_bound: bool = False
     is_decided: bool = False
     is_recorded: bool = False
+    is_sent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +131,8 @@
         self._summaries: dict[str, tuple[str, Summary]] = {}
         self._scarcities: dict[Pair, RegionScarcity] = {}
         self._shift_limits: dict[int, ShiftLimit] = {}
+        # Regions in which each service has upstreams, by short identifier.
+        self._regions: dict[int, set[int]] = {}
         self._names: dict[int, str] = {}
         self._updated_s = float("-inf")
         self._changes: list[ScarcityChange] = []
@@ -168,14 +173,14 @@
         if not self._scarcities or len(regions) < 2:
             return set()
         self.update(now_s)
-        known = {region: self._scarcity(service, region) for region in regions}
-        if all(s is not None and s.is_scarce for s in known.values()):
-            return set()
-        return {
-            region
-            for region, scarcity in known.items()
-            if scarcity is not None and choice.draw < scarcity.avoided_share
-        }
+        avoided = set()
+        for region in regions:
+            service_id, region_id = self._pair(service, region)
+            self._regions.setdefault(service_id, set()).add(region_id)
+            scarcity = self._scarcities.get((service_id, region_id))
+            if scarcity is not None and choice.draw < scarcity.avoided_share:
+                avoided.add(region)
+        return avoided if len(avoided) < len(regions) else set()
 
     def record_choice(
         self,
@@ -190,24 +195,18 @@
             return
         choice.is_recorded = True
         for region in regions:
-            scarcity = self._scarcity(service, region)
+            scarcity = self.scarcity(service, region)
             if scarcity is not None and region not in avoided:
                 scarcity.record_flexible(is_here=chosen == region)
         self.avoided_count += bool(avoided)
 
     def is_scarce(self, service: str, region: str) -> bool:
         """Return whether a service has no room in a region."""
-        scarcity = self._scarcity(service, region)
+        scarcity = self.scarcity(service, region)
         return scarcity is not None and scarcity.is_scarce
 
     def admit(
-        self,
-        service: str,
-        region: str,
-        choice: RegionChoice,
-        now_s: float,
-        *,
-        is_retry: bool = False,
+        self, service: str, region: str, choice: RegionChoice, now_s: float
     ) -> RegionRejection | None:
         """Decide whether a bound request may be sent to its region.
 
@@ -217,8 +216,6 @@
         choice : RegionChoice
             Of the request, which is counted once.
         now_s : float
-        is_retry : bool, default=False
-            Whether an upstream has shed the request before.
 
         Returns
         -------
@@ -229,7 +226,7 @@
         self.update(now_s)
         scarcity = self._scarcities.get(pair)
         if choice.is_decided:
-            if is_retry and scarcity is not None and scarcity.is_flooded:
+            if choice.is_sent and scarcity is not None and scarcity.is_flooded:
                 return self._rejection(region, scarcity, "no room for a retry")
             return None
         choice.is_decided = choice.is_bound = True
@@ -270,7 +267,7 @@
         return self._rng.uniform(*RETRY_DELAY_S)
 
     def record_refused(self, service: str, region: str, now_s: float) -> None:
-        """Record that the host's own admission refused a bound request."""
+        """Record that the host's own admission refused a request for a region."""
         self._counts.add((self._pair(service, region), Count.REFUSED), now_s)
 
     def record_sent(
@@ -278,6 +275,7 @@
     ) -> None:
         """Record an attempt to send a request to an upstream."""
         pair = self._pair(service, region)
+        choice.is_sent = True
         if not choice.is_bound:
             self._counts.add((pair, Count.FLEXIBLE), now_s)
         for limited, limit in self._shift_limits.items():
@@ -296,7 +294,7 @@
         service, region : str
         now_s : float
         is_queued : bool
-            Whether more requests than it has slots were waiting there.
+            Whether more than one request for two of its slots was waiting there.
         """
         pair = self._pair(service, region)
         self._counts.add((pair, Count.ANSWERED), now_s)
@@ -403,16 +401,28 @@
             if pair not in self._scarcities and lacking(total):
                 self._scarcities[pair] = RegionScarcity(self._max_shift, now_s)
         for pair, scarcity in list(self._scarcities.items()):
-            self._update_scarcity(
-                pair, scarcity, sums.get(pair, [0] * len(Count)), now_s
-            )
+            self._update_scarcity(pair, scarcity, sums, now_s)
         self._update_shift_limits(now_s)
 
     def _update_scarcity(
-        self, pair: Pair, scarcity: RegionScarcity, counts: list[int], now_s: float
+        self,
+        pair: Pair,
+        scarcity: RegionScarcity,
+        sums: dict[Pair, list[int]],
+        now_s: float,
     ) -> None:
         was_scarce = scarcity.is_scarce
-        scarcity.update(counts, now_s)
+        others = self._regions.get(pair[0], set()) - {pair[1]}
+        rooms = [self._scarcities.get((pair[0], region)) for region in others]
+        others_have_room = any(room is None or room.has_room for room in rooms)
+        nothing = [0] * len(Count)
+        elsewhere = [sums.get((pair[0], region), nothing) for region in others]
+        scarcity.update(
+            sums.get(pair, nothing),
+            [sum(counts) for counts in zip(nothing, *elsewhere, strict=True)],
+            now_s,
+            others_have_room=others_have_room,
+        )
         if scarcity.is_scarce != was_scarce:
             self._changes.append(
                 ScarcityChange(
@@ -460,7 +470,8 @@
             own.setdefault(pair, [0] * len(Count))[count] += number
         return {pair: tuple(counts) for pair, counts in own.items()}
 
-    def _scarcity(self, service: str, region: str) -> RegionScarcity | None:
+    def scarcity(self, service: str, region: str) -> RegionScarcity | None:
+        """Return what is known of a service in a region; None if it has room."""
         return self._scarcities.get(self._pair(service, region))
 
     def _pair(self, service: str, region: str) -> Pair:
--- a/packages/core/src/cardamomquay/regional_capacity/_counts.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_counts.py
@@ -24,8 +24,8 @@
 
     `ADMITTED` counts bound requests for which the region had room and `REJECTED` those
     that the host rejected for its lack of room; `FLEXIBLE` counts attempts of other
-    requests. `ANSWERED` and `SHED` count attempts of both. `REFUSED` counts bound
-    requests that the host's own admission refused before.
+    requests. `ANSWERED` and `SHED` count attempts of both. `REFUSED` counts
+    requests of both kinds that the host's own admission refused before.
     """
 
     ADMITTED = 0
--- a/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
@@ -17,22 +17,27 @@
 # many in all. Single upstreams shed a few percent while others have free slots.
 SCARCE_PRESSURE = 0.15
 SCARCE_LACKING_MIN = 8
+# Requests leave another region for this one only below this share, well before this one
+# becomes scarce too.
+ROOM_PRESSURE = 0.08
 # It ceases to be scarce once the share has been below this for `RELEASE_S`.
 RELEASED_PRESSURE = 0.03
 RELEASE_S = 2.0
 # The share of bound requests that is admitted aims at this much more than is answered
 # if nothing was shed or queued, so that new room is found within seconds. From
-# `SHED_TARGET` or `QUEUED_TARGET` on it aims at no more, and at less above. With queues
-# of about one request per slot, slots stay busy although arrivals vary; longer queues
-# only make answers later, and outlast the traffic of other requests.
+# `SHED_TARGET` or `QUEUED_TARGET` on it aims at no more, and at less above. With short
+# queues slots stay busy although arrivals vary; longer ones only make answers later,
+# and outlast the traffic of other requests.
 PROBE_SHARE = 0.15
-SHED_TARGET = 0.06
+SHED_TARGET = 0.03
 QUEUED_TARGET = 0.4
 # Largest share by which it aims at less, as a multiple of `PROBE_SHARE`.
 BACK_OFF_MAX = 0.7
 # Time constant with which the admitted share follows the counts. They are up to 3 s
 # old, so a faster change would overshoot.
 ADMITTED_SHARE_TIME_S = 0.8
+# Smallest share of attempts that is taken to be answered in other regions.
+SERVED_ELSEWHERE_MIN = 0.1
 # A few requests are always sent, so that room is found again after an outage.
 ADMITTED_SHARE_MIN = 0.02
 # Requests that have left a region return more slowly than they left, and only after
@@ -83,8 +88,27 @@
         self.avoided_share = 0.0
         self.counts: Sequence[int] = (0,) * len(Count)
 
-    def update(self, counts: Sequence[int], now_s: float) -> None:
-        """Apply the counts of all hosts."""
+    def update(
+        self,
+        counts: Sequence[int],
+        elsewhere: Sequence[int],
+        now_s: float,
+        *,
+        others_have_room: bool,
+    ) -> None:
+        """Apply the counts of all hosts.
+
+        Parameters
+        ----------
+        counts : sequence of int
+            In the order of `Count`.
+        elsewhere : sequence of int
+            Sums of the service's other regions.
+        now_s : float
+        others_have_room : bool
+            Whether the service has room in another region. Otherwise requests that may
+            run anywhere stay, or they would leave all the room here to bound ones.
+        """
         elapsed_s = min(STEP_MAX_S, max(0.0, now_s - self._updated_s))
         self._updated_s = now_s
         self.counts = counts
@@ -98,11 +122,13 @@
         if self.is_scarce:
             self._scarce_s = now_s
         weight = 1.0 - math.exp(-elapsed_s / ADMITTED_SHARE_TIME_S)
-        self.admitted_share += weight * (self._served_share() - self.admitted_share)
-        self._update_avoided_share(elapsed_s, now_s)
+        self.admitted_share += weight * (
+            self._served_share(elsewhere) - self.admitted_share
+        )
+        self._update_avoided_share(elapsed_s, now_s, others_have_room=others_have_room)
 
-    def _served_share(self) -> float:
-        """Return the share of the bound requests that the region can serve."""
+    def _served_share(self, elsewhere: Sequence[int]) -> float:
+        """Return the share of the bound requests that should be sent."""
         if not self.is_scarce:
             return 1.0
         admitted, rejected = self.counts[Count.ADMITTED], self.counts[Count.REJECTED]
@@ -110,9 +136,20 @@
         ended = answered + shed
         if ended == 0 or admitted + rejected == 0:
             return self.admitted_share
-        queued_share = self.counts[Count.QUEUED] / max(1, answered)
-        fill = max(shed / ended / SHED_TARGET, queued_share / QUEUED_TARGET)
+        # If all regions shed, bound requests are shed like the others. Rejecting a part
+        # of them before would leave the region to requests that may run anywhere.
+        shed_elsewhere = elsewhere[Count.SHED] / max(
+            1, elsewhere[Count.SHED] + elsewhere[Count.ANSWERED]
+        )
+        queued_elsewhere = elsewhere[Count.QUEUED] / max(1, elsewhere[Count.ANSWERED])
+        fill = max(
+            shed / ended / max(SHED_TARGET, 1.1 * shed_elsewhere),
+            self.counts[Count.QUEUED]
+            / max(1, answered)
+            / max(QUEUED_TARGET, queued_elsewhere),
+        )
         factor = 1.0 + PROBE_SHARE * max(-BACK_OFF_MAX, 1.0 - fill)
+        factor /= max(SERVED_ELSEWHERE_MIN, 1.0 - shed_elsewhere)
         # The counts are seconds old, so the answered share is that of requests admitted
         # with the share of that time, not with the present one.
         share = factor * admitted / (admitted + rejected) * answered / ended
@@ -122,14 +159,23 @@
         fair_share = factor * answered / offered
         return min(1.0, max(share, fair_share, ADMITTED_SHARE_MIN))
 
-    def _update_avoided_share(self, elapsed_s: float, now_s: float) -> None:
+    def _update_avoided_share(
+        self, elapsed_s: float, now_s: float, *, others_have_room: bool
+    ) -> None:
         budget = LEAVING_MARGIN * self._max_shift * elapsed_s / WINDOW_S
         step = budget / max(HOME_SHARE_MIN, self.home_share)
-        if self.is_scarce:
+        if not others_have_room:
+            self.avoided_share = max(0.0, self.avoided_share - step)
+        elif self.is_scarce:
             self.avoided_share = min(1.0, self.avoided_share + step)
         elif now_s - self._scarce_s >= RETURN_DELAY_S:
             self.avoided_share = max(0.0, self.avoided_share - RETURN_SPEED * step)
 
+    @property
+    def has_room(self) -> bool:
+        """Whether requests that leave another region may come here."""
+        return not self.is_scarce and pressure(self.counts) < ROOM_PRESSURE
+
     @property
     def home_share(self) -> float:
         """Share of the requests that may run elsewhere that would run here."""
--- a/packages/core/tests/regional_capacity/regional_fleet.py
+++ b/packages/core/tests/regional_capacity/regional_fleet.py
@@ -8,6 +8,7 @@
 from collections import deque
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -68,6 +69,10 @@
         Share of the reports that are lost.
     max_shift : float
         0 for hosts that decide nothing by region.
+    seed : int
+    scale : int
+        Factor of the rates and the numbers of upstreams; the counts of a window vary
+        less with a larger one.
     """
 
     def __init__(
@@ -77,7 +82,9 @@
         loss_share: float = 0.0,
         max_shift: float = MAX_SHIFT,
         seed: int = 1,
+        scale: int = 1,
     ) -> None:
+        self.scale = scale
         self.rng = Random(seed)
         self.rates = (flexible_per_s, bound_per_s)
         self.loss_share = loss_share
@@ -86,7 +93,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = itertools.count()
         self.upstreams = {
-            region: [Upstream(region) for _ in range(count)]
+            region: [Upstream(region) for _ in range(scale * count)]
             for region, count in UPSTREAMS.items()
         }
         self.hosts = [
@@ -100,7 +107,7 @@
         ]
         for host in self.hosts:
             host.capacity.apply_config(has_bound_requests=True)
-            self.after(self.rng.uniform(0.0, 1.0), lambda host=host: self.report(host))
+            self.after(self.rng.uniform(0.0, 1.0), partial(self.report, host))
         # Requests that upstreams began to run, by window, callers' region and region.
         self.runs: dict[int, dict[str, Counter[str]]] = {}
         # Events by their name, the kind of request and its region, and the window.
@@ -122,7 +129,7 @@
                 heapq.heappop(self._events)[2]()
             elapsed_s = self.now_s - self.started_s
             for kind, rate in enumerate(self.rates):
-                expected = rate(elapsed_s) * step_s
+                expected = self.scale * rate(elapsed_s) * step_s
                 count = int(expected) + (self.rng.random() < expected % 1.0)
                 for _ in range(count):
                     allowed = frozenset(("west",) if kind else ())
@@ -140,12 +147,8 @@
             is_lost = self.rng.random() < self.loss_share
             if is_lost or host.is_cut_off or other.is_cut_off:
                 continue
-            self.after(
-                LATENCY_S,
-                lambda other=other: other.capacity.apply_summary(
-                    host.name, host.region, summary
-                ),
-            )
+            apply = other.capacity.apply_summary
+            self.after(LATENCY_S, partial(apply, host.name, host.region, summary))
 
     def note(self, event: str, request: Request) -> None:
         kind = "bound" if request.allowed else "flexible"
@@ -219,7 +222,7 @@
 
     def result(self, request: Request, upstream: Upstream, *, is_shed: bool) -> None:
         capacity = request.host.capacity
-        is_queued = len(upstream.waiting) > SLOTS
+        is_queued = 2 * len(upstream.waiting) > SLOTS
 
         def record() -> None:
             if is_shed:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -193,7 +193,7 @@
         """Record that an upstream ran and answered a request, and its load report."""
         region = self._placement.region_of(upstream)
         if region is not None and self.regions.is_active:
-            is_queued = report is not None and report.waiting > report.slots
+            is_queued = report is not None and 2 * report.waiting > report.slots
             self.regions.record_answered(
                 upstream.service, region, now_s, is_queued=is_queued
             )
@@ -383,18 +383,13 @@
             detail = "rate limits named by upstreams" if waits_s else ""
             return Refusal(reason, detail, max(RETRY_AFTER_MIN_S, retry_after_s))
         retry_delay_s = self._overload_control.retry_delay_s(candidate, timing)
-        is_refused = retry_delay_s is not None and not tried
-        rejection = self._reject_bound(
-            request,
-            allowed,
-            candidate,
-            region_choice,
-            now_s,
-            is_refused=is_refused,
-            is_retry=bool(tried),
-        )
-        if rejection is not None:
-            return rejection
+        if self.regions.is_active:
+            is_refused = retry_delay_s is not None and not tried
+            rejection = self._apply_region(
+                request, allowed, candidate, region_choice, now_s, is_refused=is_refused
+            )
+            if rejection is not None:
+                return rejection
         if retry_delay_s is not None and not tried:
             detail = (
                 f"best {candidate.upstream.instance} warm={candidate.is_warm} "
@@ -445,7 +440,7 @@
     def _regions_of(self, upstreams: Collection[Upstream]) -> set[str]:
         return {self._placement.region_of(upstream) or "" for upstream in upstreams}
 
-    def _reject_bound(
+    def _apply_region(
         self,
         request: PlacementRequest,
         upstreams: Collection[Upstream],
@@ -454,25 +449,22 @@
         now_s: float,
         *,
         is_refused: bool,
-        is_retry: bool,
     ) -> Refusal | None:
-        """Return the rejection of a request that only scarce regions may run."""
-        if not self.regions.is_active or not request.allowed_regions:
-            return None
+        """Count a choice; return the rejection of a request bound to scarce regions."""
         service = request.service
         region = self._placement.region_of(candidate.upstream)
+        if region is None:
+            return None
+        if is_refused:
+            self.regions.record_refused(service, region, now_s)
+            return None
         present = self._regions_of(upstreams)
-        if region is None or present <= request.allowed_regions:
+        if not request.allowed_regions or present <= request.allowed_regions:
             return None
         others = (present & request.allowed_regions) - {region}
         if any(not self.regions.is_scarce(service, other) for other in others):
             return None
-        if is_refused:
-            self.regions.record_refused(service, region, now_s)
-            return None
-        rejection = self.regions.admit(
-            service, region, choice, now_s, is_retry=is_retry
-        )
+        rejection = self.regions.admit(service, region, choice, now_s)
         if rejection is None:
             return None
         return Refusal(
