--- a/packages/core/src/cardamomquay/regional_capacity/_capacity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_capacity.py
@@ -131,7 +131,7 @@
         self._summaries: dict[str, tuple[str, Summary]] = {}
         self._scarcities: dict[Pair, RegionScarcity] = {}
         self._shift_limits: dict[int, ShiftLimit] = {}
-        # Regions in which each service has upstreams, by short identifier.
+        # Regions in which each service has had upstreams, by short identifier.
         self._regions: dict[int, set[int]] = {}
         self._names: dict[int, str] = {}
         self._updated_s = float("-inf")
@@ -170,14 +170,17 @@
         -------
         set of str
         """
-        if not self._scarcities or len(regions) < 2:
+        if len(regions) < 2:
+            return set()
+        pairs = {region: self._pair(service, region) for region in regions}
+        for service_id, region_id in pairs.values():
+            self._regions.setdefault(service_id, set()).add(region_id)
+        if not self._scarcities:
             return set()
         self.update(now_s)
         avoided = set()
-        for region in regions:
-            service_id, region_id = self._pair(service, region)
-            self._regions.setdefault(service_id, set()).add(region_id)
-            scarcity = self._scarcities.get((service_id, region_id))
+        for region, pair in pairs.items():
+            scarcity = self._scarcities.get(pair)
             if scarcity is not None and choice.draw < scarcity.avoided_share:
                 avoided.add(region)
         return avoided if len(avoided) < len(regions) else set()
--- a/packages/daemon/src/cardamomquay_daemon/edge/_regional_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_regional_reports.py
@@ -119,7 +119,8 @@
         self._clock = clock
         self._telemetry = telemetry
         self._sent_s: dict[str, float] = {}
-        self._counted = {"avoided": 0, "rejected": 0, "shift_rejected": 0}
+        # Counts of avoided and rejected requests that the telemetry has.
+        self._counted = (0, 0, 0)
 
     def entries(self, receiver: Peer, now_s: float) -> list[SummaryEntry]:
         """Return the summaries for a report; empty while nothing is scarce."""
@@ -213,12 +214,19 @@
                     for count, value in zip(Count, scarcity.counts, strict=True)
                 },
             )
-        totals = {
-            "avoided": capacity.avoided_count,
-            "rejected": capacity.rejected_count,
-            "shift_rejected": capacity.shift_rejected_count,
-        }
-        for name, total in totals.items():
-            if total > self._counted[name]:
-                self._telemetry.count(f"regions.{name}", total - self._counted[name])
-        self._counted = totals
+        avoided, rejected, shift_rejected = self._counted
+        self._counted = (
+            capacity.avoided_count,
+            capacity.rejected_count,
+            capacity.shift_rejected_count,
+        )
+        if capacity.avoided_count > avoided:
+            self._telemetry.count("regions.avoided", capacity.avoided_count - avoided)
+        if capacity.rejected_count > rejected:
+            self._telemetry.count(
+                "regions.rejected", capacity.rejected_count - rejected
+            )
+        if capacity.shift_rejected_count > shift_rejected:
+            self._telemetry.count(
+                "regions.shift_rejected", capacity.shift_rejected_count - shift_rejected
+            )
