Give refused requests of a scarce region the reason region_full

Cause: a bound request that the host's own admission refused while its region was scarce got a retry delay of up to a third of its time, and so came back after the end of other traffic more often.

Change: it gets the reason and the short delay of other rejections for lack of room.

--- a/packages/core/src/cardamomquay/regional_capacity/_capacity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_capacity.py
@@ -263,16 +263,30 @@
             f"answered={counts[Count.ANSWERED]} shed={counts[Count.SHED]} "
             f"age={self._summary_age_s(self._updated_s):.2f}"
         )
-        return RegionRejection(self.retry_delay_s(), detail)
-
-    def retry_delay_s(self) -> float:
-        """Return a retry delay for a request that a scarce region has no room for."""
-        return self._rng.uniform(*RETRY_DELAY_S)
+        return RegionRejection(self._rng.uniform(*RETRY_DELAY_S), detail)
 
     def record_refused(self, service: str, region: str, now_s: float) -> None:
         """Record that the host's own admission refused a request for a region."""
         self._counts.add((self._pair(service, region), Count.REFUSED), now_s)
 
+    def explain_refused(self, service: str, region: str) -> RegionRejection | None:
+        """Return the rejection of a bound request that the own admission refused.
+
+        Parameters
+        ----------
+        service, region : str
+
+        Returns
+        -------
+        RegionRejection or None
+            None if the region is not scarce, so that it is not the cause.
+        """
+        scarcity = self.scarcity(service, region)
+        if scarcity is None or not scarcity.is_scarce:
+            return None
+        self.rejected_count += 1
+        return self._rejection(region, scarcity, "refused by the host's own admission")
+
     def record_sent(
         self, service: str, region: str, choice: RegionChoice, now_s: float
     ) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -457,14 +457,17 @@
             return None
         if is_refused:
             self.regions.record_refused(service, region, now_s)
-            return None
         present = self._regions_of(upstreams)
         if not request.allowed_regions or present <= request.allowed_regions:
             return None
         others = (present & request.allowed_regions) - {region}
         if any(not self.regions.is_scarce(service, other) for other in others):
             return None
-        rejection = self.regions.admit(service, region, choice, now_s)
+        rejection = (
+            self.regions.explain_refused(service, region)
+            if is_refused
+            else self.regions.admit(service, region, choice, now_s)
+        )
         if rejection is None:
             return None
         return Refusal(
