Let hosts with mostly bound callers send, and find new room sooner

Cause: the shift limit compared each host with the distribution of its whole region, so that a host whose callers are all bound ones sent 2 of 100 requests. After the end of a burst, bound requests were rejected for up to 20 s, since the admitted share grew by at most 0.15 in a round of counts.

Change: a host's own distribution counts where it has more bound requests, and the limit does not apply to a host that sends nothing elsewhere. The admitted share grows by up to 0.6 in a round while no upstream has a queue. After the end of other requests, none that was saved up before is sent.

--- a/packages/core/src/cardamomquay/regional_capacity/_capacity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_capacity.py
@@ -237,6 +237,8 @@
             self._counts.add((pair, Count.ADMITTED), now_s)
             return None
         limit = self._shift_limits.get(pair[1])
+        if limit is not None:
+            limit.record_offered(scarcity.admitted_share, now_s)
         if limit is not None and not limit.permits(now_s):
             # Not counted as rejected for lack of room, or the region would stay scarce
             # for as long as such requests arrive.
--- a/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
@@ -24,18 +24,20 @@
 RELEASED_PRESSURE = 0.03
 RELEASE_S = 2.0
 # The share of bound requests that is admitted aims at this much more than is answered
-# if nothing was shed or queued, so that new room is found within seconds. From
-# `SHED_TARGET` or `QUEUED_TARGET` on it aims at no more, and at less above. With short
-# queues slots stay busy although arrivals vary; longer ones only make answers later,
-# and outlast the traffic of other requests.
-PROBE_SHARE = 0.15
+# if nothing was shed or queued, so that new room is found within seconds, and at less
+# the closer the shed or queued share is to its target. With short queues slots stay
+# busy although arrivals vary; longer ones only make answers later, and outlast the
+# traffic of other requests.
+PROBE_SHARE = 0.6
 SHED_TARGET = 0.03
-QUEUED_TARGET = 0.4
-# Largest share by which it aims at less, as a multiple of `PROBE_SHARE`.
-BACK_OFF_MAX = 0.7
+QUEUED_TARGET = 0.6
+# Above a target it aims at less than is answered, by this share for each multiple of
+# the target, and at most by the second.
+BACK_OFF_SHARE = 0.15
+BACK_OFF_MAX = 0.1
 # Time constant with which the admitted share follows the counts. They are up to 3 s
 # old, so a faster change would overshoot.
-ADMITTED_SHARE_TIME_S = 0.8
+ADMITTED_SHARE_TIME_S = 0.5
 # Smallest share of attempts that is taken to be answered in other regions.
 SERVED_ELSEWHERE_MIN = 0.1
 # A few requests are always sent, so that room is found again after an outage.
@@ -148,7 +150,10 @@
             / max(1, answered)
             / max(QUEUED_TARGET, queued_elsewhere),
         )
-        factor = 1.0 + PROBE_SHARE * max(-BACK_OFF_MAX, 1.0 - fill)
+        if fill < 1.0:
+            factor = 1.0 + PROBE_SHARE * (1.0 - fill) ** 2
+        else:
+            factor = 1.0 - min(BACK_OFF_MAX, BACK_OFF_SHARE * (fill - 1.0))
         factor /= max(SERVED_ELSEWHERE_MIN, 1.0 - shed_elsewhere)
         # The counts are seconds old, so the answered share is that of requests admitted
         # with the share of that time, not with the present one.
--- a/packages/core/src/cardamomquay/regional_capacity/_shift_limit.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_shift_limit.py
@@ -9,8 +9,6 @@
 import math
 from typing import TYPE_CHECKING
 
-from cardamomquay.regional_capacity._counts import WINDOW_S
-
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
@@ -30,10 +28,17 @@
 SLOW_RATE_S = 3.0
 # Other traffic counts as ending while its fast rate is below this share of the slow.
 DROP_SHARE = 0.4
+# Weight of the region's distribution in that of the host's own requests, in requests.
+REFERENCE_WEIGHT = 3.0
+# Smallest number of requests in other regions, decayed with `SLOW_RATE_S`, whose end is
+# noticed. With fewer, the fast rate is often 0 by chance.
+ELSEWHERE_MIN = 4.0
 # Number of requests by which a host may exceed the share while traffic goes on, and the
-# largest number that it may save up.
+# number that it may save up unless one request elsewhere permits more.
 BURST = 3.0
 SAVED_MAX = 1.0
+# Smallest share of requests elsewhere with which the permitted number is computed.
+PERMITTED_SHARE_MIN = 0.01
 
 
 class ShiftLimit:
@@ -51,8 +56,12 @@
         self._max_shift = max_shift
         self._reference: tuple[float, float] | None = None
         self._saved = 0.0
+        self._was_ending = False
         self._updated_s = now_s
-        self._fast = self._slow = 0.0
+        # Requests sent to other regions, and bound ones that the region has room for,
+        # that decay.
+        self._fast = self._slow = self._slow_here = 0.0
+        self._elsewhere_s = -math.inf
 
     def update_reference(
         self, region: int, runs: Mapping[int, int], now_s: float
@@ -72,21 +81,39 @@
             self._reference = (runs.get(region, 0) / total, now_s)
 
     def share_max(self, now_s: float) -> float:
-        """Return the largest share of the requests that may run in the region."""
+        """Return the largest share of the requests that may run in the region.
+
+        A host whose own callers send more requests to the region than those of the
+        other hosts may go on to do so.
+        """
         if self._reference is None or now_s - self._reference[1] > REFERENCE_KEEP_S:
             return 1.0
-        return min(1.0, self._reference[0] + SHIFT_MARGIN * self._max_shift)
+        share = self._reference[0]
+        own = self._slow + self._slow_here + REFERENCE_WEIGHT
+        own_share = (self._slow_here + REFERENCE_WEIGHT * share) / own
+        return min(1.0, max(share, own_share) + SHIFT_MARGIN * self._max_shift)
 
     def record_elsewhere(self, now_s: float) -> None:
         """Record that a request is sent to another region."""
         self._decay(now_s)
+        self._elsewhere_s = now_s
         self._fast += 1.0
         self._slow += 1.0
         share = self.share_max(now_s)
-        if share < 1.0:
-            self._saved = min(SAVED_MAX, self._saved + share / (1.0 - share))
-        else:
-            self._saved = SAVED_MAX
+        permitted = share / max(1.0 - share, PERMITTED_SHARE_MIN)
+        self._saved = min(max(SAVED_MAX, permitted), self._saved + permitted)
+
+    def record_offered(self, admitted_share: float, now_s: float) -> None:
+        """Record a bound request.
+
+        Parameters
+        ----------
+        admitted_share : float
+            Share of the bound requests that the region has room for.
+        now_s : float
+        """
+        self._decay(now_s)
+        self._slow_here += admitted_share
 
     def record_here(self) -> None:
         """Record that a request is sent to the region."""
@@ -94,14 +121,20 @@
 
     def permits(self, now_s: float) -> bool:
         """Return whether one more bound request may be sent to the region."""
-        if self.share_max(now_s) >= 1.0:
+        if self.share_max(now_s) >= 1.0 or now_s - self._elsewhere_s > REFERENCE_KEEP_S:
             return True
         self._decay(now_s)
         if self._is_ending():
+            # Only requests sent elsewhere from now on permit further ones.
+            self._saved = min(self._saved, 0.0) if not self._was_ending else self._saved
+            self._was_ending = True
             return self._saved > 0.0
+        self._was_ending = False
         return self._saved > 1.0 - BURST
 
     def _is_ending(self) -> bool:
+        if self._slow < ELSEWHERE_MIN:
+            return False
         return self._fast / self._fast_time_s() < DROP_SHARE * self._slow / SLOW_RATE_S
 
     def _fast_time_s(self) -> float:
@@ -116,8 +149,6 @@
         self._updated_s = now_s
         fast = math.exp(-elapsed_s / self._fast_time_s())
         self._fast *= fast
-        if self._saved > 0.0:
-            # What was saved is meant for the next requests, not for those after the
-            # end of the traffic.
-            self._saved *= math.exp(-elapsed_s / WINDOW_S)
-        self._slow *= math.exp(-elapsed_s / SLOW_RATE_S)
+        slow = math.exp(-elapsed_s / SLOW_RATE_S)
+        self._slow *= slow
+        self._slow_here *= slow
