--- a/packages/core/src/cardamomquay/placement/_value_admission.py
+++ b/packages/core/src/cardamomquay/placement/_value_admission.py
@@ -345,10 +345,13 @@
     """Return whether a request would be in time if it did not have to wait.
 
     If it is late even at a free slot, the estimate of its work may be wrong, and only
-    sending such requests corrects it.
+    sending such requests corrects it. They also load their objects.
     """
     candidate, timing = request.candidate, request.timing
-    without_wait_s = candidate.expected_latency_s - _wait_s(candidate)
+    wait_s = _wait_s(candidate)
+    if wait_s <= IDLE_QUEUE_MAX_S and candidate.min_latency_s <= timing.remaining_s:
+        return False
+    without_wait_s = candidate.expected_latency_s - wait_s
     return (
         candidate.min_latency_s > timing.remaining_s
         or without_wait_s <= timing.remaining_s
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -31,21 +31,25 @@
 from cardamomquay.placement import OverloadControl
 from cardamomquay.placement import ValueAdmission
 from cardamomquay.placement import short_id
+from cardamomquay.regional_capacity import RegionalCapacity
 from cardamomquay.rollouts import RolloutOutcome
 from cardamomquay.traffic import UpstreamState
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Collection
+    from collections.abc import Mapping
 
     from cardamomquay.fleet import FleetView
     from cardamomquay.gossip import Observation
     from cardamomquay.placement import AdmissionControl
     from cardamomquay.placement import Candidate
     from cardamomquay.placement import FleetScarcity
+    from cardamomquay.placement import LoadReport
     from cardamomquay.placement import Placement
     from cardamomquay.placement import PlacementRequest
     from cardamomquay.placement import RequestTiming
+    from cardamomquay.regional_capacity import RegionChoice
     from cardamomquay.traffic import Organisation
     from cardamomquay.traffic import Upstream
     from cardamomquay_daemon.edge._settings import Bounds
@@ -115,6 +119,7 @@
         self._overload_control = OverloadControl(self._rng)
         self.value_admission = ValueAdmission(self._rng, scarcity)
         self._count = count
+        self.regions = RegionalCapacity(fleet.own.region, bounds.max_shift, self._rng)
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
         self.rate_limits = UpstreamRateLimits(fleet.own.name)
         self.notices = UpstreamNotices()
@@ -157,6 +162,10 @@
         config = self._state.config
         if config is None:
             return
+        self.regions.apply_config(
+            has_bound_requests=any(route.allowed_regions for route in config.routes)
+            or any(org.allowed_regions for org in config.organisations.values())
+        )
         is_first_config = self._known_organisations is None
         known = self._known_organisations or set()
         self._known_organisations = known | set(config.organisations)
@@ -188,8 +197,38 @@
         hosts = self._fleet.host_count(now_s)
         return self._retry_budget(service).try_take(now_s, hosts)
 
-    def record_sent(self, upstream: Upstream, now_s: float) -> None:
+    @property
+    def region_of_zone(self) -> Mapping[str, str]:
+        """Region by availability zone."""
+        return self._placement.region_of_zone
+
+    def record_answered(
+        self, upstream: Upstream, report: LoadReport | None, now_s: float
+    ) -> None:
+        """Record that an upstream ran and answered a request, and its load report."""
+        region = self._placement.region_of(upstream)
+        if region is not None and self.regions.is_active:
+            is_queued = report is not None and 2 * report.waiting > report.slots
+            self.regions.record_answered(
+                upstream.service, region, now_s, is_queued=is_queued
+            )
+
+    def record_shed(self, upstream: Upstream, now_s: float) -> None:
+        """Record that an upstream shed a request since all its slots were taken."""
+        region = self._placement.region_of(upstream)
+        if region is not None and self.regions.is_active:
+            self.regions.record_shed(upstream.service, region, now_s)
+
+    def record_sent(
+        self,
+        upstream: Upstream,
+        now_s: float,
+        choice: RegionChoice | None = None,
+    ) -> None:
         """Record that a request is sent to an upstream."""
+        region = self._placement.region_of(upstream)
+        if region is not None and choice is not None and self.regions.is_active:
+            self.regions.record_sent(upstream.service, region, choice, now_s)
         self.rate_limits.record_sent(upstream.instance)
         if self.is_cold(upstream, now_s):
             self._warm_up_limiter.record_sent(
@@ -304,6 +343,7 @@
         timing: RequestTiming,
         now_s: float,
         claim: AdmissionClaim | None = None,
+        region_choice: RegionChoice | None = None,
     ) -> Candidate | Refusal:
         """Choose an upstream for the next attempt of a request.
 
@@ -317,11 +357,14 @@
         now_s : float
         claim : AdmissionClaim, optional
             Used if the requests of the service have different priorities.
+        region_choice : RegionChoice, optional
+            What was decided for the request from the room of regions.
 
         Returns
         -------
         Candidate or Refusal
         """
+        region_choice = region_choice or self.regions.begin()
         allowed = [
             upstream
             for upstream in self._of_allowed_version(request, bool(tried))
@@ -334,8 +377,9 @@
         # the set of upstreams changes.
         pauses_s = self._pauses_s(upstreams, now_s)
         waits_s = self._rate_limit_waits_s(upstreams, now_s) | pauses_s
-        candidate = self._placement.choose(
-            request, upstreams, {*tried, *waits_s} if waits_s else tried, now_s
+        excluded = {*tried, *waits_s} if waits_s else tried
+        candidate = self._choose_by_region(
+            request, upstreams, excluded, region_choice, now_s
         )
         if (
             candidate is None
@@ -359,6 +403,17 @@
         refusal = self._overload_refusal(
             request, candidate, timing, claim, bool(tried), now_s
         )
+        if self.regions.is_active:
+            rejection = self._apply_region(
+                request,
+                allowed,
+                candidate,
+                region_choice,
+                now_s,
+                is_refused=refusal is not None,
+            )
+            if rejection is not None:
+                return rejection
         return refusal or candidate
 
     def _overload_refusal(
@@ -405,6 +460,78 @@
             detail += f" rule={decision.rule}"
         return Refusal(RefusalReason.POOL_BUSY, detail, decision.retry_delay_s)
 
+    def _choose_by_region(
+        self,
+        request: PlacementRequest,
+        upstreams: list[Upstream],
+        excluded: Collection[str],
+        choice: RegionChoice,
+        now_s: float,
+    ) -> Candidate | None:
+        """Choose an upstream, in a region with room if the request may run there."""
+        if not self.regions.is_active:
+            return self._placement.choose(request, upstreams, excluded, now_s)
+        regions = self._regions_of(upstreams) - {""}
+        if request.allowed_regions:
+            regions &= request.allowed_regions
+        avoided = self.regions.avoided_regions(request.service, regions, choice, now_s)
+        candidate = None
+        if avoided:
+            left = {
+                upstream.instance
+                for upstream in upstreams
+                if self._placement.region_of(upstream) in avoided
+            }
+            candidate = self._placement.choose(
+                request, upstreams, {*excluded, *left}, now_s
+            )
+        if candidate is None:
+            avoided = set()
+            candidate = self._placement.choose(request, upstreams, excluded, now_s)
+        if candidate is not None:
+            chosen = self._placement.region_of(candidate.upstream) or ""
+            self.regions.record_choice(
+                request.service, regions, avoided, chosen, choice
+            )
+        return candidate
+
+    def _regions_of(self, upstreams: Collection[Upstream]) -> set[str]:
+        return {self._placement.region_of(upstream) or "" for upstream in upstreams}
+
+    def _apply_region(
+        self,
+        request: PlacementRequest,
+        upstreams: Collection[Upstream],
+        candidate: Candidate,
+        choice: RegionChoice,
+        now_s: float,
+        *,
+        is_refused: bool,
+    ) -> Refusal | None:
+        """Count a choice; return the rejection of a request bound to scarce regions."""
+        service = request.service
+        region = self._placement.region_of(candidate.upstream)
+        if region is None:
+            return None
+        if is_refused:
+            self.regions.record_refused(service, region, now_s)
+        present = self._regions_of(upstreams)
+        if not request.allowed_regions or present <= request.allowed_regions:
+            return None
+        others = (present & request.allowed_regions) - {region}
+        if any(not self.regions.is_scarce(service, other) for other in others):
+            return None
+        rejection = (
+            self.regions.explain_refused(service, region)
+            if is_refused
+            else self.regions.admit(service, region, choice, now_s)
+        )
+        if rejection is None:
+            return None
+        return Refusal(
+            RefusalReason.REGION_FULL, rejection.detail, rejection.retry_delay_s
+        )
+
     def _of_allowed_version(
         self, request: PlacementRequest, is_retry: bool
     ) -> tuple[Upstream, ...]:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -15,6 +15,7 @@
 from cardamomquay.placement import CallerTimeouts
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import RequestTiming
+from cardamomquay.regional_capacity import RegionChoice
 from cardamomquay.traffic import RouteKind
 from cardamomquay.traffic import WeightedRoundRobin
 from cardamomquay_daemon.edge._attempts import NOT_RUN_STATUSES
@@ -103,6 +104,8 @@
         Attempts of this host.
     fingerprint : int or None
         Identifies the same request of the same caller; None until it is needed.
+    region_choice : RegionChoice
+        What was decided from the room of regions.
     """
 
     request: CallerRequest
@@ -118,6 +121,7 @@
     is_admitted: bool = False
     attempts: list[Attempt] = field(default_factory=list)
     fingerprint: int | None = None
+    region_choice: RegionChoice = field(default_factory=RegionChoice)
 
 
 class Relay:
@@ -170,6 +174,7 @@
         """Answer a request; an unexpected exception results in status 500."""
         request_id = (request.header(self._names.request_id) or b"").decode("latin-1")
         context = RequestContext(request, request_id)
+        context.region_choice = self._eligibility.regions.begin()
         try:
             result = await self._answer(context)
         except asyncio.CancelledError:
@@ -341,7 +346,12 @@
             context.is_admitted,
         )
         result = self._eligibility.choose(
-            placement_request, tried, timing, self._clock.now_s(), claim
+            placement_request,
+            tried,
+            timing,
+            self._clock.now_s(),
+            claim,
+            context.region_choice,
         )
         context.is_admitted = not isinstance(result, Refusal)
         return result
