Decide in the core who ends when memory or connections run out

A host counts only request bodies over 64 KiB, and refuses whoever comes next. The new CallerBudget counts everything that a caller's connection makes the host hold, in the order of the last progress. If memory or connections run out, those without progress for the longest time end; never one on whose request an upstream may be at work, and a small holding only for another small one. Nothing uses it yet.

--- /dev/null
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -0,0 +1,166 @@
+from __future__ import annotations
+
+import unittest
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from cardamomquay.caller_memory import CallerBudget
+from cardamomquay.caller_memory import Holding
+from cardamomquay.caller_memory._budget import SMALL_BYTES
+
+LARGE = 2 * SMALL_BYTES
+LIMIT = 20 * LARGE
+
+
+class BudgetCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.budget = CallerBudget(LIMIT, 1000)
+
+    def held(
+        self, size: int, progress_s: float = 0.0, *, is_protected: bool = False
+    ) -> Holding:
+        holding = Holding(progress_s)
+        self.assertTrue(self.budget.open(holding).is_granted)
+        self.assertTrue(self.budget.resize(holding, size).is_granted)
+        if is_protected:
+            self.budget.set_protected(holding, progress_s, is_protected=True)
+        return holding
+
+
+class WhoEndsTest(BudgetCase):
+    """Guards against ending requests that run, or those that make progress."""
+
+    def test_the_longest_without_progress_ends_first(self) -> None:
+        crowd = [self.held(LARGE, n) for n in range(18)]
+        self.budget.record_progress(crowd[0], 100.0)
+        newcomer = self.held(0, 101.0)
+        decision = self.budget.resize(newcomer, LARGE)
+        self.assertTrue(decision.is_granted)
+        self.assertEqual(decision.ended[0], crowd[1])
+        self.assertNotIn(crowd[0], decision.ended)
+
+    def test_one_without_progress_is_refused_itself(self) -> None:
+        stalled = self.held(LARGE)
+        for _ in range(17):
+            self.held(LARGE, 1.0)
+        decision = self.budget.resize(stalled, 2 * LARGE)
+        self.assertFalse(decision.is_granted)
+        self.assertEqual(decision.ended, ())
+        self.assertEqual(self.budget.used_bytes, 18 * LARGE)
+
+    def test_a_request_at_an_upstream_never_ends(self) -> None:
+        for n in range(18):
+            self.held(LARGE, n, is_protected=True)
+        newcomer = self.held(0, 100.0)
+        decision = self.budget.resize(newcomer, LARGE)
+        self.assertFalse(decision.is_granted)
+        self.assertEqual(decision.ended, ())
+
+    def test_nobody_ends_if_that_makes_no_room(self) -> None:
+        for n in range(17):
+            self.held(LARGE, n, is_protected=True)
+        self.held(LARGE, 50.0)
+        newcomer = self.held(0, 100.0)
+        decision = self.budget.resize(newcomer, 3 * LARGE)
+        self.assertFalse(decision.is_granted)
+        self.assertEqual(decision.ended, ())
+
+    def test_a_small_request_has_room_beside_large_ones_that_run(self) -> None:
+        for n in range(18):
+            self.held(LARGE, n, is_protected=True)
+        self.assertTrue(self.budget.resize(self.held(0, 1.0), SMALL_BYTES).is_granted)
+
+    def test_small_ones_end_only_for_small_ones(self) -> None:
+        crowd = [self.held(SMALL_BYTES, n) for n in range(40)]
+        large = self.held(0, 100.0)
+        self.assertFalse(self.budget.resize(large, LARGE).is_granted)
+        decision = self.budget.resize(large, SMALL_BYTES)
+        self.assertTrue(decision.is_granted)
+        self.assertEqual(decision.ended[0], crowd[0])
+
+    def test_what_is_held_already_counts_in_any_case(self) -> None:
+        for n in range(18):
+            self.held(LARGE, n, is_protected=True)
+        answered = self.held(0, 100.0)
+        self.budget.resize(answered, 5 * LARGE, is_needed=True)
+        self.assertEqual(self.budget.used_bytes, 23 * LARGE)
+
+
+class ConnectionsTest(BudgetCase):
+    """Guards against more connections than descriptors."""
+
+    def setUp(self) -> None:
+        self.budget = CallerBudget(LIMIT, 3)
+
+    def test_the_longest_without_progress_makes_room(self) -> None:
+        first, second, _ = (self.held(1, n) for n in range(3))
+        self.budget.set_protected(first, 3.0, is_protected=True)
+        self.assertEqual(self.budget.open(Holding(4.0)).ended, (second,))
+        self.assertEqual(self.budget.connection_count, 3)
+
+    def test_a_connection_is_refused_while_upstreams_work_for_all(self) -> None:
+        for n in range(3):
+            self.held(1, n, is_protected=True)
+        self.assertFalse(self.budget.open(Holding(4.0)).is_granted)
+        self.assertEqual(self.budget.connection_count, 3)
+
+
+class StalledTest(BudgetCase):
+    """Guards against unfinished requests that hold memory for ever, or end in calm."""
+
+    def test_calm(self) -> None:
+        for _ in range(10):
+            self.held(LARGE)
+        self.assertEqual(self.budget.end_stalled(1e6, 3.0), ())
+
+    def test_pressure(self) -> None:
+        running = self.held(LARGE, is_protected=True)
+        crowd = [self.held(LARGE) for _ in range(12)]
+        fresh = self.held(LARGE, 99.0)
+        self.assertEqual(self.budget.end_stalled(100.0, 3.0), tuple(crowd[:4]))
+        self.assertEqual(self.budget.used_bytes, 10 * LARGE)
+        self.assertFalse(running.has_to_end or fresh.has_to_end)
+
+
+class InvariantsTest(unittest.TestCase):
+    """Guards against sums that drift, whatever the order of the calls."""
+
+    @settings(max_examples=200, deadline=None, derandomize=True)
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 7),
+                st.sampled_from(("open", "close", "grow", "shrink", "run", "end")),
+                st.integers(1, LIMIT),
+            ),
+            max_size=60,
+        )
+    )
+    def test_sums(self, steps: list[tuple[int, str, int]]) -> None:
+        budget = CallerBudget(LIMIT, 5)
+        holdings: dict[int, Holding] = {}
+        for now_s, (key, action, size) in enumerate(steps):
+            holding = holdings.setdefault(key, Holding(0.0))
+            running = {h for h in holdings.values() if h.is_protected}
+            ended: tuple[Holding, ...] = ()
+            if action == "open":
+                holding = holdings[key] = (
+                    Holding(now_s) if holding.has_to_end else (holding)
+                )
+                if holding.size_bytes == 0 and not holding.is_protected:
+                    budget.close(holding)
+                    ended = budget.open(holding).ended
+            elif action == "close":
+                budget.close(holding)
+                holdings[key] = Holding(now_s)
+            elif action in ("grow", "shrink"):
+                ended = budget.resize(holding, size).ended
+            else:
+                budget.set_protected(holding, now_s, is_protected=action == "run")
+            self.assertFalse(running & set(ended))
+            sizes = sum(h.size_bytes for h in holdings.values())
+            self.assertEqual(budget.used_bytes, sizes)
+            self.assertLessEqual(budget.used_bytes, LIMIT)
+            self.assertLessEqual(budget.connection_count, 5)
