Read all sockets into one buffer, and return freed memory to the system

asyncio.Protocol allocates 256 KiB for each read and shrinks it, and growing bodies move in the heap: both leave holes, so that a host needed twice the memory of the bodies that it held. All streams now read into one buffer of 64 KiB, and 2 KiB once 2 MiB were read in one iteration of the event loop, since nothing is parsed within it.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -9,15 +9,49 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# With more unread bytes than this, reading from the socket is paused.
+# Unread bytes of an answer; more delay the reading of other answers.
 HIGH_WATER_BYTES = 262_144
+# Bytes read from a socket at once, and once `READ_PER_TURN_BYTES` have been read from
+# all sockets in one iteration of the event loop. Nothing is parsed within it, so that a
+# thousand sockets would hold 64 MiB otherwise.
+READ_BYTES = 65_536
+READ_BYTES_LATER = 2048
+READ_PER_TURN_BYTES = 2_097_152
+# All connections read into the same buffer, since its bytes are taken over before the
+# event loop reads from another socket. Buffers of their own, which `asyncio.Protocol`
+# allocates for 256 KiB and shrinks, leave holes in the heap.
+_READ_BUFFER = memoryview(bytearray(READ_BYTES))
 # A connection to a server ends with an error if sent bytes stay unacknowledged for this
 # long (TCP_USER_TIMEOUT). A server that has become unreachable causes no other error.
 # The timeout must exceed a round trip between regions, which takes about 0.1 s.
 UNACKNOWLEDGED_TIMEOUT_MS = 1000
 
 
-class ByteStream(asyncio.Protocol):
+class _ReadTurn:
+    """Counts the bytes that were read in one iteration of the event loop."""
+
+    def __init__(self) -> None:
+        self.read_bytes = 0
+        self._loop: asyncio.AbstractEventLoop | None = None
+
+    def add(self, size_bytes: int) -> None:
+        """Count bytes until the next iteration."""
+        loop = asyncio.get_running_loop()
+        if self._loop is not loop:
+            self._loop = loop
+            self.read_bytes = 0
+            loop.call_soon(self._reset)
+        self.read_bytes += size_bytes
+
+    def _reset(self) -> None:
+        self._loop = None
+        self.read_bytes = 0
+
+
+_READ_TURN = _ReadTurn()
+
+
+class ByteStream(asyncio.BufferedProtocol):
     """Reads from and writes to one connection.
 
     Parameters
@@ -27,6 +61,9 @@
         long; 0 for the default of the operating system.
     """
 
+    # With more unread bytes than this, reading from the socket is paused.
+    high_water_bytes = HIGH_WATER_BYTES
+
     def __init__(self, unacknowledged_timeout_ms: int = 0) -> None:
         self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
         self._received = bytearray()
@@ -57,18 +94,28 @@
                 self._unacknowledged_timeout_ms,
             )
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        if _READ_TURN.read_bytes < READ_PER_TURN_BYTES:
+            return _READ_BUFFER
+        return _READ_BUFFER[:READ_BYTES_LATER]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        _READ_TURN.add(nbytes)
+        self.data_received(_READ_BUFFER[:nbytes])
+
+    def data_received(self, data: bytes | memoryview) -> None:
+        """Take over bytes that were read from the socket."""
         self._received += data
         self.last_received_s = asyncio.get_running_loop().time()
-        if len(self._received) > HIGH_WATER_BYTES and not self._paused:
+        if len(self._received) > self.high_water_bytes and not self._paused:
             self._paused = True
             self.transport.pause_reading()
-        self._wake()
+        self.wake()
 
     def eof_received(self) -> bool:
         self._ended = True
         self._record_end_by_peer()
-        self._wake()
+        self.wake()
         return True
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -78,7 +125,7 @@
         if isinstance(exc, ConnectionResetError | BrokenPipeError):
             self._record_end_by_peer()
         self._can_write.set()
-        self._wake()
+        self.wake()
 
     def _record_end_by_peer(self) -> None:
         if not self.was_ended_by_peer:
@@ -153,7 +200,8 @@
         """Close the connection at once; queued bytes are lost."""
         self.transport.abort()
 
-    def _wake(self) -> None:
+    def wake(self) -> None:
+        """End a `read` that waits; it returns no bytes."""
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -17,6 +17,7 @@
 from cardamomquay.placement import Placement
 from cardamomquay.placement import ZoneLatencies
 from cardamomquay.traffic import RequestLimits
+from cardamomquay_daemon.edge._allocator import return_freed_memory
 from cardamomquay_daemon.edge._attempts import AttemptSender
 from cardamomquay_daemon.edge._caller_conn import CallerConnection
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
@@ -453,4 +454,5 @@
         host = EdgeHost(settings, caller_protocol, platform, telemetry, reload)
         return await host.run()
 
+    return_freed_memory()
     return asyncio.run(main())
