Bound all that callers make a host hold, and end who makes no progress

A crowd of callers that stop within their requests took a host over its memory: only bodies over 64 KiB were counted, and whoever came next was refused while those that had stopped kept theirs. Heads, framing, pipelined requests, unread answers and connections were bounded by nothing, and each connection parsed 64 events in an iteration of the event loop.

Each connection now reports what it holds to CallerBudget, which replaces RequestBodies, and ends as that decides: a request that is being read gets 503, an idle connection is closed without an answer, one with an unread answer is reset. Answers are written in parts. One log line a second (callers_ended) replaces a line for each refusal.

Tests of test_caller_conn that used RequestBodies now give the budget for two large bodies; its sum holds connections too, which they subtract. The count of refusals is read from the counter.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -5,25 +5,24 @@
 import asyncio
 import random
 from collections import deque
-from contextlib import contextmanager
 from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 from typing import TYPE_CHECKING
 from typing import Protocol
 
 import h11
 
+from cardamomquay.caller_memory import Holding
 from cardamomquay_daemon.edge._byte_stream import ByteStream
-from cardamomquay_daemon.edge._http_client import EVENTS_PER_TURN
-from cardamomquay_daemon.edge._request_bodies import BodyMemoryError
-from cardamomquay_daemon.edge._request_bodies import RequestBodies
-from cardamomquay_daemon.edge._request_bodies import RequestBody
+from cardamomquay_daemon.edge._caller_memory import CallerMemory
+from cardamomquay_daemon.edge._parse_turns import EVENTS_BEFORE_TURNS
+from cardamomquay_daemon.edge._parse_turns import EVENTS_PER_TURN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
-    from collections.abc import Generator
 
     from cardamomquay_daemon.edge._http_client import Headers
 
@@ -33,12 +32,26 @@
 BODILESS_STATUSES = frozenset((204, 304))
 # Methods that change no state (RFC 9110, section 9.2.1).
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
-# Retry delays of requests for whose bodies there is no memory, spread so that their
-# callers do not return together.
-BODY_RETRY_AFTER_S = (0.5, 1.5)
+# Retry delays of requests for which there is no memory, spread so that their callers do
+# not return together.
+MEMORY_RETRY_AFTER_S = (0.5, 1.5)
 # After a rejection, bytes of the request are read and dropped for this long: closing
 # the connection at once would reset it, and the caller might not receive the answer.
 REJECTION_LINGER_S = 1.0
+# Bytes that a caller has sent and that are not parsed yet; more stay in the kernel.
+UNREAD_BYTES_MAX = 65_536
+# A request makes progress when it grows by this much. A caller that sends a byte now
+# and then would otherwise seem to make progress all the time.
+PROGRESS_BYTES = 1024
+# Memory of a connection without a request: measured as 8 to 11 KB.
+CONNECTION_BYTES = 10_240
+# Memory of a header beside its bytes, as tuples and objects of the parser.
+HEADER_BYTES = 320
+# A body is counted in steps of this size, since a chunk may have a single byte.
+BODY_STEP_BYTES = 8192
+# An answer is written in parts of this size, since the transport copies what it cannot
+# send at once.
+ANSWER_PART_BYTES = 65_536
 
 
 @dataclass(slots=True)
@@ -125,15 +138,16 @@
         self.retry_after_s = retry_after_s
 
 
-@contextmanager
-def _rejecting_without_memory() -> Generator[None]:
-    """Reject the request if there is no memory for its body."""
-    try:
-        yield
-    except BodyMemoryError as exc:
-        retry_after_s = random.uniform(*BODY_RETRY_AFTER_S)
-        reason = "no memory for the request body"
-        raise _RequestError(503, reason, retry_after_s) from exc
+def _memory_error() -> _RequestError:
+    """Return the rejection of a request for which there is no memory."""
+    retry_after_s = random.uniform(*MEMORY_RETRY_AFTER_S)
+    return _RequestError(503, "no memory for the request", retry_after_s)
+
+
+def _head_bytes(head: h11.Request) -> int:
+    """Return the memory that a head takes, which many short headers multiply."""
+    size = len(head.target) + HEADER_BYTES * len(head.headers)
+    return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
 def _content_length(head: h11.Request) -> int:
@@ -145,8 +159,21 @@
 
 @dataclass(slots=True)
 class _PendingRequest:
+    """A request that is being handled, or whose answer is being written.
+
+    Parameters
+    ----------
+    parser : h11.Connection
+    is_head : bool
+        Whether the answer has no body.
+    size_bytes : int
+        Memory of the request, and of its answer once there is one.
+    task : asyncio.Task of CallerAnswer
+    """
+
     parser: h11.Connection
-    request: CallerRequest
+    is_head: bool
+    size_bytes: int
     task: asyncio.Task[CallerAnswer]
 
 
@@ -163,20 +190,34 @@
         Returns whether the host is stopping; answers then close the connection.
     connections : set of CallerConnection
         Set that contains the connection while it is open.
-    bodies : RequestBodies, optional
-        Memory for the bodies of all connections.
+    memory : CallerMemory, optional
+        Memory and processor time for the requests and answers of all connections.
     """
 
+    high_water_bytes = UNREAD_BYTES_MAX
+
     def __init__(
         self,
         handle: RequestHandler,
         limits: Callable[[], ReadLimits],
         is_stopping: Callable[[], bool],
         connections: set[CallerConnection],
-        bodies: RequestBodies | None = None,
+        memory: CallerMemory | None = None,
     ) -> None:
         super().__init__()
-        self._bodies = bodies or RequestBodies()
+        self._memory = memory or CallerMemory()
+        self._holding = Holding(0.0)
+        # Received bytes since the last progress, bytes that the parser has not used,
+        # and memory of the head and the body of the request that is being read.
+        self._received_since_progress = 0
+        self._parser_bytes = 0
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._pending_bytes = 0
+        # Whether the request that is being read has to be rejected, and whether its
+        # remaining bytes are dropped.
+        self._must_reject = False
+        self._is_dropping = False
         self._handle = handle
         self._limits = limits
         self._is_stopping = is_stopping
@@ -190,10 +231,74 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self._connections.add(self)
         loop = asyncio.get_running_loop()
+        self._holding.progress_s = loop.time()
+        if not self._memory.open(self._holding, self._end_for_memory):
+            self._closing = True
+            self.abort()
+            return
+        self._connections.add(self)
+        self._account()
         self._read_task = loop.create_task(self._read_requests())
 
+    def data_received(self, data: bytes | memoryview) -> None:
+        if self._is_dropping or self._must_reject:
+            return
+        super().data_received(data)
+        self._received_since_progress += len(data)
+        if self._received_since_progress >= PROGRESS_BYTES:
+            self._record_progress()
+        if not self._account():
+            self._reject_for_memory()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._memory.close(self._holding)
+        super().connection_lost(exc)
+
+    async def read(self) -> bytes:
+        data = await super().read()
+        if self._must_reject:
+            raise _memory_error()
+        return data
+
+    def _account(self, *, is_needed: bool = False) -> bool:
+        """Count what the connection holds; return whether there is memory for it."""
+        size = (
+            CONNECTION_BYTES
+            + len(self._received)
+            + self._parser_bytes
+            + self._head_bytes
+            + self._body_bytes
+            + self._pending_bytes
+            + self.unsent_bytes
+        )
+        return self._memory.resize(self._holding, size, is_needed=is_needed)
+
+    def _record_progress(self) -> None:
+        self._received_since_progress = 0
+        self._memory.budget.record_progress(
+            self._holding, asyncio.get_running_loop().time()
+        )
+
+    def _reject_for_memory(self) -> None:
+        """Reject the request that is being read, once earlier ones are answered."""
+        if not self._must_reject:
+            self._must_reject = True
+            self._memory.record_refused()
+            self._received.clear()
+            self.wake()
+
+    def _end_for_memory(self, *, must_close: bool) -> None:
+        """Reject the request that is being read, or close the connection at once."""
+        has_request = bool(self._head_bytes or self._parser_bytes or self._received)
+        is_answering = bool(self._pending) or self.unsent_bytes > 0
+        if must_close or is_answering or self._closing or not has_request:
+            self._closing = True
+            self._cancel_and_close()
+            self.abort()
+        else:
+            self._reject_for_memory()
+
     @property
     def is_busy(self) -> bool:
         """Whether a request has been read and not yet answered."""
@@ -201,6 +306,7 @@
 
     async def _read_requests(self) -> None:
         parser = self._new_parser()
+        rejection: _RequestError | None = None
         try:
             while not self._closing:
                 if await self._read_and_dispatch(parser):
@@ -212,37 +318,44 @@
                 if not await self.read():
                     break
         except _RequestError as exc:
-            await self._reject(parser, exc)
+            # The traceback refers to the body of the request.
+            rejection = exc.with_traceback(None)
+            rejection.__context__ = rejection.__cause__ = None
         except OSError:
             # The caller has reset the connection; `finally` cancels its requests.
             self._ended = True
         finally:
+            if rejection is not None:
+                is_sent = await self._reject(parser, rejection)
+                # Its buffer may hold bytes of the rejected request.
+                del parser
+                if is_sent:
+                    await self._drop_rest()
+                self._closing = True
             if self._has_caller_disconnected() or not self._pending:
                 self._cancel_and_close()
 
     async def _read_and_dispatch(self, parser: h11.Connection) -> bool:
         """Read a request and start handling it; return whether it is the last one."""
-        body = RequestBody(self._bodies)
-        request: CallerRequest | None = None
         try:
-            request = await self._read_request(parser, body)
+            request = await self._read_request(parser)
+            return request is None or await self._dispatch(parser, request)
         finally:
-            if request is None:
-                body.release()
-        return request is None or await self._dispatch(parser, request, body)
+            if self._head_bytes or self._body_bytes:
+                self._head_bytes = self._body_bytes = 0
+                self._account(is_needed=True)
 
     def _has_caller_disconnected(self) -> bool:
         """Whether no more bytes can arrive from the caller."""
         return self._ended
 
-    async def _read_request(
-        self, parser: h11.Connection, body: RequestBody
-    ) -> CallerRequest | None:
+    async def _read_request(self, parser: h11.Connection) -> CallerRequest | None:
         """Read a request; return None if the connection ends or idles too long."""
         limits = self._limits()
         head: h11.Request | None = None
-        timeout_s = limits.idle_timeout_s
-        event_count = 0
+        # A list of chunks would take several times the memory if they are small.
+        body = bytearray()
+        event_count = EVENTS_PER_TURN - EVENTS_BEFORE_TURNS
         while True:
             try:
                 event = parser.next_event()
@@ -250,42 +363,63 @@
                 raise _RequestError(exc.error_status_hint, str(exc)) from exc
             event_count += 1
             if event_count % EVENTS_PER_TURN == 0:
-                await asyncio.sleep(0)
+                await self._memory.turns.next()
+                if self._must_reject:
+                    raise _memory_error()
             if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue and not self._pending:
-                    informational = h11.InformationalResponse(
-                        status_code=100, headers=[]
-                    )
-                    self.write(parser.send(informational) or b"")
-                request_has_started = head is not None or bool(parser.trailing_data[0])
-                data = await self._read_with_timeout(
-                    request_has_started, timeout_s, limits
-                )
-                if not data:
+                if not await self._receive(parser, head is not None, limits):
                     return None
-                parser.receive_data(data)
             elif isinstance(event, h11.Request):
                 if event.method == b"CONNECT":
                     raise _RequestError(501, "tunnels are not supported")
                 head = event
-                with _rejecting_without_memory():
-                    body.reserve(min(_content_length(event), limits.max_body_bytes))
+                self._head_bytes = _head_bytes(event)
+                self._reserve_body(min(_content_length(event), limits.max_body_bytes))
             elif isinstance(event, h11.Data):
-                if len(body.received) + len(event.data) > limits.max_body_bytes:
-                    raise _RequestError(413, "request body exceeds the limit")
-                with _rejecting_without_memory():
-                    body.append(event.data)
+                self._append(body, event.data, limits.max_body_bytes)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return CallerRequest(
                     head.method,
                     head.target,
                     list(head.headers),
-                    body.received,
+                    body,
                     asyncio.get_running_loop().time(),
                 )
             else:
                 return None
 
+    async def _receive(
+        self, parser: h11.Connection, has_head: bool, limits: ReadLimits
+    ) -> bool:
+        """Read bytes for the parser; return False if the connection ends."""
+        if parser.they_are_waiting_for_100_continue and not self._pending:
+            informational = h11.InformationalResponse(status_code=100, headers=[])
+            self.write(parser.send(informational) or b"")
+        unparsed = parser.trailing_data[0]
+        self._parser_bytes = len(unparsed)
+        data = await self._read_with_timeout(
+            has_head or bool(unparsed), limits.idle_timeout_s, limits
+        )
+        if not data:
+            return False
+        parser.receive_data(data)
+        self._parser_bytes += len(data)
+        return True
+
+    def _append(self, body: bytearray, chunk: bytes, max_bytes: int) -> None:
+        size_bytes = len(body) + len(chunk)
+        if size_bytes > max_bytes:
+            raise _RequestError(413, "request body exceeds the limit")
+        if size_bytes > self._body_bytes:
+            self._reserve_body(size_bytes + BODY_STEP_BYTES)
+        body += chunk
+
+    def _reserve_body(self, size_bytes: int) -> None:
+        self._body_bytes = size_bytes
+        if not self._account():
+            self._memory.record_refused()
+            raise _memory_error()
+
     async def _read_with_timeout(
         self, request_has_started: bool, idle_timeout_s: float, limits: ReadLimits
     ) -> bytes:
@@ -306,9 +440,7 @@
                 if not self._pending:
                     return b""
 
-    async def _dispatch(
-        self, parser: h11.Connection, request: CallerRequest, body: RequestBody
-    ) -> bool:
+    async def _dispatch(self, parser: h11.Connection, request: CallerRequest) -> bool:
         """Start handling a request; return whether it is the connection's last."""
         while self._pending and (
             len(self._pending) >= PIPELINED_REQUESTS_MAX
@@ -321,16 +453,43 @@
             self._pending_reduced.clear()
             await self._pending_reduced.wait()
             if self._closing or self._has_caller_disconnected():
-                body.release()
                 return True
+        if self._must_reject:
+            raise _memory_error()
+        # The parser is kept for the answer, with the bytes that follow the request.
+        rest_bytes = len(parser.trailing_data[0])
+        size_bytes = self._head_bytes + len(request.body) + rest_bytes
+        self._head_bytes = self._body_bytes = 0
+        self._pending_bytes += size_bytes
+        if rest_bytes and not self._account():
+            self._pending_bytes -= size_bytes
+            self._memory.record_refused()
+            raise _memory_error()
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._handle(request))
-        task.add_done_callback(lambda _: body.release())
-        self._pending.append(_PendingRequest(parser, request, task))
+        pending = _PendingRequest(parser, request.method == b"HEAD", size_bytes, task)
+        self._pending.append(pending)
+        self._memory.budget.set_protected(self._holding, loop.time(), is_protected=True)
+        task.add_done_callback(partial(self._on_handled, pending))
         if self._write_task is None:
             self._write_task = loop.create_task(self._write_answers())
         return parser.their_state is not h11.DONE
 
+    def _on_handled(
+        self, pending: _PendingRequest, task: asyncio.Task[CallerAnswer]
+    ) -> None:
+        """Count the answer in place of the request, which is released."""
+        size_bytes = 0
+        if not task.cancelled() and task.exception() is None:
+            size_bytes = len(task.result().body)
+        self._pending_bytes += size_bytes - pending.size_bytes
+        pending.size_bytes = size_bytes
+        if all(other.task.done() for other in self._pending):
+            self._memory.budget.set_protected(
+                self._holding, asyncio.get_running_loop().time(), is_protected=False
+            )
+        self._account(is_needed=True)
+
     async def _write_answers(self) -> None:
         try:
             await self._write_pending_answers()
@@ -350,19 +509,20 @@
                 answer = await pending.task
             except asyncio.CancelledError:
                 break
-            self._write_answer(pending.parser, pending.request, answer)
-            await self.drain()
+            await self._write_answer(pending.parser, answer, is_head=pending.is_head)
             if not self._pending:
                 # The caller disconnected while the answer was sent.
                 break
             self._pending.popleft()
+            self._pending_bytes -= pending.size_bytes
+            self._account(is_needed=True)
             self._pending_reduced.set()
             if pending.parser.our_state is not h11.DONE:
                 self._closing = True
                 break
 
-    def _write_answer(
-        self, parser: h11.Connection, request: CallerRequest, answer: CallerAnswer
+    async def _write_answer(
+        self, parser: h11.Connection, answer: CallerAnswer, *, is_head: bool
     ) -> None:
         headers = list(answer.headers)
         if answer.status not in BODILESS_STATUSES:
@@ -372,28 +532,52 @@
             headers.append((b"connection", b"close"))
         data = parser.send(h11.Response(status_code=answer.status, headers=headers))
         data = data or b""
-        if answer.body and request.method != b"HEAD":
-            data += parser.send(h11.Data(data=answer.body)) or b""
-        data += parser.send(h11.EndOfMessage()) or b""
-        self.write(data)
+        body = b"" if is_head else answer.body
+        if body:
+            # The parser only checks the length, and returns the body as it is.
+            parser.send_with_data_passthrough(h11.Data(data=body))
+        parser.send(h11.EndOfMessage())
+        self.write(data + body[:ANSWER_PART_BYTES])
+        if self.unsent_bytes:
+            self._account(is_needed=True)
+            await self.drain()
+        with memoryview(body) as view:
+            for start in range(ANSWER_PART_BYTES, len(view), ANSWER_PART_BYTES):
+                if self.has_ended:
+                    break
+                self._record_progress()
+                self.write(view[start : start + ANSWER_PART_BYTES])
+                self._account(is_needed=True)
+                await self.drain()
 
-    async def _reject(self, parser: h11.Connection, exc: _RequestError) -> None:
+    async def _reject(self, parser: h11.Connection, exc: _RequestError) -> bool:
+        """Reject a request after earlier answers; return whether that was possible."""
         while self._pending and not self._has_caller_disconnected():
             self._pending_reduced.clear()
             await self._pending_reduced.wait()
-        if self._closing or self._has_caller_disconnected():
-            return
-        if parser.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"content-length", b"0"), (b"connection", b"close")]
-            if exc.retry_after_s is not None:
-                headers.append((b"retry-after", f"{exc.retry_after_s:.2f}".encode()))
-            data = parser.send(h11.Response(status_code=exc.status, headers=headers))
-            self.write((data or b"") + (parser.send(h11.EndOfMessage()) or b""))
-            await self._drop_rest()
-        self._closing = True
+        if (
+            self._closing
+            or self._has_caller_disconnected()
+            or parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+        ):
+            return False
+        headers = [(b"content-length", b"0"), (b"connection", b"close")]
+        if exc.retry_after_s is not None:
+            headers.append((b"retry-after", f"{exc.retry_after_s:.2f}".encode()))
+        data = parser.send(h11.Response(status_code=exc.status, headers=headers))
+        self.write((data or b"") + (parser.send(h11.EndOfMessage()) or b""))
+        return True
 
     async def _drop_rest(self) -> None:
         """Read and drop what the caller still sends of a rejected request."""
+        self._must_reject = False
+        self._is_dropping = True
+        self._received.clear()
+        self._parser_bytes = 0
+        self._account(is_needed=True)
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
         self.transport.write_eof()
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(REJECTION_LINGER_S):
--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -99,10 +99,11 @@
     "A request under suspicion got a complete answer at this host, or one at another "
     "host ended its quarantine.",
 )
-BODY_REJECTED = LogEvent(
+CALLERS_ENDED = LogEvent(
     7105,
-    "request_body_rejected",
-    "A request was refused because there was no memory for its body.",
+    "callers_ended",
+    "Requests were refused or connections closed for memory or descriptors; at most "
+    "one line a second.",
 )
 TASK_FAILED = LogEvent(9101, "edge_task_failed", "A task raised an exception.")
 
@@ -115,7 +116,13 @@
     "peers.malformed": "Reports of other hosts that could not be read.",
     "rows.rejected": "Rows of the store that could not be read and were skipped.",
     "requests.bodies_rejected": (
-        "Requests refused because there was no memory for their body."
+        "Requests refused because there was no memory for them."
+    ),
+    "callers.ended": (
+        "Connections without progress that gave way for memory or descriptors."
+    ),
+    "callers.connections_refused": (
+        "Connections closed at once because requests ran on all others."
     ),
     "store.operator_calls": "Reads of the operator's rows.",
     "store.operator_failed": "Reads of the operator's rows without a usable answer.",
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -10,6 +10,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+from cardamomquay.caller_memory import CallerBudget
 from cardamomquay.clock import SystemClock
 from cardamomquay.fleet import FleetView
 from cardamomquay.fleet import HostPhase
@@ -21,9 +22,9 @@
 from cardamomquay_daemon.edge._attempts import AttemptSender
 from cardamomquay_daemon.edge._caller_conn import CallerConnection
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
+from cardamomquay_daemon.edge._caller_memory import CallerMemory
 from cardamomquay_daemon.edge._eligibility import Eligibility
 from cardamomquay_daemon.edge._endpoints import Endpoints
-from cardamomquay_daemon.edge._events import BODY_REJECTED
 from cardamomquay_daemon.edge._events import RELOADED
 from cardamomquay_daemon.edge._events import SETTINGS_REJECTED
 from cardamomquay_daemon.edge._events import STARTED
@@ -35,7 +36,6 @@
 from cardamomquay_daemon.edge._peers import PeerProtocol
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
 from cardamomquay_daemon.edge._relay import Relay
-from cardamomquay_daemon.edge._request_bodies import RequestBodies
 from cardamomquay_daemon.edge._restart_watch import RestartWatch
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
@@ -67,9 +67,15 @@
 # Time for the last answers to be written before the process ends.
 ANSWER_WRITE_TIME_S = 0.1
 LISTEN_BACKLOG = 512
-# Share of the process's memory for the bodies of requests. Two of 64 MiB fit into a
-# host of 300 MB; the rest is for answers, buffers of connections and state.
-BODY_MEMORY_SHARE = 0.5
+# Share of the process's memory for all that callers make it hold. Two bodies of 64 MiB
+# fit into a host of 300 MB; the rest is for the program (30 MB), its state, and what
+# the allocator loses.
+CALLER_MEMORY_SHARE = 0.5
+# Descriptors for files, listeners, the store and what libraries open.
+RESERVED_DESCRIPTORS = 200
+# Share of the descriptors for connections to upstreams, which are idle or run requests
+# that wait in a queue. It also is the most that is reserved for files.
+UPSTREAM_DESCRIPTOR_SHARE = 0.25
 
 
 class EdgeHost(FeedListener):
@@ -184,9 +190,7 @@
             self._peers.report_news,
         )
         self._connections: set[CallerConnection] = set()
-        self._request_bodies = RequestBodies(
-            int(BODY_MEMORY_SHARE * settings.memory_bytes), self._on_body_rejected
-        )
+        self._caller_memory = CallerMemory(_caller_budget(settings))
         self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
@@ -195,14 +199,6 @@
     def _report_urgently(self) -> None:
         self._peers.report_urgently()
 
-    def _on_body_rejected(self, missing_bytes: int) -> None:
-        self._telemetry.count("requests.bodies_rejected")
-        self._telemetry.log(
-            BODY_REJECTED,
-            missing_bytes=missing_bytes,
-            used_bytes=self._request_bodies.used_bytes,
-        )
-
     async def run(self) -> bool:
         """Serve until a signal to stop, then stop gracefully.
 
@@ -296,7 +292,7 @@
                 self._read_limits,
                 lambda: self._state.is_stopping,
                 connections,
-                self._request_bodies,
+                self._caller_memory,
             ),
             *address,
             backlog=LISTEN_BACKLOG,
@@ -370,6 +366,9 @@
             else:
                 # Such a host must not be listed in look-up answers.
                 self._fleet.own_phase = HostPhase.STARTING
+            now_s = asyncio.get_running_loop().time()
+            self._caller_memory.end_stalled(now_s)
+            self._caller_memory.report(self._telemetry, now_s)
             self._telemetry.flush()
             self._peers.report_warm_objects()
             self._peers.report_due_news()
@@ -423,6 +422,16 @@
             self._placement.record_of(after).clear_objects()
 
 
+def _caller_budget(settings: EdgeSettings) -> CallerBudget:
+    descriptors = settings.descriptors_max
+    upstream_descriptors = int(UPSTREAM_DESCRIPTOR_SHARE * descriptors)
+    reserved = min(RESERVED_DESCRIPTORS, upstream_descriptors)
+    return CallerBudget(
+        int(CALLER_MEMORY_SHARE * settings.memory_bytes),
+        max(1, descriptors - upstream_descriptors - reserved),
+    )
+
+
 def _own_record(settings: EdgeSettings) -> HostRecord:
     callers = settings.listeners.callers
     return HostRecord(
--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -104,6 +104,8 @@
     bounds : Bounds
     memory_bytes : int
         Memory that the process may use.
+    descriptors_max : int
+        File descriptors that the process may open.
     """
 
     name: str
@@ -116,3 +118,4 @@
     heartbeat_s: float
     bounds: Bounds
     memory_bytes: int = 300_000_000
+    descriptors_max: int = 4096
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -4,17 +4,23 @@
 import gc
 import unittest
 from contextlib import asynccontextmanager
+from contextlib import suppress
 from dataclasses import replace
 from typing import TYPE_CHECKING
 from typing import Any
 
 from edge.support import LOOPBACK
+from edge.support import FakeTelemetry
 
+from cardamomquay.caller_memory import CallerBudget
+from cardamomquay_daemon.edge._caller_conn import CONNECTION_BYTES
 from cardamomquay_daemon.edge._caller_conn import CallerAnswer
 from cardamomquay_daemon.edge._caller_conn import CallerConnection
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
-from cardamomquay_daemon.edge._request_bodies import RequestBodies
+from cardamomquay_daemon.edge._caller_memory import CallerMemory
+from cardamomquay_daemon.edge._parse_turns import TURNS_PER_ITERATION
+from cardamomquay_daemon.edge._parse_turns import ParseTurns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -35,7 +41,8 @@
         self.connections: set[CallerConnection] = set()
         self.is_stopping = False
         self.limits = LIMITS
-        self.bodies = RequestBodies()
+        self.memory = CallerMemory()
+        self.answer_body = b""
 
     async def handle(self, request: CallerRequest) -> CallerAnswer:
         self.started.append(request.target)
@@ -45,7 +52,8 @@
         except asyncio.CancelledError:
             self.cancelled.append(request.target)
             raise
-        return CallerAnswer(200, [], request.target + request.body)
+        body = self.answer_body if request.target == b"/large" else request.body
+        return CallerAnswer(200, [], request.target + body)
 
     @asynccontextmanager
     async def caller(
@@ -57,7 +65,7 @@
                 lambda: self.limits,
                 lambda: self.is_stopping,
                 self.connections,
-                self.bodies,
+                self.memory,
             ),
             LOOPBACK,
             0,
@@ -264,12 +272,17 @@
     def setUp(self) -> None:
         super().setUp()
         self.limits = replace(LIMITS, max_body_bytes=self.LARGE)
-        self.rejected: list[int] = []
-        self.bodies = RequestBodies(2 * self.LARGE, self.rejected.append)
+        # Room for two of them, their connections and unread bytes, and not for a third.
+        self.memory = CallerMemory(CallerBudget(3 * self.LARGE, 100))
         self.release_events = {b"/": asyncio.Event()}
 
+    def held_bytes(self) -> int:
+        """Return what callers hold beside their connections."""
+        budget = self.memory.budget
+        return budget.used_bytes - CONNECTION_BYTES * budget.connection_count
+
     async def wait_until_free(self) -> None:
-        while self.bodies.used_bytes:
+        while self.held_bytes():
             await asyncio.sleep(0.01)
 
     def upload(self, size: int, *, is_chunked: bool) -> bytes:
@@ -309,7 +322,10 @@
                         self.assertIn(b"HTTP/1.1 200", answered)
                     await self.wait_until_free()
                 self.assertEqual(self.started, [b"/"] * 3)
-        self.assertEqual(len(self.rejected), 2)
+        telemetry = FakeTelemetry()
+        self.memory.report(telemetry, 0.0)  # type: ignore[arg-type]
+        self.assertEqual(telemetry.counters["requests.bodies_rejected"], 2)
+        self.assertEqual([name for name, _ in telemetry.events], ["callers_ended"])
 
     async def test_memory_is_released_when_callers_disconnect(self) -> None:
         large = self.upload(self.LARGE, is_chunked=False)
@@ -317,7 +333,7 @@
             with self.subTest(name):
                 async with self.caller() as (_, writer):
                     writer.write(sent)
-                    while not self.bodies.used_bytes:
+                    while not self.held_bytes():
                         await asyncio.sleep(0.01)
                 await self.wait_until_free()
 
@@ -332,6 +348,124 @@
             self.assertEqual(held, [])
 
 
+class MemoryTest(CallerConnTest):
+    """Guards against callers that take the memory or the descriptors of others.
+
+    Load pattern: callers that stop within a request, or keep idle connections, beside
+    requests at upstreams.
+    """
+
+    BODY = 200_000
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.limits = ReadLimits(16_384, self.BODY, 2.0, 2.0)
+
+    def half(self) -> bytes:
+        head = self._post(b"content-length: %d" % self.BODY)
+        return head + b"x" * (self.BODY - 1)
+
+    async def wait_for_held(self, size_bytes: int) -> None:
+        while self.memory.used_bytes < size_bytes:
+            await asyncio.sleep(0.01)
+
+    async def test_a_stalled_request_is_refused_for_one_that_makes_progress(
+        self,
+    ) -> None:
+        self.memory = CallerMemory(CallerBudget(2 * self.BODY, 100))
+        async with (
+            self.caller() as (reader_1, writer_1),
+            self.caller() as (
+                reader_2,
+                writer_2,
+            ),
+        ):
+            writer_1.write(self.half())
+            await self.wait_for_held(self.BODY)
+            writer_2.write(self.half() + b"x")
+            self.assertIn(b" 200 ", await reader_2.readline())
+            self.assertIn(b" 503 ", await reader_1.readline())
+            self.assertIn(b"retry-after", await reader_1.read())
+        self.assertEqual(self.started, [b"/"])
+
+    async def test_a_request_that_runs_is_not_ended(self) -> None:
+        self.memory = CallerMemory(CallerBudget(2 * self.BODY, 100))
+        self.release_events = {b"/": asyncio.Event()}
+        async with (
+            self.caller() as (reader_1, writer_1),
+            self.caller() as (
+                reader_2,
+                writer_2,
+            ),
+        ):
+            writer_1.write(self.half() + b"x")
+            await self.wait_for_started(1)
+            writer_2.write(self.half())
+            self.assertIn(b" 503 ", await reader_2.readline())
+            self.release_events[b"/"].set()
+            self.assertIn(b" 200 ", await reader_1.readline())
+        self.assertEqual(self.cancelled, [])
+
+    async def test_connections_without_a_request_make_room(self) -> None:
+        self.memory = CallerMemory(CallerBudget(10**6, 2))
+        self.release_events = {b"/1": asyncio.Event()}
+        async with self.caller() as (reader_1, writer_1):
+            writer_1.write(self.get(b"/1"))
+            await self.wait_for_started(1)
+            async with (
+                self.caller() as (reader_2, _),
+                self.caller() as (reader_3, writer_3),
+            ):
+                writer_3.write(self.get(b"/3"))
+                # Without an answer, which could be taken for that of a later request.
+                with suppress(ConnectionResetError):
+                    self.assertEqual(await reader_2.read(), b"")
+                self.assertIn(b" 200 ", await reader_3.readline())
+            self.release_events[b"/1"].set()
+            self.assertIn(b" 200 ", await reader_1.readline())
+
+    async def test_unread_answers_make_room(self) -> None:
+        self.memory = CallerMemory(CallerBudget(10**8, 100))
+        self.answer_body = b"x" * 30_000_000
+        async with self.caller() as (_, writer), self.caller() as (reader_2, writer_2):
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            writer.write(self.get(b"/large"))
+            await self.wait_for_held(20_000_000)
+            self.memory.budget.limit_bytes = 20_000_000
+            writer_2.write(self.half() + b"x")
+            self.assertIn(b" 200 ", await reader_2.readline())
+            self.assertLess(self.memory.used_bytes, 1_000_000)
+
+    async def test_a_slow_request_is_served_in_calm(self) -> None:
+        self.limits = ReadLimits(4096, 1000, 0.3, 0.3)
+        async with self.caller() as (reader, writer):
+            for byte in self._post(b"content-length: 3") + b"abc":
+                writer.write(bytes((byte,)))
+                await asyncio.sleep(0.02)
+                self.memory.end_stalled(1e9)
+            self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_tiny_chunks_of_many_callers_take_turns(self) -> None:
+        turns = ParseTurns()
+        passed = 0
+
+        async def parse() -> None:
+            nonlocal passed
+            await turns.next()
+            passed += 1
+
+        tasks = [asyncio.create_task(parse()) for _ in range(50)]
+        # One is cancelled while it waits.
+        await asyncio.sleep(0)
+        tasks[0].cancel()
+        most = 0
+        while passed < 49:
+            before = passed
+            await asyncio.sleep(0)
+            most = max(most, passed - before)
+        self.assertLessEqual(most, TURNS_PER_ITERATION)
+
+
 class UnsendableAnswerTest(CallerConnTest):
     """Guards against a connection that stays open without the answer it owes."""
 
