Count answers that are being read in the memory of callers

A hundred answers that stopped halfway took a host of 100 MB to 169 MB: their bound, 48 MiB, did not follow from the memory of the host, and the answer that came next failed, so that an ordinary request got 502 while those that stood still kept the room.

Answers that are being read now count in the budget of the callers, and take half of it or 48 MiB. If there is no room for more of a large one, the one without received bytes for the longest time ends (answer_too_large, 502).

--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -32,6 +32,7 @@
 from cardamomquay_daemon.edge._events import STOPPING
 from cardamomquay_daemon.edge._feeds import FeedListener
 from cardamomquay_daemon.edge._feeds import StoreFeeds
+from cardamomquay_daemon.edge._http_client import ANSWER_BUFFERS
 from cardamomquay_daemon.edge._listener import Listener
 from cardamomquay_daemon.edge._peers import PeerProtocol
 from cardamomquay_daemon.edge._poison_guard import PoisonGuard
@@ -71,6 +72,8 @@
 # fit into a host of 300 MB; the rest is for the program (30 MB), its state, and what
 # the allocator loses.
 CALLER_MEMORY_SHARE = 0.5
+# Share of that for answers of upstreams and of the store that are being read.
+ANSWER_MEMORY_SHARE = 0.5
 # Descriptors for files, listeners, the store and what libraries open.
 RESERVED_DESCRIPTORS = 200
 # Share of the descriptors for connections to upstreams, which are idle or run requests
@@ -191,6 +194,11 @@
         )
         self._connections: set[CallerConnection] = set()
         self._caller_memory = CallerMemory(_caller_budget(settings))
+        ANSWER_BUFFERS.may_hold = self._caller_memory.hold_answers
+        ANSWER_BUFFERS.total_bytes = min(
+            ANSWER_BUFFERS.total_bytes,
+            int(ANSWER_MEMORY_SHARE * self._caller_memory.budget.limit_bytes),
+        )
         self._caller_listener: Listener | None = None
         self._auxiliary_connections: set[CallerConnection] = set()
         self._stop = asyncio.Event()
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -274,7 +274,7 @@
     async def _read_answer(self, parser: h11.Connection) -> HttpAnswer:
         answer: HttpAnswer | None = None
         event_count = interim_count = 0
-        with self._buffers.buffer(self._limits.body_bytes) as buffer:
+        with self._buffers.buffer(self._limits.body_bytes, self._stream.wake) as buffer:
             while True:
                 event = parser.next_event()
                 event_count += 1
@@ -282,6 +282,7 @@
                     await asyncio.sleep(0)
                 if event is h11.NEED_DATA:
                     data = await self._stream.read()
+                    buffer.check()
                     self._answer_began = self._answer_began or bool(data)
                     parser.receive_data(data)
                 elif isinstance(event, h11.Response):
