Take an answer only with a status, version and body that callers know

Callers got the statuses 600 and 999 of a faulty upstream, 204 and 304 of answers with a body, and answers with control bytes in the status line or of the versions 0.9 and 2.0: the parser takes any three digits, reason and version, and the host checked nothing more.

An answer now counts only with a status from 200 to 599, a version 1.x, no control byte in the status line, and with 204 or 304 no body; interim answers are checked alike. Everything else is bytes that are no answer: the attempt may have run, and is not repeated on at-most-once routes.

The fuzz test checks the upper end of the range too.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -17,6 +17,7 @@
 from cardamomquay.caller_memory import Holding
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
+from cardamomquay_daemon.edge._http_client import BODILESS_STATUSES
 from cardamomquay_daemon.edge._parse_turns import EVENTS_BEFORE_TURNS
 from cardamomquay_daemon.edge._parse_turns import EVENTS_PER_TURN
 
@@ -28,8 +29,6 @@
 
 # Number of requests of one connection that are handled concurrently.
 PIPELINED_REQUESTS_MAX = 16
-# Statuses of answers without a body and without Content-Length (RFC 9110, section 8.6).
-BODILESS_STATUSES = frozenset((204, 304))
 # Methods that change no state (RFC 9110, section 9.2.1).
 SAFE_METHODS = frozenset((b"GET", b"HEAD", b"OPTIONS"))
 # Retry delays of requests for which there is no memory, spread so that their callers do
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -27,6 +27,15 @@
 # After this many parsed events, other tasks run before more bytes are parsed: a body in
 # chunks of one byte has tens of thousands of events in one read.
 EVENTS_PER_TURN = 64
+# Answers have a status from 200 to 599 (RFC 9110, section 15); callers take another one
+# for whatever they like.
+STATUS_MAX = 599
+NO_CONTENT_STATUS = 204
+# Statuses of answers without a body and without Content-Length (RFC 9110, section 8.6).
+BODILESS_STATUSES = frozenset((NO_CONTENT_STATUS, 304))
+MAJOR_VERSION = b"1."
+ANSWER_START = b"HTTP/1."
+CONTROL_BYTE = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
 STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] [0-9]{3}")
 BODY_PART_BYTES = 65_536
 # Reason of an `ExchangeError` if nothing listens at the address.
@@ -286,15 +295,17 @@
                     self._answer_began = self._answer_began or bool(data)
                     parser.receive_data(data)
                 elif isinstance(event, h11.Response):
-                    if _holds_status_line(event):
-                        raise h11.RemoteProtocolError("head holds a second answer")
+                    _check_head(event)
                     answer = HttpAnswer(event.status_code, list(event.headers))
                 elif isinstance(event, h11.Data):
                     buffer.append(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage) and answer is not None:
+                    if answer.status in BODILESS_STATUSES:
+                        _check_no_body(answer, parser)
                     answer.body = buffer.body()
                     return answer
                 elif isinstance(event, h11.InformationalResponse):
+                    _check_status_line(event)
                     interim_count += 1
                     if interim_count > self._limits.interim_answers:
                         raise AnswerTooLargeError
@@ -360,6 +371,51 @@
         return next_parser
 
 
+def _check_status_line(head: h11.Response | h11.InformationalResponse) -> None:
+    """Refuse a status line that has no meaning to callers; h11 refuses 000 to 099.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+    """
+    if head.status_code > STATUS_MAX:
+        raise h11.RemoteProtocolError("status out of range")
+    if not head.http_version.startswith(MAJOR_VERSION):
+        raise h11.RemoteProtocolError("unknown version")
+    if CONTROL_BYTE.search(head.reason):
+        raise h11.RemoteProtocolError("control byte in the status line")
+
+
+def _check_head(head: h11.Response) -> None:
+    """Refuse a head without a meaning, or that belongs to two answers.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+    """
+    _check_status_line(head)
+    if _holds_status_line(head):
+        raise h11.RemoteProtocolError("head holds a second answer")
+
+
+def _check_no_body(answer: HttpAnswer, parser: h11.Connection) -> None:
+    """Refuse an answer with a body to which its status allows none.
+
+    Raises
+    ------
+    h11.RemoteProtocolError
+    """
+    rest, _ = parser.trailing_data
+    # A 304 may state the length of the body that it leaves out (RFC 9110, section 8.6).
+    states_body = answer.status == NO_CONTENT_STATUS and (
+        answer.header(b"transfer-encoding") is not None
+        or answer.header(b"content-length") not in (None, b"0")
+    )
+    # The next answer of the connection may follow, to an earlier request.
+    if states_body or (rest and not rest.startswith(ANSWER_START)):
+        raise h11.RemoteProtocolError("body of an answer that has none")
+
+
 def _holds_status_line(head: h11.Response) -> bool:
     """Return whether a head was cut short and continues with that of another answer.
 
--- a/packages/daemon/tests/edge/test_fuzzed_bytes.py
+++ b/packages/daemon/tests/edge/test_fuzzed_bytes.py
@@ -171,7 +171,7 @@
             self.assertTrue(exc.request_may_have_arrived)
         else:
             self.assertEqual(got.header(b"request-id"), b"id-1")
-            self.assertGreaterEqual(got.status, 200)
+            self.assertIn(got.status, range(200, 600))
         await feeding
         conn.close()
 
--- a/packages/daemon/tests/edge/test_http_client.py
+++ b/packages/daemon/tests/edge/test_http_client.py
@@ -29,6 +29,67 @@
         conn.close()
 
 
+# Answers whose head has no meaning, with what is wrong about it.
+HEAD_REST = b"\r\nrequest-id: id-1\r\nsignature: s\r\n"
+OK_REST = HEAD_REST + b"content-length: 2\r\n\r\nok"
+MEANINGLESS_ANSWERS = {
+    "status 000": b"HTTP/1.1 000 X" + OK_REST,
+    "status 099": b"HTTP/1.1 099 X" + OK_REST,
+    "status 600": b"HTTP/1.1 600 X" + OK_REST,
+    "status 999": b"HTTP/1.1 999 X" + OK_REST,
+    "four digits": b"HTTP/1.1 2000 X" + OK_REST,
+    "unsolicited 101": b"HTTP/1.1 101 X" + HEAD_REST + b"upgrade: x\r\n\r\nok",
+    "1xx without end": (b"HTTP/1.1 100 X" + HEAD_REST + b"\r\n") * 100,
+    "204 with a body": b"HTTP/1.1 204 X" + OK_REST,
+    "204 with chunks": (
+        b"HTTP/1.1 204 X"
+        + HEAD_REST
+        + b"transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+    ),
+    "204 with extra bytes": b"HTTP/1.1 204 X" + HEAD_REST + b"\r\nok",
+    "304 with a body": b"HTTP/1.1 304 X" + OK_REST,
+    "control byte in the reason": b"HTTP/1.1 200 O\x01K" + OK_REST,
+    "delete in the reason": b"HTTP/1.1 200 O\x7fK" + OK_REST,
+    "control byte before the version": b"\x00HTTP/1.1 200 X" + OK_REST,
+    "control byte in an interim answer": (
+        b"HTTP/1.1 103 \x1bX\r\n\r\nHTTP/1.1 200 X" + OK_REST
+    ),
+    "version 0.9": b"HTTP/0.9 200 X" + OK_REST,
+    "version 2.0": b"HTTP/2.0 200 X" + OK_REST,
+}
+
+
+class MeaninglessAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """Guards against passing on answers whose head says nothing that callers know.
+
+    An upstream with a fault sent the status 000, and a caller received it.
+    """
+
+    async def test_they_are_no_answers(self) -> None:
+        for name, raw in MEANINGLESS_ANSWERS.items():
+            with self.subTest(name):
+                async with scripted_server(raw) as server:
+                    with self.assertRaises(ExchangeError) as caught:
+                        await exchange(server.address)
+                self.assertTrue(caught.exception.request_may_have_arrived)
+                self.assertIn(
+                    caught.exception.reason, ("answer_malformed", "answer_too_large")
+                )
+
+    async def test_answers_without_a_body(self) -> None:
+        # A 304 may state the length of what it does not send (RFC 9110, section 8.6).
+        for name, raw in (
+            ("204", b"HTTP/1.1 204 X" + HEAD_REST + b"\r\n"),
+            ("304", b"HTTP/1.1 304 X" + HEAD_REST + b"content-length: 2\r\n\r\n"),
+            ("599", b"HTTP/1.1 599 X" + HEAD_REST + b"content-length: 0\r\n\r\n"),
+            ("no reason", b"HTTP/1.0 200" + HEAD_REST + b"content-length: 0\r\n\r\n"),
+        ):
+            with self.subTest(name):
+                async with scripted_server(raw) as server:
+                    got = await exchange(server.address)
+                self.assertEqual(got.body, b"")
+
+
 class WholeAnswerTest(unittest.IsolatedAsyncioTestCase):
     """Guards against answers that are cut off, malformed or of another request."""
 
