Refuse answers with a status over 599 in the threaded relay

Callers got the statuses 600 and 999 as an upstream sent them; libcurl refuses those below 100 only. Such an answer now counts as a failure after sending, and its connection is closed.

test_a_status_out_of_range_is_no_answer failed for 600 and 999 before.

--- a/packages/daemon/src/cardamomquay_daemon/_upstream_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/_upstream_client.py
@@ -25,6 +25,9 @@
 # Without the header, an answer with this status is relayed to the caller.
 SHED_STATUS = 503
 NOT_RUN_HEADER = "x-not-run"
+# A higher status has no meaning to callers (RFC 9110, section 15); libcurl refuses
+# those below 100.
+STATUS_MAX = 599
 # Hop-by-hop headers, and Content-Length, which is set again for the forwarded message.
 HOP_BY_HOP = frozenset(
     {
@@ -126,9 +129,11 @@
             except pycurl.error as exc:
                 latency_s = time.perf_counter() - started
                 return _failure_of(curl, int(exc.args[0]), header_lines, latency_s)
-            conn.reusable = True
             status = int(curl.getinfo(pycurl.RESPONSE_CODE))
+            conn.reusable = status <= STATUS_MAX
         latency_s = time.perf_counter() - started
+        if status > STATUS_MAX:
+            return UpstreamFailure(RetryReason.FAILURE_AFTER_SENDING, True, latency_s)
         headers = _parse_headers(header_lines)
         if status == SHED_STATUS and (NOT_RUN_HEADER, "true") in (
             (name.lower(), value.lower()) for name, value in headers
--- a/packages/daemon/tests/test_upstream_client.py
+++ b/packages/daemon/tests/test_upstream_client.py
@@ -98,6 +98,23 @@
     return UpstreamRequest("GET", "/x", (), b"", timeout_s, repeatable)
 
 
+class StatusTest(unittest.TestCase):
+    """Guards against passing on a status that callers do not know."""
+
+    def test_a_status_out_of_range_is_no_answer(self) -> None:
+        for status in (b"000", b"099", b"600", b"999"):
+            with self.subTest(status):
+                raw = b"HTTP/1.1 %s X\r\nContent-Length: 2\r\n\r\nok" % status
+                server = ScriptedServer([raw])
+                with server.serving():
+                    client = UpstreamClient(1000)
+                    request = UpstreamRequest("GET", "/", (), b"", 2.0, False)
+                    result = client.send(server.upstream, request)
+                self.assertIsInstance(result, UpstreamFailure)
+                assert isinstance(result, UpstreamFailure)
+                self.assertIs(result.reason, RetryReason.FAILURE_AFTER_SENDING)
+
+
 class UpstreamClientTest(unittest.TestCase):
     """Guards against truncated, late or mixed-up answers, and against repeated runs."""
 
