Let one slow request of the largest size be, however much it holds

On a host of 200 MB a body of 64 MiB takes two thirds of the budget for callers, so a caller that sent it very slowly would have put itself under pressure, and ended after 3 s with less than 1 KiB, although nobody else needed the room.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -24,7 +24,7 @@
 # holdings, so it must not be needed for each read.
 ROOM_SHARE = 0.95
 # Share of the budget above which holdings without progress are ended before their room
-# is needed. Below it a request may be as slow as its caller likes.
+# is needed. While others use less, a request may be as slow as its caller likes.
 PRESSURE_SHARE = 0.5
 
 
@@ -176,7 +176,10 @@
             self._order[holding] = None
 
     def end_stalled(self, now_s: float, stalled_s: float) -> tuple[Holding, ...]:
-        """End large holdings without progress, while the budget is under pressure.
+        """End large holdings without progress, while others need much of the budget.
+
+        What a holding takes itself does not count: one slow request of the largest size
+        is served as slowly as its caller likes.
 
         Parameters
         ----------
@@ -190,13 +193,14 @@
         """
         ended: list[Holding] = []
         left_bytes = self.used_bytes
+        pressure_bytes = PRESSURE_SHARE * self.limit_bytes
         for holding in self._order:
-            is_under_pressure = left_bytes > PRESSURE_SHARE * self.limit_bytes
-            if not is_under_pressure or holding.progress_s > now_s - stalled_s:
+            if left_bytes <= pressure_bytes or holding.progress_s > now_s - stalled_s:
                 break
-            if holding.size_bytes > SMALL_BYTES:
+            others_bytes = left_bytes - holding.size_bytes
+            if holding.size_bytes > SMALL_BYTES and others_bytes > pressure_bytes:
                 ended.append(holding)
-                left_bytes -= holding.size_bytes
+                left_bytes = others_bytes
         for holding in ended:
             self._end(holding)
         return tuple(ended)
