--- a/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_settings.py
@@ -134,6 +134,8 @@
     bounds : Bounds
     memory_bytes : int
         Memory that the process may use.
+    descriptors_max : int
+        File descriptors that the process may open.
     usage : UsageSettings or None
         None if the host does not report usage.
     """
@@ -148,4 +150,5 @@
     heartbeat_s: float
     bounds: Bounds
     memory_bytes: int = 300_000_000
+    descriptors_max: int = 4096
     usage: UsageSettings | None = None
