Refuse fewer requests as hopeless while there is enough room

Change: the least probability to end within the timeout is 0.3 instead of 0.8 while the share is 1, also for requests that wait for their object; the target of the queue wait is 0.25 instead of 0.3 objectives.

--- a/packages/core/src/cardamomquay/placement/_value_admission.py
+++ b/packages/core/src/cardamomquay/placement/_value_admission.py
@@ -34,7 +34,7 @@
 # Mean queue wait at which the share neither grows nor falls, as a part of the
 # objective, and its limits in seconds. With 0.5, fewer requests of the load model were
 # answered within the objective, since they wait in addition to their own work.
-TARGET_WAIT_OBJECTIVES = 0.3
+TARGET_WAIT_OBJECTIVES = 0.25
 TARGET_WAIT_RANGE_S = (0.1, 1.0)
 # Time constant over which queue waits are averaged. A single estimate is based on a
 # report that is up to a second old.
@@ -71,8 +71,11 @@
 WORK_DEVIATION = 0.15
 WAIT_DEVIATION = 0.4
 WAIT_DEVIATION_MIN_S = 0.03
-# A request is refused if the probability that it ends within its timeout is lower.
+# A request is refused if the probability that it ends within its timeout is lower: with
+# too little room, and while there is enough. Then the slot may stay idle otherwise, and
+# estimates of single queues are often too high.
 TIMELY_PROBABILITY_MIN = 0.8
+TIMELY_PROBABILITY_FREE_MIN = 0.3
 # Longest retry delay as a part of the caller's remaining time. Callers accept a delay
 # of up to a third of it.
 RETRY_DELAY_PART = 0.32
@@ -166,8 +169,11 @@
         pool = self._pool(request, now_s)
         timely, in_objective = _probabilities(request)
         claim = request.claim
+        share = self._effective_share(request, pool, now_s)
+        least = TIMELY_PROBABILITY_MIN if share < 1.0 else TIMELY_PROBABILITY_FREE_MIN
+        is_hopeless = timely < least and _is_late_by_waiting(request)
         if claim.is_admitted:
-            if timely >= TIMELY_PROBABILITY_MIN or not _is_late_by_waiting(request):
+            if not is_hopeless:
                 return AdmissionDecision(AdmissionRule.SENT)
             return self._refused(
                 AdmissionRule.HOPELESS, request, pool, timely, 1.0, 1.0
@@ -175,9 +181,8 @@
         route = pool.routes.setdefault(claim.route, _RouteShare(claim.priority[1]))
         route.priority = claim.priority[1]
         route.asked += 1.0
-        share = self._effective_share(request, pool, now_s)
         class_share = self._class_share(request, pool, share)
-        if timely < TIMELY_PROBABILITY_MIN and _is_late_by_waiting(request):
+        if is_hopeless:
             return self._refused(
                 AdmissionRule.HOPELESS, request, pool, timely, 1.0, class_share
             )
