Report windows that were due when the store was restored

Cause: in a run of six processes the store was restored 0.3 s before a window was due, and the window was given up, although no other host had agreed it.

Change: hosts state the era that they know and the last window that they tried to write; once all have done so, the windows after that are free. A call without a response is repeated after 3 s instead of 5, before other hosts take over.

--- a/packages/core/src/cardamomquay/usage/__init__.py
+++ b/packages/core/src/cardamomquay/usage/__init__.py
@@ -7,6 +7,7 @@
 from cardamomquay.usage._reporter import ReporterEvent
 from cardamomquay.usage._reporter import ReporterEventKind
 from cardamomquay.usage._reporter import Send
+from cardamomquay.usage._reporter import Statement
 from cardamomquay.usage._reporter import Step
 from cardamomquay.usage._reporter import UsageBounds
 from cardamomquay.usage._reporter import UsageReporter
@@ -24,6 +25,7 @@
     "ReporterEventKind",
     "Send",
     "SourceChanges",
+    "Statement",
     "Step",
     "UsageBounds",
     "UsageReporter",
--- a/packages/core/src/cardamomquay/usage/_reporter.py
+++ b/packages/core/src/cardamomquay/usage/_reporter.py
@@ -56,6 +56,10 @@
 # In a restored store, windows that were due before this point may have been agreed by a
 # host whose time of day is ahead by less.
 TIME_OFF_MAX_S = 1.0
+# A host that recovers the row waits for so long for what the others have agreed; they
+# send messages each second, and those of the next second count.
+RECOVERY_WAIT_S = 3.0
+RECOVERY_POLL_S = 0.5
 # Delay before a call to the store or to the platform is repeated, doubled up to the
 # second value.
 RETRY_DELAY_MIN_S = 0.25
@@ -167,6 +171,28 @@
 Step = ReadRow | WriteRow | Send
 
 
+@dataclass(frozen=True, slots=True)
+class Statement:
+    """What a host says of its own writes, for a host that recovers the row.
+
+    Parameters
+    ----------
+    era : int
+        Latest era of the store that it knows; it trusts no response of an earlier one.
+    true_s : float
+        When it said so, in its estimate of true time.
+    written_through : int
+        Last window in any row that it has tried to write, -1 without any.
+    first_window : int
+        Window in which it started.
+    """
+
+    era: int
+    true_s: float
+    written_through: int
+    first_window: int
+
+
 class UsageReporter:
     """Takes part in the election, and reports windows while this host is the holder.
 
@@ -217,6 +243,10 @@
         self._store_delay_s = RETRY_DELAY_MIN_S
         self._send_call_s = -math.inf
         self._send_delay_s = RETRY_DELAY_MIN_S
+        self._statements: dict[str, Statement] = {}
+        self._written_through = -1
+        # True time at which an untrusted row was first read.
+        self._recovery_s: float | None = None
         self._heard_holder = ""
         self._holder_heard_s = -math.inf
         self._progress_s = -math.inf
@@ -256,6 +286,18 @@
         """Return the last window whose body may be agreed."""
         return math.floor((true_s - SETTLE_S) / self._bounds.window_s) - 1
 
+    def statement(self, true_s: float) -> Statement:
+        """Return what this host says to hosts that recover the row."""
+        first_window = self._counts.own_first_window
+        return Statement(self._era, true_s, self._written_through, first_window)
+
+    def record_statement(self, host: str, statement: Statement) -> None:
+        """Record the statement of another host."""
+        before = self._statements.get(host)
+        if before is None or before.true_s <= statement.true_s:
+            self._statements[host] = statement
+        self.apply_era(statement.era)
+
     def record_holder(self, host: str, can_report: bool, now_s: float) -> None:
         """Record whether another host has said that it is the holder and can report."""
         if can_report:
@@ -341,6 +383,7 @@
         agreed = self._with_due_bodies(row, now_s, true_s)
         if agreed.through == row.through:
             return None
+        self._written_through = max(self._written_through, agreed.through)
         return WriteRow(self._revision, replace(agreed, token=self._token))
 
     def _unsent(self, row: UsageRow) -> list[int]:
@@ -373,6 +416,7 @@
         now_s: float,
         true_s: float,
         rank: int | None,
+        host_count: int,
     ) -> WriteRow | None:
         """Apply the row as read; return a write that begins a term, if that is due.
 
@@ -386,6 +430,8 @@
         now_s, true_s : float
         rank : int or None
             As for `next_step`.
+        host_count : int
+            Number of all known hosts, this one and those that have ended included.
         """
         self._must_read = False
         self._record_store_success()
@@ -399,10 +445,18 @@
             return None
         if rank is None and not was_holder:
             return None
-        if self._is_trusted or version == 0:
+        if self._is_trusted or (version == 0 and self._sent_through < 0):
+            self._recovery_s = None
             row_of_term = self._take_over(content, era, now_s, true_s, rank)
         else:
-            row_of_term = self._recover(content, era, true_s)
+            through = self._possibly_agreed(host_count, true_s)
+            if through is None:
+                self._must_read = True
+                self._store_call_s = now_s + RECOVERY_POLL_S
+                return None
+            row_of_term = self._recover(content, era, now_s, true_s, through)
+        if row_of_term is not None:
+            self._written_through = max(self._written_through, row_of_term.through)
         return WriteRow(version, row_of_term) if row_of_term is not None else None
 
     def _take_over(
@@ -413,8 +467,6 @@
         true_s: float,
         rank: int | None,
     ) -> UsageRow | None:
-        if content is None and self._sent_through >= 0:
-            return self._recover(None, era, true_s)
         if content is not None:
             is_due = rank is not None and self._is_overdue(now_s, true_s, rank)
             patience_s = self._bounds.pause_s + TERM_MIN_S + (rank or 0) * RANK_DELAY_S
@@ -430,7 +482,38 @@
         row = UsageRow(era, self._host, self._start, 0, true_s, through, bodies)
         return self._with_due_bodies(row, now_s, true_s)
 
-    def _recover(self, content: UsageRow | None, era: int, true_s: float) -> UsageRow:
+    def _possibly_agreed(self, host_count: int, true_s: float) -> int | None:
+        """Return the last window of which another host may have agreed a body.
+
+        None while statements that were made after this host had found the row are
+        awaited. Later writes cannot succeed under the condition of an earlier row.
+        """
+        if self._recovery_s is None or true_s < self._recovery_s:
+            self._recovery_s = true_s
+        since_s = self._recovery_s + TIME_OFF_MAX_S
+        made = [
+            statement
+            for statement in self._statements.values()
+            if statement.era >= self._era and statement.true_s >= since_s
+        ]
+        if len(made) + 1 < host_count:
+            if true_s - self._recovery_s < RECOVERY_WAIT_S:
+                return None
+            # One that is not heard may have agreed what was due.
+            return self.due_window(true_s + TIME_OFF_MAX_S)
+        made.append(self.statement(true_s))
+        # Hosts that have started since do not know what was agreed before.
+        started = max(statement.first_window for statement in made) - 1
+        return max(started, *(s.written_through for s in made[:-1]), -1)
+
+    def _recover(
+        self,
+        content: UsageRow | None,
+        era: int,
+        now_s: float,
+        true_s: float,
+        possibly_agreed: int,
+    ) -> UsageRow:
         """Begin a term in a restored store.
 
         The row says nothing about windows that were agreed since the copy was made.
@@ -443,12 +526,14 @@
             if window > self._sent_through and window not in self._sent
         }
         through = max(
-            self.due_window(true_s + TIME_OFF_MAX_S),
+            possibly_agreed,
             self._sent_through,
             content.through if content else -1,
             *self._agreed,
         )
-        return UsageRow(era, self._host, self._start, 0, true_s, through, bodies)
+        self._recovery_s = None
+        row = UsageRow(era, self._host, self._start, 0, true_s, through, bodies)
+        return self._with_due_bodies(row, now_s, true_s)
 
     def on_written(
         self,
--- a/packages/core/src/cardamomquay/usage/_window_counts.py
+++ b/packages/core/src/cardamomquay/usage/_window_counts.py
@@ -80,6 +80,11 @@
     ----------
     own_source : int
         Differs between all starts of all hosts.
+
+    Attributes
+    ----------
+    own_first_window : int
+        Window in which this host started.
     """
 
     def __init__(self, own_source: int) -> None:
@@ -88,6 +93,7 @@
         self._sources: dict[int, _Source] = {own_source: self._own}
         self._first_window = 0
         self._complete_from: int | None = None
+        self.own_first_window = 0
 
     @property
     def complete_from(self) -> int | None:
--- a/packages/core/tests/usage/simulated_usage.py
+++ b/packages/core/tests/usage/simulated_usage.py
@@ -160,6 +160,10 @@
         live = [n for n, at in self.heard.items() if now_s - at < 3.0]
         return sorted([*live, self.name]).index(self.name)
 
+    def host_count(self) -> int:
+        """Return the number of hosts in the table of hosts, ended ones included."""
+        return len(self.simulation.names)
+
     def update_time(self) -> None:
         now_s = self.now_s()
         wall_s = self.simulation.now_s + self.clock_error_s
@@ -168,6 +172,7 @@
         if self.first_window is None:
             self.first_window = self.window()
             self.counts.record_start(self.first_window)
+            self.counts.own_first_window = self.first_window
 
     def hear(self, other: Host) -> None:
         """Apply a message of another host, as `UsageReports.apply` does."""
@@ -189,6 +194,9 @@
             now_s,
         )
         self.reporter.apply_news(other.reporter.sent_through, now_s)
+        self.reporter.record_statement(
+            other.name, other.reporter.statement(other.true_s())
+        )
         can_report = other.reporter.can_report(other.now_s())
         self.reporter.record_holder(other.name, can_report, now_s)
         for source, version in other.counts.known_versions().items():
@@ -214,6 +222,7 @@
         self.calls: list[Call] = []
         self.operations: list[Operation] = []
         self.hosts: dict[str, Host] = {}
+        self.names: set[str] = set()
         self.last_start = 0
         self.messages_due_s = self.now_s
         # Faults of the next calls, at any host.
@@ -229,6 +238,7 @@
 
     def start(self, name: str) -> None:
         self.last_start += 1
+        self.names.add(name)
         self.hosts[name] = Host(name, self.last_start, self)
         self.hosts[name].update_time()
 
@@ -423,7 +433,13 @@
             revision, row = operation.result
             found = row if revision_version(row.version) else None
             write = reporter.on_read(
-                revision, found, began_s, now_s, true_s, host.rank()
+                revision,
+                found,
+                began_s,
+                now_s,
+                true_s,
+                host.rank(),
+                host.host_count(),
             )
             if write is not None:
                 self._begin(host, write)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -36,6 +36,7 @@
 from cardamomquay.usage import ReporterEventKind
 from cardamomquay.usage import Send
 from cardamomquay.usage import SourceChanges
+from cardamomquay.usage import Statement
 from cardamomquay.usage import UsageReporter
 from cardamomquay.usage import WindowCounts
 from cardamomquay.usage import WindowEntry
@@ -87,8 +88,8 @@
 # From the end of a window, requests are moved out of it for this time. It is agreed
 # half a second later, when the change has reached the collectors of a small fleet.
 MOVE_TIME_S = 1.0
-# A call is abandoned without a response after this time; a slow platform takes seconds.
-RESPONSE_TIME_MAX_S = 5.0
+# A call is abandoned without a response after this time, before others take over.
+RESPONSE_TIME_MAX_S = 3.0
 # The right to send is renewed so long before its end; the store answers in 0.5 s when
 # it is slow.
 RENEWAL_LEAD_S = 0.8
@@ -114,6 +115,8 @@
         Last window that is known to be reported or given up, -1 if none is.
     is_holder : bool
         Whether the sender is the holder and can report.
+    era, written_through : int
+        See `cardamomquay.usage.Statement`.
     known : list of int
         Alternating source and version up to which the sender has its entries.
     changes : list
@@ -130,6 +133,8 @@
     clock_count: Annotated[int, msgspec.Meta(ge=0)]
     sent_through: int
     is_holder: bool
+    era: int
+    written_through: int
     known: list[int]
     changes: list[tuple[int, int, int, list[tuple[int, int, dict[str, int]]]]] = []
 
@@ -285,7 +290,7 @@
         self._time.update(now_s)
         present = self._window(now_s)
         if self._first_window is None:
-            self._first_window = present
+            self._first_window = self._counts.own_first_window = present
             self._counts.record_start(present)
         self._counts.drop_before(present - KEPT_WINDOWS_MAX)
         collectors = self._collectors(now_s)
@@ -331,6 +336,13 @@
         self._reporter.apply_news(message.sent_through, now_s)
         if peer is None:
             return
+        statement = Statement(
+            message.era,
+            message.true_ms / 1000.0,
+            message.written_through,
+            message.first_window,
+        )
+        self._reporter.record_statement(peer.record.name, statement)
         self._reporter.record_holder(peer.record.name, message.is_holder, now_s)
         if message.is_holder:
             self._holder = (peer.record.name, now_s)
@@ -389,6 +401,7 @@
     def _message(
         self, now_s: float, known: list[int], changes: list[SourceChanges]
     ) -> UsageMessage:
+        statement = self._reporter.statement(self._time.true_s(now_s))
         return UsageMessage(
             self._start,
             self._first_window or 0,
@@ -400,6 +413,8 @@
             self._reporter.sent_through,
             # While it stops, the others need not wait for it.
             self._reporter.can_report(now_s) and not self._state.is_stopping,
+            statement.era,
+            statement.written_through,
             known,
             [
                 (
@@ -490,6 +505,8 @@
             now_s,
             self._time.true_s(now_s),
             self._rank(now_s),
+            # Hosts that have ended too: they may have agreed a body before.
+            len(self._fleet.peers) + 1,
         )
         if write is not None:
             await self._write(write)
