Keep isolated hosts from reporting for longer, and allow one lost call

Cause: an isolated host took the others for ended after 20 s and could have agreed bodies with its own counts only; one lost response of the platform led to a change of the holder in a run of six processes.

Change: hosts that reported within 60 s count when a host judges whether it hears most; the holder says that it cannot report after two calls without a response.

--- a/packages/core/src/cardamomquay/usage/_reporter.py
+++ b/packages/core/src/cardamomquay/usage/_reporter.py
@@ -268,7 +268,11 @@
         The others need not wait for a holder that cannot report.
         """
         confirmed_s = self._right_until_s - RIGHT_S
-        has_failed = max(self._store_delay_s, self._send_delay_s) > RETRY_DELAY_MIN_S
+        # One call to the platform may be lost; the next one follows at once.
+        has_failed = (
+            self._store_delay_s > RETRY_DELAY_MIN_S
+            or self._send_delay_s > 2.0 * RETRY_DELAY_MIN_S
+        )
         is_recent = now_s - confirmed_s < self._bounds.window_s + PARTIAL_S
         return self.is_holder and is_recent and not has_failed
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -84,6 +84,9 @@
 # Windows whose counts are kept while nothing can be reported: ten minutes of 5 s.
 
 KEPT_WINDOWS_MAX = 120
+# Hosts that reported in this time and do not leave are counted when a host judges
+# whether it hears most of the others. It is longer than most partitions.
+KNOWN_HOST_S = 60.0
 CONNECT_TIMEOUT_S = 0.6
 # From the end of a window, requests are moved out of it for this time. It is agreed
 # half a second later, when the change has reached the collectors of a small fleet.
@@ -393,7 +396,12 @@
             return None
         self._collector_since_s = min(self._collector_since_s, now_s)
         has_collected = now_s - self._collector_since_s >= COLLECT_S
-        hears_most = 2 * self._time.heard_clocks() > self._fleet.host_count(now_s)
+        known = 1 + sum(
+            peer.phase is not HostPhase.LEAVING
+            and now_s - peer.last_report_s < KNOWN_HOST_S
+            for peer in self._fleet.peers.values()
+        )
+        hears_most = 2 * self._time.heard_clocks() > known
         if not has_collected or not hears_most or self._state.is_stopping:
             return None
         return sorted(collectors).index(own)
