--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -36,6 +36,7 @@
 from cardamomquay.usage import ReporterEventKind
 from cardamomquay.usage import Send
 from cardamomquay.usage import SourceChanges
+from cardamomquay.usage import Statement
 from cardamomquay.usage import UsageReporter
 from cardamomquay.usage import WindowCounts
 from cardamomquay.usage import WindowEntry
@@ -83,12 +84,15 @@
 # Windows whose counts are kept while nothing can be reported: ten minutes of 5 s.
 
 KEPT_WINDOWS_MAX = 120
+# Hosts that reported in this time and do not leave are counted when a host judges
+# whether it hears most of the others. It is longer than most partitions.
+KNOWN_HOST_S = 60.0
 CONNECT_TIMEOUT_S = 0.6
 # From the end of a window, requests are moved out of it for this time. It is agreed
 # half a second later, when the change has reached the collectors of a small fleet.
 MOVE_TIME_S = 1.0
-# A call is abandoned without a response after this time; a slow platform takes seconds.
-RESPONSE_TIME_MAX_S = 5.0
+# A call is abandoned without a response after this time, before others take over.
+RESPONSE_TIME_MAX_S = 3.0
 # The right to send is renewed so long before its end; the store answers in 0.5 s when
 # it is slow.
 RENEWAL_LEAD_S = 0.8
@@ -114,6 +118,8 @@
         Last window that is known to be reported or given up, -1 if none is.
     is_holder : bool
         Whether the sender is the holder and can report.
+    era, written_through : int
+        See `cardamomquay.usage.Statement`.
     known : list of int
         Alternating source and version up to which the sender has its entries.
     changes : list
@@ -130,6 +136,8 @@
     clock_count: Annotated[int, msgspec.Meta(ge=0)]
     sent_through: int
     is_holder: bool
+    era: int
+    written_through: int
     known: list[int]
     changes: list[tuple[int, int, int, list[tuple[int, int, dict[str, int]]]]] = []
 
@@ -285,7 +293,7 @@
         self._time.update(now_s)
         present = self._window(now_s)
         if self._first_window is None:
-            self._first_window = present
+            self._first_window = self._counts.own_first_window = present
             self._counts.record_start(present)
         self._counts.drop_before(present - KEPT_WINDOWS_MAX)
         collectors = self._collectors(now_s)
@@ -331,6 +339,13 @@
         self._reporter.apply_news(message.sent_through, now_s)
         if peer is None:
             return
+        statement = Statement(
+            message.era,
+            message.true_ms / 1000.0,
+            message.written_through,
+            message.first_window,
+        )
+        self._reporter.record_statement(peer.record.name, statement)
         self._reporter.record_holder(peer.record.name, message.is_holder, now_s)
         if message.is_holder:
             self._holder = (peer.record.name, now_s)
@@ -381,7 +396,12 @@
             return None
         self._collector_since_s = min(self._collector_since_s, now_s)
         has_collected = now_s - self._collector_since_s >= COLLECT_S
-        hears_most = 2 * self._time.heard_clocks() > self._fleet.host_count(now_s)
+        known = 1 + sum(
+            peer.phase is not HostPhase.LEAVING
+            and now_s - peer.last_report_s < KNOWN_HOST_S
+            for peer in self._fleet.peers.values()
+        )
+        hears_most = 2 * self._time.heard_clocks() > known
         if not has_collected or not hears_most or self._state.is_stopping:
             return None
         return sorted(collectors).index(own)
@@ -389,6 +409,7 @@
     def _message(
         self, now_s: float, known: list[int], changes: list[SourceChanges]
     ) -> UsageMessage:
+        statement = self._reporter.statement(self._time.true_s(now_s))
         return UsageMessage(
             self._start,
             self._first_window or 0,
@@ -400,6 +421,8 @@
             self._reporter.sent_through,
             # While it stops, the others need not wait for it.
             self._reporter.can_report(now_s) and not self._state.is_stopping,
+            statement.era,
+            statement.written_through,
             known,
             [
                 (
@@ -490,6 +513,8 @@
             now_s,
             self._time.true_s(now_s),
             self._rank(now_s),
+            # Hosts that have ended too: they may have agreed a body before.
+            len(self._fleet.peers) + 1,
         )
         if write is not None:
             await self._write(write)
