--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -67,6 +67,8 @@
 # Period of sending counts. Those since the last message are lost if a host is killed.
 SMALL_FLEET_PERIOD_S = 0.5
 LARGE_FLEET_PERIOD_S = 1.0
+# Time from a report to the platform until the others are told.
+NEWS_SPACING_S = 0.2
 # Period of asking for the next step.
 STEP_PERIOD_S = 0.1
 # A collector answers hosts that it has heard in this time.
@@ -263,8 +265,10 @@
                 LARGE_FLEET_PERIOD_S if self._fleet.is_large else SMALL_FLEET_PERIOD_S
             )
             with suppress(TimeoutError):
-                async with asyncio.timeout(period_s):
+                async with asyncio.timeout(period_s - NEWS_SPACING_S):
                     await self._news.wait()
+            # A host that catches up reports several windows in this time.
+            await asyncio.sleep(NEWS_SPACING_S)
             self._news.clear()
 
     async def report(self) -> None:
