Test that time-outs count as lack of room, and cold requests use free slots

Without the second one, the new test of admission fails (refused with a delay of 1.1 s); without the first one, the addition to the test of a silent upstream.

--- a/packages/core/tests/placement/test_value_admission.py
+++ b/packages/core/tests/placement/test_value_admission.py
@@ -78,6 +78,16 @@
             self.ask("all", AdmissionClaim((0, number % 3), "r"), candidate(0.1))
         self.assertEqual(self.served("all"), 1.0)
 
+    def test_cold_requests_use_free_slots_although_time_is_short(self) -> None:
+        # Refused as hopeless, they would never load their objects.
+        timing = RequestTiming(remaining_s=1.4, objective_left_s=0.8, caller_left_s=5.6)
+        cold = candidate(queue_wait_s=0.0, work_s=1.27)
+        claim = AdmissionClaim((1, 1), "r")
+        for _ in range(100):
+            self.decide(claim, candidate(1.0))
+        self.assertLess(self.admission.admitted_share("browse", frozenset()), 0.5)
+        self.assertIsNone(self.decide(claim, cold, timing).retry_delay_s)
+
     def test_urgent_requests_go_first_and_others_get_the_floor(self) -> None:
         for _ in range(400):
             for priority in (0, 1):
--- a/packages/daemon/tests/edge/test_relay.py
+++ b/packages/daemon/tests/edge/test_relay.py
@@ -909,11 +909,14 @@
             )
             loop = asyncio.get_running_loop()
             began_s = loop.time()
-            got = await fixture.ask()
+            with mock.patch.object(fixture.eligibility, "record_shed") as record_shed:
+                got = await fixture.ask()
             self.assertLess(loop.time() - began_s, 0.55)
             async with asyncio.timeout(1.0):
                 await server.connection_ended.wait()
         self.assertEqual(got.status, 504)
+        # A region whose upstreams let requests wait until they time out has no room.
+        record_shed.assert_called_once()
 
     async def test_a_cancelled_request_closes_its_connection(self) -> None:
         async def silent(
