Send fewer messages about usage to other regions

A host that does not collect itself now sends to collectors of other regions each 2 s, and a collector answers a message once. Collectors forward what others lack after 2.5 s instead of 1.5 s.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_usage_reports.py
@@ -67,24 +67,27 @@
 # Period of sending counts. Those since the last message are lost if a host is killed.
 SMALL_FLEET_PERIOD_S = 0.5
 LARGE_FLEET_PERIOD_S = 1.0
+# Hosts of a large fleet that do not collect themselves send to collectors of other
+# regions only this often, since bytes between regions are dear. The collectors of their
+# own region forward what they have sent there last, should they be killed.
+OTHER_REGION_PERIOD_S = 2.0
 # Time from a report to the platform until the others are told.
 NEWS_SPACING_S = 0.2
 # Period of asking for the next step.
 STEP_PERIOD_S = 0.1
-# A collector answers hosts that it has heard in this time.
-ANSWER_AGE_MAX_S = 3.0
+# The holder stays a collector until it has not been heard for this time.
+HOLDER_HEARD_S = 3.0
 # Counts in one datagram, of about 10 bytes each; more go into further datagrams.
 COUNTS_PER_MESSAGE = 100
 # Datagrams to one host in a period. The rest follows in the next ones.
 MESSAGES_MAX = 4
 # Counts of other hosts are sent on only if the receiver still lacks them after this
 # time, since it gets them from the hosts themselves.
-FORWARD_AFTER_S = 1.5
+FORWARD_AFTER_S = 2.5
 # A host that begins to collect has the counts of the others after this time: two
 # periods and `FORWARD_AFTER_S`.
-COLLECT_S = 4.0
+COLLECT_S = 5.0
 # Windows whose counts are kept while nothing can be reported: ten minutes of 5 s.
-
 KEPT_WINDOWS_MAX = 120
 # Hosts that reported in this time and do not leave are counted when a host judges
 # whether it hears most of the others. It is longer than most partitions.
@@ -154,11 +157,14 @@
     heard_s : float
     known : dict of int to int
         Versions up to which the host has the entries of each source.
+    answered_s : float
+        Time of the last answer to its messages.
     """
 
     source: int
     heard_s: float
     known: dict[int, int]
+    answered_s: float = -math.inf
 
 
 class UsageReports:
@@ -208,6 +214,8 @@
             fleet.own.name, start, self._counts, settings.bounds, clock.now_s()
         )
         self._heard: dict[str, _Heard] = {}
+        # Time of the last message to each collector of another region.
+        self._sent_s: dict[str, float] = {}
         # Version of a source that a peer lacked, and since when, by peer and source.
         self._lacked: dict[tuple[str, int], tuple[int, float]] = {}
         self._first_window: int | None = None
@@ -305,12 +313,25 @@
         for peer in self._fleet.peers.values():
             name = peer.record.name
             heard = self._heard.get(name)
-            is_answered = heard is not None and now_s - heard.heard_s < ANSWER_AGE_MAX_S
             if name in collectors:
-                self._send_to(peer, now_s, is_collector=is_collector)
-            elif is_answered:
+                if is_collector or self._is_due(peer, now_s):
+                    self._send_to(peer, now_s, is_collector=is_collector)
+            elif heard is not None and heard.answered_s < heard.heard_s:
+                heard.answered_s = now_s
                 self._send_answer(peer, now_s)
 
+    def _is_due(self, peer: Peer, now_s: float) -> bool:
+        """Return whether a collector gets this host's counts now."""
+        is_near = peer.record.region == self._fleet.own.region
+        if is_near or not self._fleet.is_large:
+            return True
+        # Half a period of tolerance, since the period is a multiple of the other one.
+        left_s = OTHER_REGION_PERIOD_S - LARGE_FLEET_PERIOD_S / 2.0
+        if now_s - self._sent_s.get(peer.record.name, -math.inf) < left_s:
+            return False
+        self._sent_s[peer.record.name] = now_s
+        return True
+
     def apply(self, peer: Peer | None, payload: Any) -> None:
         """Apply a message of another host."""
         try:
@@ -381,7 +402,7 @@
         collectors = {name for _, _, name in best.values()}
         # The holder stays one if a host of a higher rank starts.
         holder, heard_s = self._holder
-        if now_s - heard_s < ANSWER_AGE_MAX_S:
+        if now_s - heard_s < HOLDER_HEARD_S:
             collectors.add(holder)
         if self._reporter.is_holder:
             collectors.add(self._fleet.own.name)
