Use the new admission only where it serves more callers

Admission by value decided for nearly all services, since organisations differ in priority, and since each service has a few requests of routes with another priority. It now needs routes of different priority that compete: over a tenth of the recent requests (PriorityMix). Regions became scarce from 0.15 of the requests without room on, also in troubles that pass; the case they are made for has 0.7 and more, and 0.4 tells them apart.

--- a/packages/core/src/cardamomquay/placement/__init__.py
+++ b/packages/core/src/cardamomquay/placement/__init__.py
@@ -17,6 +17,7 @@
 from cardamomquay.placement._placement import Candidate
 from cardamomquay.placement._placement import Placement
 from cardamomquay.placement._placement import PlacementRequest
+from cardamomquay.placement._priority_mix import PriorityMix
 from cardamomquay.placement._ranking import rendezvous_hash
 from cardamomquay.placement._ranking import short_id
 from cardamomquay.placement._value_admission import ValueAdmission
@@ -36,6 +37,7 @@
     "OverloadControl",
     "Placement",
     "PlacementRequest",
+    "PriorityMix",
     "RequestTiming",
     "UnknownScarcity",
     "UpstreamRecord",
--- a/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
+++ b/packages/core/src/cardamomquay/regional_capacity/_scarcity.py
@@ -14,9 +14,9 @@
     from collections.abc import Sequence
 
 # A region becomes scarce if this share of requests and attempts found no room, and this
-# many in all. Single upstreams shed a few percent while others have free slots.
-SCARCE_PRESSURE = 0.15
-SCARCE_LACKING_MIN = 8
+# many in all. With less, queues and retries serve more callers than early rejection.
+SCARCE_PRESSURE = 0.4
+SCARCE_LACKING_MIN = 20
 # Requests leave another region for this one only below this share, well before this one
 # becomes scarce too.
 ROOM_PRESSURE = 0.08
--- a/packages/core/src/cardamomquay/traffic/_config.py
+++ b/packages/core/src/cardamomquay/traffic/_config.py
@@ -162,13 +162,12 @@
         ranks = sorted(org.priority for org in self.organisations.values())
         if ranks:
             object.__setattr__(self, "_public_priority", ranks[len(ranks) // 2])
-        priorities: dict[str, set[tuple[int, int]]] = {}
+        priorities: dict[str, set[int]] = {}
         for route in self.routes:
-            levels = {self._public_priority} if route.is_public else set(ranks)
             for weighted in route.weighted_services:
                 if weighted.weight > 0.0:
                     known = priorities.setdefault(weighted.service, set())
-                    known.update((level, route.priority) for level in levels)
+                    known.add(route.priority)
         prioritised = frozenset(name for name, p in priorities.items() if len(p) > 1)
         object.__setattr__(self, "_prioritised_services", prioritised)
 
@@ -178,9 +177,10 @@
         return self._organisation_names
 
     def has_competing_priorities(self, service: str) -> bool:
-        """Return whether requests of a service can have different priorities.
+        """Return whether routes of a service have different priorities.
 
-        They do if its routes, or the organisations that may use them, differ.
+        Organisations of different priority alone do not count: their requests need the
+        same work, and refusing some of them early serves fewer in all.
         """
         return service in self._prioritised_services
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_eligibility.py
@@ -29,6 +29,7 @@
 from cardamomquay.placement import AdmissionClaim
 from cardamomquay.placement import AdmissionRequest
 from cardamomquay.placement import OverloadControl
+from cardamomquay.placement import PriorityMix
 from cardamomquay.placement import ValueAdmission
 from cardamomquay.placement import short_id
 from cardamomquay.regional_capacity import RegionalCapacity
@@ -118,6 +119,7 @@
         self._rng = random.Random()
         self._overload_control = OverloadControl(self._rng)
         self.value_admission = ValueAdmission(self._rng, scarcity)
+        self.priority_mix = PriorityMix()
         self._count = count
         self.regions = RegionalCapacity(fleet.own.region, bounds.max_shift, self._rng)
         self._warm_up_limiter = WarmUpLimiter(fleet.own.name)
@@ -430,7 +432,11 @@
         control: AdmissionControl = self._overload_control
         if claim is None:
             claim = AdmissionClaim((0, 0), request.route)
-        elif config is not None and config.has_competing_priorities(request.service):
+        elif (
+            config is not None
+            and config.has_competing_priorities(request.service)
+            and self.priority_mix.is_competing(request.service)
+        ):
             control = self.value_admission
             # An attempt after the first belongs to a request that was admitted.
             claim = replace(claim, is_admitted=claim.is_admitted or is_retry)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -201,6 +201,7 @@
         context.service = self._round_robins.setdefault(
             route.name, WeightedRoundRobin()
         ).choose(route)
+        self._eligibility.priority_mix.record(context.service, route.priority)
         candidate = await self._choose_upstream(context)
         if isinstance(candidate, Refusal):
             return candidate
--- a/packages/daemon/tests/edge/test_eligibility.py
+++ b/packages/daemon/tests/edge/test_eligibility.py
@@ -69,6 +69,8 @@
         fixture = RelayFixture(ManualClock(100.0), config(*routes), upstream("h:1"))
         record = fixture.placement.record_of(upstream("h:1"))
         record.service_load.add_report(0.0, 100.0)
+        for each in routes:
+            fixture.eligibility.priority_mix.record("browse", each.priority)
         refused: Counter[str] = Counter()
         timing = RequestTiming(2.0, 0.5, 4.0)
         for step in range(400):
