--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -591,9 +591,14 @@
 
 
 def request_head(
-    request_id: str, method: str, target: str, deadline_ms: int, body: bytes = b""
+    request_id: str,
+    method: str,
+    target: str,
+    deadline_ms: int,
+    body: bytes = b"",
+    thing: int | None = None,
 ) -> bytes:
-    """Return a client's request."""
+    """Return a client's request, which may concern a thing."""
     headers = {
         "Host": HOSTNAME,
         "X-Request-Id": request_id,
@@ -602,6 +607,8 @@
     }
     if method == "GET":
         headers["Content-Length"] = "0"
+    if thing is not None:
+        headers["Cookie"] = f"X-Affinity-Key={thing}"
     return message(f"{method} {target} HTTP/1.1", headers, body)
 
 
