--- a/review/8/case.py
+++ b/review/8/case.py
@@ -24,7 +24,8 @@
 CLIENTS = 4
 PIPELINED = 2
 GRACE_S = 6.0
-BEFORE_STOP_S = 4.0
+# More than `stableWindowS` after the start of the host.
+BEFORE_STOP_S = 8.0
 
 
 class Client:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -11,8 +11,10 @@
 import itertools
 import json
 import os
+import random
 import resource
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -20,21 +22,21 @@
 import tomllib
 from contextlib import suppress
 from pathlib import Path
-from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 from urllib.parse import urlsplit
 
-if TYPE_CHECKING:
-    import signal
-
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
+PORT_RANGE = (12_000, 25_900)
 ZONES = {"aarhus": "jylland", "odense": "fyn", "roskilde": "sjaelland"}
 HOSTNAME = "kurver.example"
 KEY = "key-of-gartner"
 TENANT = "gartner"
 HEARTBEAT_S = 1.5
 MAX_FDS = 4100
+# Requests that a server runs at the same time, and those that wait there.
+SLOTS = 3
+QUEUE = 9
 # Bounds of the site kurvehaeng.
 BOUNDS = (
     "seedLagS=3",
@@ -247,6 +249,8 @@
         self.state = "ready"
         self.work_s = 0.05
         self.body = b"x" * 400
+        self.running = self.waiting = 0
+        self._slots = asyncio.Semaphore(SLOTS)
         self.address = ("", 0)
         self._listener: asyncio.Server | None = None
         self._heartbeat: asyncio.Task | None = None
@@ -274,7 +278,7 @@
             "address": f"{self.address[0]}:{self.address[1]}",
             "zone": self.zone,
             "version": "v1",
-            "capacity": 3,
+            "capacity": SLOTS,
             "state": self.state,
             "warmupLeftS": 0.0,
             "sequence": self.sequence,
@@ -300,25 +304,58 @@
                     writer.write(message("HTTP/1.1 421 Misdirected", echo))
                     continue
                 run = Run(self, start, headers)
-                self.bed.runs.append(run)
-                self.bed.record.write(
-                    f"run      {run.request_id} {run.method} {run.target} by "
-                    f"{self.instance} ({self.service}), body of {len(body)} bytes"
-                )
-                await self.answer(run, writer)
+                if self.running >= SLOTS and self.waiting >= QUEUE:
+                    writer.write(self._rejection(run))
+                    continue
+                self.waiting += 1
+                try:
+                    await self._slots.acquire()
+                finally:
+                    self.waiting -= 1
+                self.running += 1
+                try:
+                    await self._run(run, len(body), writer)
+                finally:
+                    self.running -= 1
+                    self._slots.release()
         writer.close()
 
-    async def answer(self, run: Run, writer: asyncio.StreamWriter) -> None:
-        """Work on a request and answer it."""
+    async def _run(
+        self, run: Run, body_bytes: int, writer: asyncio.StreamWriter
+    ) -> None:
+        self.bed.runs.append(run)
+        self.bed.record.write(
+            f"run      {run.request_id} {run.method} {run.target} by "
+            f"{self.instance} ({self.service}), body of {body_bytes} bytes"
+        )
         await asyncio.sleep(self.work_s)
+        writer.write(self.answer(run))
+
+    def _rejection(self, run: Run) -> bytes:
+        self.bed.record.write(f"rejected {run.request_id} by {self.instance}")
         headers = {
+            "X-Request-Id": run.request_id,
+            "X-Not-Executed": "1",
+            "X-Server-Load": self.load(),
+        }
+        return message("HTTP/1.1 503 Full", headers)
+
+    def load(self) -> str:
+        """Return the load that an answer states, without the request answered."""
+        return f"{max(0, self.running - 1)},{self.waiting},{SLOTS}"
+
+    def answer_headers(self, run: Run) -> dict[str, str]:
+        """Return the headers of a signed answer."""
+        return {
             "X-Request-Id": run.request_id,
             "X-Response-Signature": f"sig.{run.request_id}",
-            "X-Server-Load": "1,0,3",
+            "X-Server-Load": self.load(),
             "Keep-Alive": "timeout=10",
         }
-        writer.write(message("HTTP/1.1 200 OK", headers, self.body))
-        await writer.drain()
+
+    def answer(self, run: Run) -> bytes:
+        """Return the answer to a request."""
+        return message("HTTP/1.1 200 OK", self.answer_headers(run), self.body)
 
 
 class Host:
@@ -526,15 +563,15 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return free ports for TCP and UDP."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind((LOOPBACK, 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Return free ports, below those that outgoing connections get."""
+    found: list[int] = []
+    while len(found) < count:
+        port = random.randrange(*PORT_RANGE)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((LOOPBACK, port))
+            if port not in found:
+                found.append(port)
+    return found
 
 
 def config(version: int, routes: list[dict], services: list[str]) -> dict:
@@ -620,10 +657,14 @@
 
     async def run() -> int:
         bed = Bed(folder)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 findings = await play(bed)
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             # An error of the script itself says nothing about the rule either.
             bed.record.write(f"the case could not run: {exc!r}")
             print(f"could not run: {exc!r}")
