Bound the bytes of log lines that wait for their reader

Cause: the buffer for a slow reader of the log counts lines, not bytes. Callers choose request ids and the keys of objects, up to the size of a head each, and both are in the lines of their requests. 1,500 lines with eight texts of 16,000 characters buffered 192 MB (test's shape, before).

Change: at most 2 MiB wait, and a text in a line is cut after 512 characters. Further lines are dropped and counted, as before.

Result: edge.test_telemetry.SlowReaderTest; the same lines buffer 2.1 MB.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_telemetry.py
@@ -23,8 +23,12 @@
 
 STDOUT = 1
 ELIOT_ACTION_FIELDS = ("task_uuid", "task_level")
-# Number of lines buffered for a slow reader; further lines are dropped and counted.
+# Lines, and their bytes, buffered for a slow reader; further lines are dropped and
+# counted.
 BUFFERED_LINES_MAX = 2000
+BUFFERED_BYTES_MAX = 2_097_152
+# Longer texts are cut: callers choose request ids and the keys of objects.
+FIELD_CHARACTERS_MAX = 512
 # Upper bounds of the latency histogram's buckets in seconds.
 LATENCY_BOUNDS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4)
 
@@ -36,6 +40,7 @@
         self._descriptor = descriptor
         os.set_blocking(descriptor, False)
         self._buffered: deque[bytes] = deque()
+        self._buffered_bytes = 0
         self._encoder = msgspec.json.Encoder(enc_hook=repr)
         self.dropped = 0
 
@@ -44,10 +49,18 @@
         # The messages belong to no eliot action, so these fields hold no information.
         for name in ELIOT_ACTION_FIELDS:
             message.pop(name, None)
-        if len(self._buffered) >= BUFFERED_LINES_MAX:
+        if (
+            len(self._buffered) >= BUFFERED_LINES_MAX
+            or self._buffered_bytes >= BUFFERED_BYTES_MAX
+        ):
             self.dropped += 1
             return
-        self._buffered.append(self._encoder.encode(message) + b"\n")
+        for name, value in message.items():
+            if isinstance(value, str) and len(value) > FIELD_CHARACTERS_MAX:
+                message[name] = value[:FIELD_CHARACTERS_MAX]
+        line = self._encoder.encode(message) + b"\n"
+        self._buffered.append(line)
+        self._buffered_bytes += len(line)
         self.flush()
 
     def flush(self) -> None:
@@ -57,13 +70,18 @@
         with suppress(OSError):
             while self._buffered:
                 line = self._buffered.popleft()
+                self._buffered_bytes -= len(line)
                 try:
                     written = os.write(self._descriptor, line)
                 except BlockingIOError:
-                    self._buffered.appendleft(line)
+                    self._buffer_first(line)
                     raise
                 if written < len(line):
-                    self._buffered.appendleft(line[written:])
+                    self._buffer_first(line[written:])
+
+    def _buffer_first(self, rest: bytes) -> None:
+        self._buffered.appendleft(rest)
+        self._buffered_bytes += len(rest)
 
 
 class EdgeTelemetry:
--- a/packages/daemon/tests/edge/test_telemetry.py
+++ b/packages/daemon/tests/edge/test_telemetry.py
@@ -3,6 +3,7 @@
 import os
 import unittest
 
+from cardamomquay_daemon.edge._telemetry import BUFFERED_BYTES_MAX
 from cardamomquay_daemon.edge._telemetry import LineWriter
 
 
@@ -27,3 +28,22 @@
                 writer.flush()
         os.close(full)
         os.close(read_only)
+
+
+class SlowReaderTest(unittest.TestCase):
+    """Guards against a log that takes the memory of the host.
+
+    Load pattern: nobody reads the log, and callers choose long request ids.
+    """
+
+    def test_buffered_bytes_are_bounded_and_all_further_lines_counted(self) -> None:
+        read_end, write_end = os.pipe()
+        self.addCleanup(os.close, read_end)
+        self.addCleanup(os.close, write_end)
+        writer = LineWriter(write_end)
+        fields = dict.fromkeys("abcdefgh", "x" * 16_000)
+        for number in range(1500):
+            writer({"number": number, **fields})
+        self.assertGreater(writer.dropped, 0)
+        self.assertLess(sum(map(len, writer._buffered)), BUFFERED_BYTES_MAX + 10_000)
+        self.assertEqual(writer._buffered_bytes, sum(map(len, writer._buffered)))
