Count what pipelined requests make a host hold

Cause: three places were not counted. - Each parser that waits for its answer kept a copy of all bytes behind its request: 860,328 bytes for one connection with 16 requests running. They counted only until the handler was done. - The sum for pending requests drifted: if an answer was written before the request had been counted as handled, its bytes were taken off twice. After 200 answers a connection counted as -527,593 bytes, so that others could take that much beyond the budget. - Parsers, tasks and connections to upstreams of running requests, and the memory that a buffer keeps in front of its content.

Change: a parser gets 2 KiB at a time, what follows a request goes back into the connection's one buffer, and reading pauses at 8 KiB outside of bodies. The sum is computed from the pending requests each time. A request counts with 4 KiB until it is answered, and 16 KiB while it is handled.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -63,8 +63,10 @@
         long; 0 for the default of the operating system.
     """
 
-    # With more unread bytes than this, reading from the socket is paused.
+    # With this many unread bytes, reading from the socket is paused.
     high_water_bytes = HIGH_WATER_BYTES
+    # Bytes read from the socket at once, at most `READ_BYTES`.
+    read_bytes = READ_BYTES
 
     def __init__(self, unacknowledged_timeout_ms: int = 0) -> None:
         self._unacknowledged_timeout_ms = unacknowledged_timeout_ms
@@ -96,9 +98,8 @@
             )
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        if _READ_TURN.read_bytes < READ_PER_TURN_BYTES:
-            return _READ_BUFFER
-        return _READ_BUFFER[:READ_BYTES_LATER]
+        is_first = _READ_TURN.read_bytes < READ_PER_TURN_BYTES
+        return _READ_BUFFER[: self.read_bytes if is_first else READ_BYTES_LATER]
 
     def buffer_updated(self, nbytes: int) -> None:
         _READ_TURN.add(nbytes)
@@ -108,10 +109,19 @@
         """Take over bytes that were read from the socket."""
         self._received += data
         self.last_received_s = asyncio.get_running_loop().time()
-        if len(self._received) > self.high_water_bytes and not self._paused:
+        if len(self._received) >= self.high_water_bytes:
+            self._pause_reading()
+        self.wake()
+
+    def _pause_reading(self) -> None:
+        if not self._paused:
             self._paused = True
             self.transport.pause_reading()
-        self.wake()
+
+    def _resume_reading(self) -> None:
+        if self._paused:
+            self._paused = False
+            self.transport.resume_reading()
 
     def eof_received(self) -> bool:
         self._ended = True
@@ -154,9 +164,14 @@
         """Number of written bytes that the kernel has not accepted yet."""
         return self.transport.get_write_buffer_size()
 
-    async def read(self) -> bytes:
+    async def read(self, max_bytes: int | None = None) -> bytes:
         """Return received bytes, or no bytes at the end of the stream.
 
+        Parameters
+        ----------
+        max_bytes : int, optional
+            More bytes stay in the buffer; None for all of them.
+
         Returns
         -------
         bytes
@@ -173,11 +188,11 @@
             finally:
                 self._waiter = None
         if self._received:
-            data = bytes(self._received)
-            self._received.clear()
-            if self._paused:
-                self._paused = False
-                self.transport.resume_reading()
+            with memoryview(self._received) as view:
+                data = bytes(view[:max_bytes])
+            del self._received[: len(data)]
+            if len(self._received) <= self.high_water_bytes // 2:
+                self._resume_reading()
             return data
         if self._error is not None:
             raise OSError(str(self._error)) from self._error
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -15,6 +15,7 @@
 import h11
 
 from cardamomquay.caller_memory import Holding
+from cardamomquay_daemon.edge._byte_stream import READ_BYTES
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
 from cardamomquay_daemon.edge._http_client import BODILESS_STATUSES
@@ -37,15 +38,26 @@
 # After a rejection, bytes of the request are read and dropped for this long: closing
 # the connection at once would reset it, and the caller might not receive the answer.
 REJECTION_LINGER_S = 1.0
-# Bytes that a caller has sent and that are not parsed yet; more stay in the kernel.
+# Bytes that a caller has sent and that are not parsed yet; more stay in the kernel. It
+# is less outside of bodies, since there they are requests that have to wait.
 UNREAD_BYTES_MAX = 65_536
+UNREAD_HEAD_BYTES_MAX = 8192
 # A request makes progress when it grows by this much. A caller that sends a byte now
 # and then would otherwise seem to make progress all the time.
 PROGRESS_BYTES = 1024
+# A parser gets the bytes of heads and chunks in parts of this size. It is kept until
+# its request is answered, with those bytes of its last part that follow the request.
+PARSED_PART_BYTES = 2048
+# A body of a stated length is read in parts of this size, and nothing that follows it.
+BODY_PART_BYTES = 65_536
 # Memory of a connection without a request: measured as 8 to 11 KB.
 CONNECTION_BYTES = 10_240
 # Memory of a header beside its bytes, as tuples and objects of the parser.
 HEADER_BYTES = 320
+# Memory of a request beside its bytes until it is answered: parser and answer.
+REQUEST_BYTES = 4096
+# Memory of a request while it is handled: tasks, and the connection to an upstream.
+HANDLER_BYTES = 16_384
 # A body is counted in steps of this size, since a chunk may have a single byte.
 BODY_STEP_BYTES = 8192
 # An answer is written in parts of this size, since the transport copies what it cannot
@@ -149,6 +161,12 @@
     return size + sum(len(name) + len(value) for name, value in head.headers)
 
 
+def _answer_bytes(answer: CallerAnswer) -> int:
+    """Return the memory that an answer takes."""
+    size = len(answer.body) + HEADER_BYTES * len(answer.headers)
+    return size + sum(len(name) + len(value) for name, value in answer.headers)
+
+
 def _content_length(head: h11.Request) -> int:
     """Return the stated length of a body, which h11 has checked; 0 without one."""
     return next(
@@ -165,13 +183,16 @@
     parser : h11.Connection
     is_head : bool
         Whether the answer has no body.
+    kept_bytes : int
+        Memory that is needed until the answer is written, beside the answer.
     size_bytes : int
-        Memory of the request, and of its answer once there is one.
+        Memory of the request, and of its answer once there is one, with `kept_bytes`.
     task : asyncio.Task of CallerAnswer
     """
 
     parser: h11.Connection
     is_head: bool
+    kept_bytes: int
     size_bytes: int
     task: asyncio.Task[CallerAnswer]
 
@@ -193,7 +214,8 @@
         Memory and processor time for the requests and answers of all connections.
     """
 
-    high_water_bytes = UNREAD_BYTES_MAX
+    high_water_bytes = UNREAD_HEAD_BYTES_MAX
+    read_bytes = UNREAD_HEAD_BYTES_MAX
 
     def __init__(
         self,
@@ -212,7 +234,6 @@
         self._parser_bytes = 0
         self._head_bytes = 0
         self._body_bytes = 0
-        self._pending_bytes = 0
         # Whether the request that is being read has to be rejected, and whether its
         # remaining bytes are dropped.
         self._must_reject = False
@@ -254,22 +275,37 @@
         self._memory.close(self._holding)
         super().connection_lost(exc)
 
-    async def read(self) -> bytes:
-        data = await super().read()
+    async def read(self, max_bytes: int | None = None) -> bytes:
+        data = await super().read(max_bytes)
         if self._must_reject:
             raise _memory_error()
         return data
 
-    def _account(self, *, is_needed: bool = False) -> bool:
-        """Count what the connection holds; return whether there is memory for it."""
+    def _account(self, new_bytes: int = 0, *, is_needed: bool = False) -> bool:
+        """Count what the connection holds; return whether there is memory for it.
+
+        Parameters
+        ----------
+        new_bytes : int, default=0
+            Memory that is about to be taken.
+        is_needed : bool, default=False
+            Whether it is held in any case.
+
+        Returns
+        -------
+        bool
+        """
         size = (
             CONNECTION_BYTES
-            + len(self._received)
+            # More than its length once bytes were taken from its front.
+            + self._received.__alloc__()
             + self._parser_bytes
             + self._head_bytes
             + self._body_bytes
-            + self._pending_bytes
+            # Summed up each time: an answer may be written before `_on_handled` runs.
+            + sum(pending.size_bytes for pending in self._pending)
             + self.unsent_bytes
+            + new_bytes
         )
         return self._memory.resize(self._holding, size, is_needed=is_needed)
 
@@ -310,7 +346,9 @@
             while not self._closing:
                 if await self._read_and_dispatch(parser):
                     break
-                parser = self._next_parser(parser)
+                # Each request needs its own, since an h11 connection reads the next
+                # request only after the answer to the previous one has been sent.
+                parser = self._new_parser()
             while self._pending and not self._has_caller_disconnected():
                 # No further request is read. Reading only detects that the caller
                 # disconnects, and ignores any bytes.
@@ -354,7 +392,9 @@
         head: h11.Request | None = None
         # A list of chunks would take several times the memory if they are small.
         body = bytearray()
+        received_s = 0.0
         event_count = EVENTS_PER_TURN - EVENTS_BEFORE_TURNS
+        self._expect_head()
         while True:
             try:
                 event = parser.next_event()
@@ -366,14 +406,12 @@
                 if self._must_reject:
                     raise _memory_error()
             if event is h11.NEED_DATA:
-                if not await self._receive(parser, head is not None, limits):
+                if not await self._receive(parser, head, len(body), limits):
                     return None
+                received_s = asyncio.get_running_loop().time()
             elif isinstance(event, h11.Request):
-                if event.method == b"CONNECT":
-                    raise _RequestError(501, "tunnels are not supported")
                 head = event
-                self._head_bytes = _head_bytes(event)
-                self._reserve_body(min(_content_length(event), limits.max_body_bytes))
+                self._accept_head(event, limits)
             elif isinstance(event, h11.Data):
                 self._append(body, event.data, limits.max_body_bytes)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
@@ -382,22 +420,43 @@
                     head.target,
                     list(head.headers),
                     body,
-                    asyncio.get_running_loop().time(),
+                    received_s,
                 )
             else:
                 return None
 
+    def _expect_head(self) -> None:
+        self.high_water_bytes = self.read_bytes = UNREAD_HEAD_BYTES_MAX
+
+    def _accept_head(self, head: h11.Request, limits: ReadLimits) -> None:
+        """Reserve memory for a request."""
+        if head.method == b"CONNECT":
+            raise _RequestError(501, "tunnels are not supported")
+        self._head_bytes = _head_bytes(head)
+        self._reserve_body(min(_content_length(head), limits.max_body_bytes))
+        self.high_water_bytes = UNREAD_BYTES_MAX
+        self.read_bytes = READ_BYTES
+
     async def _receive(
-        self, parser: h11.Connection, has_head: bool, limits: ReadLimits
+        self,
+        parser: h11.Connection,
+        head: h11.Request | None,
+        body_bytes: int,
+        limits: ReadLimits,
     ) -> bool:
         """Read bytes for the parser; return False if the connection ends."""
         if parser.they_are_waiting_for_100_continue and not self._pending:
             informational = h11.InformationalResponse(status_code=100, headers=[])
             self.write(parser.send(informational) or b"")
-        unparsed = parser.trailing_data[0]
-        self._parser_bytes = len(unparsed)
+        self._parser_bytes = len(parser.trailing_data[0])
+        missing_bytes = _content_length(head) - body_bytes if head else 0
+        max_bytes = (
+            min(missing_bytes, BODY_PART_BYTES)
+            if missing_bytes > 0
+            else PARSED_PART_BYTES
+        )
         data = await self._read_with_timeout(
-            has_head or bool(unparsed), limits.idle_timeout_s, limits
+            max_bytes, head is not None or self._parser_bytes > 0, limits
         )
         if not data:
             return False
@@ -420,17 +479,19 @@
             raise _memory_error()
 
     async def _read_with_timeout(
-        self, request_has_started: bool, idle_timeout_s: float, limits: ReadLimits
+        self, max_bytes: int, request_has_started: bool, limits: ReadLimits
     ) -> bytes:
         """Read bytes; return b"" at the end of the stream or after the idle timeout.
 
         The idle timeout does not apply while earlier requests are being handled.
         """
-        timeout_s = limits.header_timeout_s if request_has_started else idle_timeout_s
+        timeout_s = (
+            limits.header_timeout_s if request_has_started else limits.idle_timeout_s
+        )
         while True:
             try:
                 async with asyncio.timeout(timeout_s):
-                    return await self.read()
+                    return await self.read(max_bytes)
             except TimeoutError as exc:
                 if request_has_started:
                     raise _RequestError(
@@ -455,18 +516,20 @@
                 return True
         if self._must_reject:
             raise _memory_error()
-        # The parser is kept for the answer, with the bytes that follow the request.
-        rest_bytes = len(parser.trailing_data[0])
-        size_bytes = self._head_bytes + len(request.body) + rest_bytes
-        self._head_bytes = self._body_bytes = 0
-        self._pending_bytes += size_bytes
-        if rest_bytes and not self._account():
-            self._pending_bytes -= size_bytes
+        # The parser is kept for the answer, with its copy of what follows the request.
+        rest = parser.trailing_data[0]
+        self._received[:0] = rest
+        kept_bytes = REQUEST_BYTES + len(rest)
+        size_bytes = kept_bytes + HANDLER_BYTES + self._head_bytes + len(request.body)
+        self._head_bytes = self._body_bytes = self._parser_bytes = 0
+        if not self._account(size_bytes):
             self._memory.record_refused()
             raise _memory_error()
         loop = asyncio.get_running_loop()
         task = loop.create_task(self._handle(request))
-        pending = _PendingRequest(parser, request.method == b"HEAD", size_bytes, task)
+        pending = _PendingRequest(
+            parser, request.method == b"HEAD", kept_bytes, size_bytes, task
+        )
         self._pending.append(pending)
         self._memory.budget.set_protected(self._holding, loop.time(), is_protected=True)
         task.add_done_callback(partial(self._on_handled, pending))
@@ -478,10 +541,9 @@
         self, pending: _PendingRequest, task: asyncio.Task[CallerAnswer]
     ) -> None:
         """Count the answer in place of the request, which is released."""
-        size_bytes = 0
+        size_bytes = pending.kept_bytes
         if not task.cancelled() and task.exception() is None:
-            size_bytes = len(task.result().body)
-        self._pending_bytes += size_bytes - pending.size_bytes
+            size_bytes += _answer_bytes(task.result())
         pending.size_bytes = size_bytes
         if all(other.task.done() for other in self._pending):
             self._memory.budget.set_protected(
@@ -513,7 +575,6 @@
                 # The caller disconnected while the answer was sent.
                 break
             self._pending.popleft()
-            self._pending_bytes -= pending.size_bytes
             self._account(is_needed=True)
             self._pending_reduced.set()
             if pending.parser.our_state is not h11.DONE:
@@ -574,9 +635,8 @@
         self._received.clear()
         self._parser_bytes = 0
         self._account(is_needed=True)
-        if self._paused:
-            self._paused = False
-            self.transport.resume_reading()
+        self.read_bytes = READ_BYTES
+        self._resume_reading()
         self.transport.write_eof()
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(REJECTION_LINGER_S):
@@ -587,20 +647,6 @@
         size = self._limits().max_header_bytes
         return h11.Connection(h11.SERVER, max_incomplete_event_size=size)
 
-    def _next_parser(self, parser: h11.Connection) -> h11.Connection:
-        """Return a parser for the request after that of the given parser.
-
-        Each request needs its own, since an h11 connection reads the next request only
-        after the answer to the previous one has been sent.
-        """
-        rest, has_ended = parser.trailing_data
-        next_parser = self._new_parser()
-        if rest:
-            next_parser.receive_data(rest)
-        if has_ended:
-            next_parser.receive_data(b"")
-        return next_parser
-
     def _cancel_and_close(self) -> None:
         for pending in self._pending:
             pending.task.cancel()
