Let callers take turns for each request, not only within long bodies

Callers saw ordinary requests to another service time out or get 503 while 400 connections pipelined small requests: 43 of 43 in 12 s on, after 10 s (median), on the listener of callers as on the others (trials).

Cause: a request took a turn only after 16 events of its parser, so each connection parsed and started up to 16 requests in each iteration of the event loop, and was read in each. An iteration took seconds, and connecting to an upstream, which needs several, ended by its timeout of 0.5 s.

Change: one order for all listeners, decided in the core without a network. Each request waits for a turn, eight in an iteration. Callers that wait for their answers go first; those that have sent ahead, and long heads and bodies, get one turn after three others, each connection one at a time. A head costs by its headers. A caller that leaves gives up its turn, and what is dropped after a rejection is read in turns. Reading pauses at 8 KiB, so that a waiting connection costs nothing.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -18,9 +18,10 @@
 from cardamomquay_daemon.edge._byte_stream import READ_BYTES
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
+from cardamomquay_daemon.edge._caller_turns import EVENTS_BEFORE_TURNS
+from cardamomquay_daemon.edge._caller_turns import EVENTS_PER_TURN
+from cardamomquay_daemon.edge._caller_turns import HEADERS_PER_TURN
 from cardamomquay_daemon.edge._http_client import BODILESS_STATUSES
-from cardamomquay_daemon.edge._parse_turns import EVENTS_BEFORE_TURNS
-from cardamomquay_daemon.edge._parse_turns import EVENTS_PER_TURN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,7 +40,8 @@
 # the connection at once would reset it, and the caller might not receive the answer.
 REJECTION_LINGER_S = 1.0
 # Bytes that a caller has sent and that are not parsed yet; more stay in the kernel. It
-# is less outside of bodies, since there they are requests that have to wait.
+# is less outside of bodies, since there they are requests that have to wait: a socket
+# that is not read takes no processor time.
 UNREAD_BYTES_MAX = 65_536
 UNREAD_HEAD_BYTES_MAX = 8192
 # A request makes progress when it grows by this much. A caller that sends a byte now
@@ -234,6 +236,10 @@
         self._parser_bytes = 0
         self._head_bytes = 0
         self._body_bytes = 0
+        # Whether bytes were left when the last request was complete, and the turn for
+        # which the connection waits.
+        self._has_sent_ahead = False
+        self._turn: asyncio.Future[None] | None = None
         # Whether the request that is being read has to be rejected, and whether its
         # remaining bytes are dropped.
         self._must_reject = False
@@ -263,6 +269,9 @@
 
     def data_received(self, data: bytes | memoryview) -> None:
         if self._is_dropping or self._must_reject:
+            # Read on at the next turn, or before the rejection.
+            self._pause_reading()
+            self.wake()
             return
         super().data_received(data)
         self._received_since_progress += len(data)
@@ -274,6 +283,12 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._memory.close(self._holding)
         super().connection_lost(exc)
+        self._leave_turns()
+
+    def eof_received(self) -> bool:
+        super().eof_received()
+        self._leave_turns()
+        return True
 
     async def read(self, max_bytes: int | None = None) -> bytes:
         data = await super().read(max_bytes)
@@ -322,6 +337,24 @@
             self._memory.record_refused()
             self._received.clear()
             self.wake()
+            self._leave_turns()
+
+    async def _take_turn(self, *, is_ahead: bool) -> None:
+        """Wait for processor time."""
+        turn = self._memory.turns.request(is_ahead=is_ahead)
+        if turn is not None:
+            self._turn = turn
+            try:
+                await turn
+            finally:
+                self._turn = None
+        if self._must_reject:
+            raise _memory_error()
+
+    def _leave_turns(self) -> None:
+        """Stop waiting for processor time."""
+        if self._turn is not None and not self._turn.done():
+            self._turn.set_result(None)
 
     def _end_for_memory(self, *, must_close: bool) -> None:
         """Reject the request that is being read, or close the connection at once."""
@@ -393,6 +426,7 @@
         # A list of chunks would take several times the memory if they are small.
         body = bytearray()
         received_s = 0.0
+        is_long = False
         event_count = EVENTS_PER_TURN - EVENTS_BEFORE_TURNS
         self._expect_head()
         while True:
@@ -402,16 +436,21 @@
                 raise _RequestError(exc.error_status_hint, str(exc)) from exc
             event_count += 1
             if event_count % EVENTS_PER_TURN == 0:
-                await self._memory.turns.next()
-                if self._must_reject:
-                    raise _memory_error()
+                await self._take_turn(is_ahead=True)
             if event is h11.NEED_DATA:
                 if not await self._receive(parser, head, len(body), limits):
                     return None
                 received_s = asyncio.get_running_loop().time()
+                if head is None:
+                    # A head that needs another part is a long one.
+                    is_ahead = is_long or self._has_sent_ahead or bool(self._pending)
+                    await self._take_turn(is_ahead=is_ahead or bool(self._received))
+                    is_long = True
+                if self._closing or self._has_caller_disconnected():
+                    return None
             elif isinstance(event, h11.Request):
                 head = event
-                self._accept_head(event, limits)
+                await self._accept_head(event, limits)
             elif isinstance(event, h11.Data):
                 self._append(body, event.data, limits.max_body_bytes)
             elif isinstance(event, h11.EndOfMessage) and head is not None:
@@ -428,14 +467,17 @@
     def _expect_head(self) -> None:
         self.high_water_bytes = self.read_bytes = UNREAD_HEAD_BYTES_MAX
 
-    def _accept_head(self, head: h11.Request, limits: ReadLimits) -> None:
-        """Reserve memory for a request."""
+    async def _accept_head(self, head: h11.Request, limits: ReadLimits) -> None:
+        """Reserve memory and processor time for a request."""
         if head.method == b"CONNECT":
             raise _RequestError(501, "tunnels are not supported")
         self._head_bytes = _head_bytes(head)
         self._reserve_body(min(_content_length(head), limits.max_body_bytes))
         self.high_water_bytes = UNREAD_BYTES_MAX
         self.read_bytes = READ_BYTES
+        if turns := len(head.headers) // HEADERS_PER_TURN:
+            self._memory.turns.charge(turns)
+            await self._take_turn(is_ahead=True)
 
     async def _receive(
         self,
@@ -519,6 +561,7 @@
         # The parser is kept for the answer, with its copy of what follows the request.
         rest = parser.trailing_data[0]
         self._received[:0] = rest
+        self._has_sent_ahead = bool(self._received)
         kept_bytes = REQUEST_BYTES + len(rest)
         size_bytes = kept_bytes + HANDLER_BYTES + self._head_bytes + len(request.body)
         self._head_bytes = self._body_bytes = self._parser_bytes = 0
@@ -636,12 +679,13 @@
         self._parser_bytes = 0
         self._account(is_needed=True)
         self.read_bytes = READ_BYTES
-        self._resume_reading()
         self.transport.write_eof()
         with suppress(TimeoutError, OSError):
             async with asyncio.timeout(REJECTION_LINGER_S):
-                while await self.read():
-                    pass
+                while not self.has_ended:
+                    self._resume_reading()
+                    await self.read()
+                    await self._take_turn(is_ahead=True)
 
     def _new_parser(self) -> h11.Connection:
         size = self._limits().max_header_bytes
@@ -652,6 +696,7 @@
             pending.task.cancel()
         self._pending.clear()
         self._pending_reduced.set()
+        self._leave_turns()
         self._connections.discard(self)
         self.close()
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -8,8 +8,8 @@
 
 from cardamomquay.caller_memory import CallerBudget
 from cardamomquay.caller_memory import Holding
+from cardamomquay_daemon.edge._caller_turns import CallerTurns
 from cardamomquay_daemon.edge._events import CALLERS_ENDED
-from cardamomquay_daemon.edge._parse_turns import ParseTurns
 
 if TYPE_CHECKING:
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
@@ -48,15 +48,15 @@
 
     Attributes
     ----------
-    turns : ParseTurns
-        Processor time for long bodies.
+    turns : CallerTurns
+        Processor time of all connections.
     """
 
     def __init__(self, budget: CallerBudget | None = None) -> None:
         self.budget = budget or CallerBudget(
             DEFAULT_LIMIT_BYTES, DEFAULT_CONNECTIONS_MAX
         )
-        self.turns = ParseTurns()
+        self.turns = CallerTurns()
         self._end_by_holding: dict[Holding, EndConnection] = {}
         self._tally = _Tally()
         self._logged_s = float("-inf")
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -21,8 +21,8 @@
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
-from cardamomquay_daemon.edge._parse_turns import TURNS_PER_ITERATION
-from cardamomquay_daemon.edge._parse_turns import ParseTurns
+from cardamomquay_daemon.edge._caller_turns import TURNS_PER_ITERATION
+from cardamomquay_daemon.edge._caller_turns import CallerTurns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -471,12 +471,14 @@
             self.assertIn(b" 200 ", await reader.readline())
 
     async def test_tiny_chunks_of_many_callers_take_turns(self) -> None:
-        turns = ParseTurns()
+        turns = CallerTurns()
         passed = 0
 
         async def parse() -> None:
             nonlocal passed
-            await turns.next()
+            turn = turns.request(is_ahead=True)
+            if turn is not None:
+                await turn
             passed += 1
 
         tasks = [asyncio.create_task(parse()) for _ in range(50)]
--- a/packages/daemon/tests/edge/test_caller_turns.py
+++ b/packages/daemon/tests/edge/test_caller_turns.py
@@ -13,6 +13,9 @@
 from cardamomquay_daemon.edge._caller_conn import REQUEST_BYTES
 from cardamomquay_daemon.edge._caller_conn import UNREAD_HEAD_BYTES_MAX
 
+# Work that keeps all connections waiting for the rest of a test.
+ENDLESS_TURNS = 1_000_000
+
 
 class CountedMemoryTest(CallerConnTest):
     """Guards against memory of pipelined requests that no budget counts."""
@@ -43,3 +46,21 @@
             conn = next(iter(self.connections))
             kept = sum(len(item.parser.trailing_data[0]) for item in conn._pending)
             self.assertLessEqual(kept, PIPELINED_REQUESTS_MAX * PARSED_PART_BYTES)
+
+
+class WaitingTest(CallerConnTest):
+    """Guards against work for callers that have gone."""
+
+    async def test_a_request_whose_caller_leaves_before_its_turn_never_runs(
+        self,
+    ) -> None:
+        self.memory.turns.charge(ENDLESS_TURNS)
+        async with self.caller() as (_, writer):
+            writer.write(self.get(b"/1"))
+            while not len(self.memory.turns):
+                await asyncio.sleep(0)
+            writer.close()
+            while self.memory.used_bytes:
+                await asyncio.sleep(0)
+        self.assertEqual(self.connections, set())
+        self.assertEqual(self.started, [])
