Bound the requests that run at once, and the connections to upstreams

Cause: a quarter of the descriptors was kept for connections to upstreams, but nothing counted these. Each request that runs needs one, each connection may run 16, and idle ones were kept beside them.

Change: as many requests run at once as there are descriptors for upstreams, 1,025 of 4,100, three quarters of them for one service. Another one is rejected at once, not run, with a retry delay of 0.5 to 1.5 s, before any upstream is chosen, so it says nothing about upstreams. Once a quarter is used, requests of one connection run one by one, which spares most of the rejections. For a new connection above the bound the one that has been idle for the longest time is closed.

--- a/packages/core/src/cardamomquay/caller_memory/__init__.py
+++ b/packages/core/src/cardamomquay/caller_memory/__init__.py
@@ -1,9 +1,10 @@
-"""Memory and connections of callers: one budget, and who ends when it is used up."""
+"""Memory, connections and requests of callers, and who ends when they are used up."""
 
 from __future__ import annotations
 
 from cardamomquay.caller_memory._budget import CallerBudget
 from cardamomquay.caller_memory._budget import Decision
 from cardamomquay.caller_memory._budget import Holding
+from cardamomquay.caller_memory._running import RunningRequests
 
-__all__ = ["CallerBudget", "Decision", "Holding"]
+__all__ = ["CallerBudget", "Decision", "Holding", "RunningRequests"]
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -546,6 +546,7 @@
         """Start handling a request; return whether it is the connection's last."""
         while self._pending and (
             len(self._pending) >= PIPELINED_REQUESTS_MAX
+            or not self._memory.running.has_room_for_pipelined
             # A request with an unsafe method waits for all earlier answers: one of them
             # may close the connection, and the request could run without being
             # answered. In a stop the last of them does.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -8,6 +8,7 @@
 
 from cardamomquay.caller_memory import CallerBudget
 from cardamomquay.caller_memory import Holding
+from cardamomquay.caller_memory import RunningRequests
 from cardamomquay_daemon.edge._caller_turns import CallerTurns
 from cardamomquay_daemon.edge._events import CALLERS_ENDED
 
@@ -16,6 +17,7 @@
 
 DEFAULT_LIMIT_BYTES = 150_000_000
 DEFAULT_CONNECTIONS_MAX = 2000
+DEFAULT_REQUESTS_MAX = 1000
 # Interval of log lines about refused and closed connections, however many there are.
 LOG_INTERVAL_S = 1.0
 # While memory is short, an unfinished request has to grow by `PROGRESS_BYTES` of
@@ -45,6 +47,7 @@
     Parameters
     ----------
     budget : CallerBudget, optional
+    running : RunningRequests, optional
 
     Attributes
     ----------
@@ -52,10 +55,18 @@
         Processor time of all connections.
     """
 
-    def __init__(self, budget: CallerBudget | None = None) -> None:
+    def __init__(
+        self,
+        budget: CallerBudget | None = None,
+        running: RunningRequests | None = None,
+    ) -> None:
         self.budget = budget or CallerBudget(
             DEFAULT_LIMIT_BYTES, DEFAULT_CONNECTIONS_MAX
         )
+        # An object without requests is false.
+        self.running = (
+            RunningRequests(DEFAULT_REQUESTS_MAX) if running is None else running
+        )
         self.turns = CallerTurns()
         self._end_by_holding: dict[Holding, EndConnection] = {}
         self._tally = _Tally()
--- a/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
@@ -5,6 +5,7 @@
 import asyncio
 from abc import ABC
 from abc import abstractmethod
+from collections import OrderedDict
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
@@ -48,6 +49,46 @@
         """
 
 
+class ConnectionCount:
+    """Counts the connections of several pools, and closes idle ones for new ones.
+
+    Parameters
+    ----------
+    connections_max : int or None, default=None
+        None for no bound. Connections in use may exceed it.
+    """
+
+    def __init__(self, connections_max: int | None = None) -> None:
+        self._connections_max = connections_max
+        self._open_count = 0
+        # The one that has been idle for the longest time first.
+        self._pool_by_idle: OrderedDict[HttpConnection, ConnectionPool] = OrderedDict()
+
+    def __len__(self) -> int:
+        return self._open_count
+
+    def begin_open(self) -> None:
+        """Count a connection that is about to be opened."""
+        self._open_count += 1
+        if self._connections_max is None:
+            return
+        while self._open_count > self._connections_max and self._pool_by_idle:
+            conn, pool = next(iter(self._pool_by_idle.items()))
+            pool.close_idle(conn)
+
+    def end(self) -> None:
+        """Count the end of a connection, or that it was not opened."""
+        self._open_count -= 1
+
+    def add_idle(self, conn: HttpConnection, pool: ConnectionPool) -> None:
+        """Add a connection that may be closed for others."""
+        self._pool_by_idle[conn] = pool
+
+    def remove_idle(self, conn: HttpConnection) -> None:
+        """Remove a connection that is used again, or closed."""
+        del self._pool_by_idle[conn]
+
+
 class ConnectionPool:
     """Provides connections, and keeps reusable ones open.
 
@@ -59,6 +100,8 @@
     idle_max : int
         Largest number of idle connections to keep.
     listener : PoolListener or None, default=None
+    count : ConnectionCount or None, default=None
+        Shared with other pools.
     """
 
     def __init__(
@@ -67,7 +110,10 @@
         connect_timeout_s: float,
         idle_max: int,
         listener: PoolListener | None = None,
+        count: ConnectionCount | None = None,
     ) -> None:
+        # An object without connections is false.
+        self._count = ConnectionCount() if count is None else count
         self._address = address
         self._connect_timeout_s = connect_timeout_s
         self._idle_max = idle_max
@@ -98,10 +144,11 @@
             conn = await self._open()
         except ExchangeError:
             return False
-        await asyncio.sleep(SETTLE_TIME_S)
-        is_open = conn.is_reusable
-        conn.close()
-        return is_open
+        try:
+            await asyncio.sleep(SETTLE_TIME_S)
+            return conn.is_reusable
+        finally:
+            self._close(conn)
 
     @asynccontextmanager
     async def connection(self) -> AsyncGenerator[HttpConnection]:
@@ -134,20 +181,25 @@
                 conn.idle_since_s = asyncio.get_running_loop().time()
                 conn.call_at_end_by_peer(partial(self._on_idle_end, conn))
                 self._idle.append(conn)
+                self._count.add_idle(conn, self)
             else:
-                conn.close()
+                self._close(conn)
 
     def close(self) -> None:
         """Close the idle connections; those in use are closed on release."""
         self._idle_max = 0
         while self._idle:
-            self._close_idle(self._idle.pop())
+            self.close_idle(self._idle[-1])
+
+    def close_idle(self, conn: HttpConnection) -> None:
+        """Close an idle connection."""
+        self._remove_idle(conn)
+        self._close(conn)
 
     def _on_idle_end(self, conn: HttpConnection) -> None:
         if conn not in self._idle:
             return
-        self._idle.remove(conn)
-        self._close_idle(conn)
+        self.close_idle(conn)
         idle_s = asyncio.get_running_loop().time() - conn.idle_since_s
         if conn.is_idle_limit_stated and idle_s < conn.idle_limit_s:
             self._report_lost(conn)
@@ -159,25 +211,35 @@
 
     async def _open(self) -> HttpConnection:
         began_s = asyncio.get_running_loop().time()
+        self._count.begin_open()
+        conn: HttpConnection | None = None
         try:
-            return await HttpConnection.open(self._address, self._connect_timeout_s)
+            conn = await HttpConnection.open(self._address, self._connect_timeout_s)
         except ExchangeError as exc:
             if exc.reason == CONNECT_REFUSED and self._listener is not None:
                 now_s = asyncio.get_running_loop().time()
                 self._listener.on_refused(now_s - began_s)
             raise
+        finally:
+            if conn is None:
+                self._count.end()
+        return conn
 
-    @staticmethod
-    def _close_idle(conn: HttpConnection) -> None:
-        conn.call_at_end_by_peer(None)
+    def _close(self, conn: HttpConnection) -> None:
         conn.close()
+        self._count.end()
+
+    def _remove_idle(self, conn: HttpConnection) -> None:
+        conn.call_at_end_by_peer(None)
+        self._idle.remove(conn)
+        self._count.remove_idle(conn)
 
     def _take_idle(self) -> HttpConnection | None:
         now_s = asyncio.get_running_loop().time()
         while self._idle:
-            conn = self._idle.pop()
+            conn = self._idle[-1]
             if conn.is_reusable and now_s - conn.idle_since_s < conn.idle_limit_s:
-                conn.call_at_end_by_peer(None)
+                self._remove_idle(conn)
                 return conn
-            self._close_idle(conn)
+            self.close_idle(conn)
         return None
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay.caller_memory import CallerBudget
+from cardamomquay.caller_memory import RunningRequests
 from cardamomquay.clock import SystemClock
 from cardamomquay.fleet import FleetView
 from cardamomquay.fleet import HostPhase
@@ -77,8 +78,8 @@
 ANSWER_MEMORY_SHARE = 0.5
 # Descriptors for files, listeners, the store and what libraries open.
 RESERVED_DESCRIPTORS = 200
-# Share of the descriptors for connections to upstreams, which are idle or run requests
-# that wait in a queue. It also is the most that is reserved for files.
+# Share of the descriptors for connections to upstreams, and so of the requests that run
+# at once. It also is the most that is reserved for files.
 UPSTREAM_DESCRIPTOR_SHARE = 0.25
 
 
@@ -113,7 +114,9 @@
         self._fleet = FleetView(_own_record(settings))
         zone_latencies = ZoneLatencies(settings.zone, settings.region_of)
         self._placement = Placement(zone_latencies)
-        self._upstream_connections = UpstreamConnections()
+        upstream_descriptors = _upstream_descriptors(settings)
+        self._upstream_connections = UpstreamConnections(upstream_descriptors)
+        running = RunningRequests(upstream_descriptors)
         self._feeds = StoreFeeds(
             platform,
             self._state,
@@ -207,9 +210,10 @@
             telemetry,
             self._peers.report_if_due,
             self._peers.report_news,
+            running,
         )
         self._connections: set[CallerConnection] = set()
-        self._caller_memory = CallerMemory(_caller_budget(settings))
+        self._caller_memory = CallerMemory(_caller_budget(settings), running)
         ANSWER_BUFFERS.may_hold = self._caller_memory.hold_answers
         ANSWER_BUFFERS.total_bytes = min(
             ANSWER_BUFFERS.total_bytes,
@@ -459,9 +463,13 @@
             self._placement.record_of(after).clear_objects()
 
 
+def _upstream_descriptors(settings: EdgeSettings) -> int:
+    return max(1, int(UPSTREAM_DESCRIPTOR_SHARE * settings.descriptors_max))
+
+
 def _caller_budget(settings: EdgeSettings) -> CallerBudget:
     descriptors = settings.descriptors_max
-    upstream_descriptors = int(UPSTREAM_DESCRIPTOR_SHARE * descriptors)
+    upstream_descriptors = _upstream_descriptors(settings)
     reserved = min(RESERVED_DESCRIPTORS, upstream_descriptors)
     return CallerBudget(
         int(CALLER_MEMORY_SHARE * settings.memory_bytes),
--- a/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_relay.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from cardamomquay.caller_memory import RunningRequests
 from cardamomquay.outcomes import Refusal
 from cardamomquay.outcomes import RefusalReason
 from cardamomquay.placement import AdmissionClaim
@@ -23,6 +25,7 @@
 from cardamomquay_daemon.edge._attempts import AttemptOutcome
 from cardamomquay_daemon.edge._attempts import AttemptResult
 from cardamomquay_daemon.edge._caller_conn import CallerAnswer
+from cardamomquay_daemon.edge._caller_memory import DEFAULT_REQUESTS_MAX
 from cardamomquay_daemon.edge._eligibility import PAUSED_DETAIL
 from cardamomquay_daemon.edge._events import REQUEST_CANCELLED
 from cardamomquay_daemon.edge._events import REQUEST_DONE
@@ -73,6 +76,10 @@
 # came back; one that was refused and retries at once has spent less.
 RETURN_WAIT_MIN_S = 0.1
 STALE_CONFIG_RETRY_AFTER_S = 0.5
+# Retry delays of requests for which too many others run, spread so that their callers
+# do not return together.
+TOO_MANY_RUNNING_RETRY_AFTER_S = (0.5, 1.5)
+TOO_MANY_RUNNING_DETAIL = "too many requests run"
 
 
 @dataclass(slots=True)
@@ -141,6 +148,8 @@
         Called with the organisation's name for each request that its quota admits.
     report_news : callable
         Reports to the other hosts ahead of the period, as soon as it may.
+    running : RunningRequests, optional
+        Bounds the requests that run at once.
     """
 
     def __init__(
@@ -155,7 +164,12 @@
         telemetry: EdgeTelemetry,
         on_admitted: Callable[[str], None],
         report_news: Callable[[], None],
+        running: RunningRequests | None = None,
     ) -> None:
+        # An object without requests is false.
+        self._running = (
+            RunningRequests(DEFAULT_REQUESTS_MAX) if running is None else running
+        )
         self._poison_guard = poison_guard
         self._report_news = report_news
         self._on_admitted = on_admitted
@@ -202,6 +216,17 @@
             route.name, WeightedRoundRobin()
         ).choose(route)
         self._eligibility.priority_mix.record(context.service, route.priority)
+        with self._running.run(context.service) as may_run:
+            if may_run:
+                return await self._send(context)
+        return Refusal(
+            RefusalReason.POOL_BUSY,
+            TOO_MANY_RUNNING_DETAIL,
+            random.uniform(*TOO_MANY_RUNNING_RETRY_AFTER_S),
+        )
+
+    async def _send(self, context: RequestContext) -> AttemptResult | Refusal:
+        """Send a request to upstreams until one answers or it may not be retried."""
         candidate = await self._choose_upstream(context)
         if isinstance(candidate, Refusal):
             return candidate
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from cardamomquay_daemon.edge._addresses import parse_address
+from cardamomquay_daemon.edge._connection_pool import ConnectionCount
 from cardamomquay_daemon.edge._connection_pool import ConnectionPool
 from cardamomquay_daemon.edge._connection_pool import PoolListener
 
@@ -46,12 +47,18 @@
 class UpstreamConnections:
     """Connection pools by upstream instance.
 
+    Parameters
+    ----------
+    connections_max : int or None, default=None
+        Number of connections, of all pools, above which idle ones are closed.
+
     Attributes
     ----------
     listener : ConnectionListener or None
     """
 
-    def __init__(self) -> None:
+    def __init__(self, connections_max: int | None = None) -> None:
+        self._count = ConnectionCount(connections_max)
         self._pools: dict[str, ConnectionPool] = {}
         self.listener: ConnectionListener | None = None
 
@@ -106,6 +113,7 @@
                 CONNECT_TIMEOUT_S,
                 IDLE_PER_UPSTREAM_MAX,
                 _InstanceListener(self, upstream.instance),
+                self._count,
             )
         return pool
 
