Close rejected connections before those of waiting callers

Cause: a connection that was chosen to end left the order of those that may be closed, but stays open for a second so that its caller receives the 503. With all descriptors used, one more connection closed another one instead, often that of a caller who was waiting for a turn.

Change: connections with their last answer, and those chosen to end, are the first to be closed for another one.

Result: test_budget.test_those_that_are_finished_or_ended_give_way_first.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -88,6 +88,8 @@
         self._holdings: set[Holding] = {self.answers}
         # Holdings that may be ended, the one with the oldest progress first.
         self._order: OrderedDict[Holding, None] = OrderedDict()
+        # Those that will be closed soon, the first to come at the front.
+        self._finished: OrderedDict[Holding, None] = OrderedDict()
 
     @property
     def connection_count(self) -> int:
@@ -104,7 +106,7 @@
         """Add a holding; a granted one is to be closed with `close`."""
         ended: tuple[Holding, ...] = ()
         if self.connection_count >= self.connections_max:
-            oldest = next(iter(self._order), None)
+            oldest = next(iter(self._finished or self._order), None)
             if oldest is None:
                 return Decision(is_granted=False)
             oldest.has_to_end = True
@@ -119,9 +121,16 @@
         if holding in self._holdings:
             self._holdings.discard(holding)
             self._order.pop(holding, None)
+            self._finished.pop(holding, None)
             self.used_bytes -= holding.size_bytes
             holding.size_bytes = 0
 
+    def finish(self, holding: Holding) -> None:
+        """Let a connection with its last answer give way before all others."""
+        if holding in self._holdings:
+            self._order.pop(holding, None)
+            self._finished[holding] = None
+
     def resize(
         self, holding: Holding, size_bytes: int, *, is_needed: bool = False
     ) -> Decision:
@@ -237,6 +246,6 @@
 
     def _end(self, holding: Holding) -> None:
         holding.has_to_end = True
-        self._order.pop(holding, None)
+        self.finish(holding)
         self.used_bytes -= holding.size_bytes
         holding.size_bytes = 0
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -100,6 +100,14 @@
         self.assertEqual(self.budget.open(Holding(4.0)).ended, (second,))
         self.assertEqual(self.budget.connection_count, 3)
 
+    def test_those_that_are_finished_or_ended_give_way_first(self) -> None:
+        waiting, finished, ended = (self.held(n * LARGE, n) for n in range(3))
+        self.budget.finish(finished)
+        self.budget.limit_bytes = LARGE
+        self.assertEqual(self.budget.end_stalled(10.0, 3.0), (ended,))
+        for expected in (finished, ended, waiting):
+            self.assertEqual(self.budget.open(Holding(4.0)).ended, (expected,))
+
     def test_a_connection_is_refused_while_upstreams_work_for_all(self) -> None:
         for n in range(3):
             self.held(1, n, is_protected=True)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -679,6 +679,7 @@
         self._received.clear()
         self._parser_bytes = 0
         self._account(is_needed=True)
+        self._memory.budget.finish(self._holding)
         self.read_bytes = READ_BYTES
         self.transport.write_eof()
         with suppress(TimeoutError, OSError):
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -148,6 +148,7 @@
             oldest_s = self._tally.oldest_progress_s
             if oldest_s is None or holding.progress_s < oldest_s:
                 self._tally.oldest_progress_s = holding.progress_s
-            end = self._end_by_holding.pop(holding, None)
+            # It may be chosen again: first refused, then closed for another connection.
+            end = self._end_by_holding.get(holding)
             if end is not None:
                 end(must_close=must_close)
