Accept a few connections in each iteration of the event loop

Cause: the event loop accepts as many connections at once as the queue of the listener holds, 512 on each listener, and a crowd that connects, sends and resets makes it do so in each iteration.

Change: at most 16 on each listener; the queue in the kernel keeps its 512.

No test of its own: it would depend on time.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import signal
+import socket
 from contextlib import asynccontextmanager
 from functools import partial
 from typing import TYPE_CHECKING
@@ -69,7 +70,10 @@
 STOP_POLL_S = 0.05
 # Time for the last answers to be written before the process ends.
 ANSWER_WRITE_TIME_S = 0.1
+# Connections that wait in the kernel, and how many of them are accepted in an iteration
+# of the event loop on each listener.
 LISTEN_BACKLOG = 512
+ACCEPTS_PER_ITERATION = 16
 # Share of the process's memory for all that callers make it hold. Two bodies of 64 MiB
 # fit into a host of 300 MB; the rest is for the program (30 MB), its state, and what
 # the allocator loses.
@@ -313,20 +317,28 @@
             return
         if connections is None:
             connections = self._auxiliary_connections
-        bind = partial(
-            asyncio.get_running_loop().create_server,
-            partial(
-                CallerConnection,
-                handle,
-                self._read_limits,
-                lambda: self._state.is_stopping,
-                connections,
-                self._caller_memory,
-            ),
-            *address,
-            backlog=LISTEN_BACKLOG,
-            reuse_address=True,
+        make_connection = partial(
+            CallerConnection,
+            handle,
+            self._read_limits,
+            lambda: self._state.is_stopping,
+            connections,
+            self._caller_memory,
         )
+
+        async def bind() -> asyncio.Server:
+            sock = socket.create_server(address, backlog=LISTEN_BACKLOG)
+            try:
+                server = await asyncio.get_running_loop().create_server(
+                    make_connection, sock=sock, backlog=ACCEPTS_PER_ITERATION
+                )
+            except BaseException:
+                sock.close()
+                raise
+            # The event loop has set the kernel's queue to what it accepts at once.
+            sock.listen(LISTEN_BACKLOG)
+            return server
+
         async with self._open(Listener(name, address, bind, self._telemetry)) as opened:
             yield opened
 
