--- a/packages/daemon/tests/edge/test_host.py
+++ b/packages/daemon/tests/edge/test_host.py
@@ -3,7 +3,9 @@
 import asyncio
 import socket
 import unittest
+from contextlib import ExitStack
 from contextlib import asynccontextmanager
+from itertools import pairwise
 from typing import TYPE_CHECKING
 from typing import Any
 from unittest import mock
@@ -30,6 +32,7 @@
 from cardamomquay_daemon.edge import LookupRequest
 from cardamomquay_daemon.edge import OperatorChanges
 from cardamomquay_daemon.edge import UpstreamChanges
+from cardamomquay_daemon.edge._host import ACCEPTS_PER_ITERATION
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -325,6 +328,23 @@
             self.assertEqual(await self.get(2, b"/other"), 404)
 
 
+class AcceptTest(HostCase):
+    """Guards against crowds that connect and leave, and so take all processor time."""
+
+    async def test_few_connections_are_accepted_in_one_iteration(self) -> None:
+        async with scripted_server() as served, self.running(served) as host:
+            with ExitStack() as stack:
+                for _ in range(8 * ACCEPTS_PER_ITERATION):
+                    sock = stack.enter_context(socket.socket())
+                    sock.connect((LOOPBACK, self.ports[0]))
+                counts = [len(host._connections)]
+                while counts[-1] < 8 * ACCEPTS_PER_ITERATION:
+                    await asyncio.sleep(0)
+                    counts.append(len(host._connections))
+            growth = [after - before for before, after in pairwise(counts)]
+            self.assertLessEqual(max(growth), ACCEPTS_PER_ITERATION)
+
+
 class FailedTaskTest(HostCase):
     """Guards against a failed task that passes for a planned stop, or cuts callers."""
 
