Treat an answer that made room at its end as incomplete

Cause: an answer that ends to make room for another one is cleared, and the task that reads it finds that out when it adds bytes. If the only event left was the end of the message, nothing was added, and the empty body was taken for the whole one.

Change: reading the body checks whether the answer had to make room. The attempt then fails like every answer beyond the limits (answer_too_large).

Nothing else takes the body of a buffer.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
@@ -172,5 +172,12 @@
             raise AnswerTooLargeError
 
     def body(self) -> bytes:
-        """Return the bytes that were added."""
+        """Return the bytes that were added.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If the answer had to make room for another one, and is empty now.
+        """
+        self.check()
         return bytes(self._received)
--- a/packages/daemon/tests/edge/test_endless_answers.py
+++ b/packages/daemon/tests/edge/test_endless_answers.py
@@ -178,6 +178,18 @@
             small.append(b"x")
         self.assertEqual(buffers.used_bytes, 0)
 
+    def test_an_answer_that_made_room_at_its_end_is_not_complete(self) -> None:
+        buffers = AnswerBuffers(total_bytes=2 * MEBIBYTE)
+        with (
+            buffers.buffer(2 * MEBIBYTE) as one,
+            buffers.buffer(2 * MEBIBYTE) as two,
+        ):
+            one.append(b"x" * MEBIBYTE)
+            two.append(b"x" * MEBIBYTE)
+            two.append(b"x")
+            with self.assertRaises(AnswerTooLargeError):
+                one.body()
+
     def test_an_answer_of_exactly_the_limit(self) -> None:
         buffers = AnswerBuffers()
         with buffers.buffer(10) as buffer:
