Refuse a large upload rather than end answers being delivered

Cause: connections end by the order of their progress, whatever they hold. A second upload could take the room of answers that were being delivered, to requests that had run, although refusing the upload costs its caller only a retry. Answers, too, were kept out of the tenth that large requests leave.

Change: a request above 48 KiB ends no connection on which an answer is being delivered; without room it gets 503 with a retry delay, not run. Answers may use the whole budget, as they have to be held in any case. What a connection holds is counted again once its caller has read.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -17,8 +17,8 @@
 # A holding up to this size is small: a connection with its buffers, a head of 16 KiB
 # and a short body.
 SMALL_BYTES = 49_152
-# Share of the budget that holdings above `SMALL_BYTES` may use. The rest stays free for
-# ordinary requests while upstreams work on large ones, which nothing may end.
+# Share of the budget that requests above `SMALL_BYTES` may use. The rest is for answers
+# and ordinary requests while upstreams work on large requests, which nothing may end.
 LARGE_SHARE = 0.9
 # Share of the budget down to which room is made. Choosing costs a pass over the
 # holdings, so it must not be needed for each read.
@@ -39,6 +39,8 @@
     size_bytes : int
     is_protected : bool
         Whether an upstream may be at work on one of its requests.
+    is_answering : bool
+        Whether an answer is being delivered.
     has_to_end : bool
         Whether the connection was chosen to be refused or closed.
     """
@@ -46,6 +48,7 @@
     progress_s: float
     size_bytes: int = 0
     is_protected: bool = False
+    is_answering: bool = False
     has_to_end: bool = False
 
 
@@ -69,7 +72,8 @@
 
     Those without progress for the longest time end first, never one on whose request an
     upstream may be at work. Small holdings end only for small ones, and only once no
-    large one is left.
+    large one is left. A large request is refused rather than that an answer ends which
+    is being delivered: it has not run, and the other one has.
 
     Parameters
     ----------
@@ -153,10 +157,17 @@
         growth = size_bytes - holding.size_bytes
         ended: tuple[Holding, ...] = ()
         limit = self.limit_bytes
-        if size_bytes > SMALL_BYTES:
+        is_answer = is_needed or holding is self.answers
+        is_large_request = size_bytes > SMALL_BYTES and not is_answer
+        if is_large_request:
             limit = int(LARGE_SHARE * limit)
         if growth > 0 and self.used_bytes + growth > limit:
-            ended = self._choose(holding, size_bytes, growth, limit)
+            candidates = (
+                other
+                for other in self._candidates(holding, size_bytes)
+                if not (is_large_request and other.is_answering)
+            )
+            ended = self._choose(candidates, growth, limit)
             for other in ended:
                 self._end(other)
             if self.used_bytes + growth > limit and not is_needed:
@@ -215,14 +226,14 @@
         return tuple(ended)
 
     def _choose(
-        self, requester: Holding, size_bytes: int, growth: int, limit: int
+        self, candidates: Iterator[Holding], growth: int, limit: int
     ) -> tuple[Holding, ...]:
         """Return whom to end so that a holding can grow; nobody if that is no help."""
         needed = self.used_bytes + growth - limit
         wanted = needed + int((1.0 - ROOM_SHARE) * limit)
         chosen: list[Holding] = []
         freed = 0
-        for other in self._candidates(requester, size_bytes):
+        for other in candidates:
             if freed >= wanted:
                 break
             chosen.append(other)
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -58,6 +58,20 @@
         self.assertFalse(decision.is_granted)
         self.assertEqual(decision.ended, ())
 
+    def test_a_large_request_ends_no_answer_that_is_being_delivered(self) -> None:
+        answered = [self.held(LARGE, n) for n in range(17)]
+        for holding in answered:
+            holding.is_answering = True
+        upload = self.held(0, 100.0)
+        decision = self.budget.resize(upload, 2 * LARGE)
+        self.assertFalse(decision.is_granted)
+        self.assertEqual(decision.ended, ())
+        # Other answers use the rest of the budget, and then end the oldest one.
+        decision = self.budget.resize(upload, 3 * LARGE, is_needed=True)
+        self.assertEqual(decision.ended, ())
+        decision = self.budget.resize(self.budget.answers, LARGE)
+        self.assertEqual(decision.ended[0], answered[0])
+
     def test_nobody_ends_if_that_makes_no_room(self) -> None:
         for n in range(17):
             self.held(LARGE, n, is_protected=True)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -285,6 +285,10 @@
         super().connection_lost(exc)
         self._leave_turns()
 
+    def resume_writing(self) -> None:
+        super().resume_writing()
+        self._account(is_needed=True)
+
     def eof_received(self) -> bool:
         super().eof_received()
         self._leave_turns()
@@ -322,6 +326,9 @@
             + self.unsent_bytes
             + new_bytes
         )
+        self._holding.is_answering = self.unsent_bytes > 0 or any(
+            pending.task.done() for pending in self._pending
+        )
         return self._memory.resize(self._holding, size, is_needed=is_needed)
 
     def _record_progress(self) -> None:
