Keep a connection open until its last answer has arrived

Cause: after an answer that closes the connection, the socket was closed at once. The caller had sent another request before it could read that, so the kernel reset the connection and dropped what it had not sent yet. After a rejection the same class read on for a second, after a last answer not.

Change: the host ends its side, and reads and drops what still arrives until the caller ends its own, for 3 s at most. A stop does not close these.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -39,6 +39,9 @@
 # After a rejection, bytes of the request are read and dropped for this long: closing
 # the connection at once would reset it, and the caller might not receive the answer.
 REJECTION_LINGER_S = 1.0
+# The same after an answer that closes the connection, since the caller may have sent
+# another request before it could read that. The answer may have to pass a slow link.
+LAST_ANSWER_LINGER_S = 3.0
 # Bytes that a caller has sent and that are not parsed yet; more stay in the kernel. It
 # is less outside of bodies, since there they are requests that have to wait: a socket
 # that is not read takes no processor time.
@@ -240,6 +243,8 @@
         # which the connection waits.
         self._has_sent_ahead = False
         self._turn: asyncio.Future[None] | None = None
+        # Whether an answer that closes the connection has been written.
+        self._has_last_answer = False
         # Whether the request that is being read has to be rejected, and whether its
         # remaining bytes are dropped.
         self._must_reject = False
@@ -402,12 +407,15 @@
             # The caller has reset the connection; `finally` cancels its requests.
             self._ended = True
         finally:
-            if rejection is not None:
+            if self._has_last_answer:
+                await self._drop_rest(LAST_ANSWER_LINGER_S)
+            elif rejection is not None:
                 is_sent = await self._reject(parser, rejection)
                 # Its buffer may hold bytes of the rejected request.
                 del parser
                 if is_sent:
-                    await self._drop_rest()
+                    self._memory.budget.finish(self._holding)
+                    await self._drop_rest(REJECTION_LINGER_S)
                 self._closing = True
             if self._has_caller_disconnected() or not self._pending:
                 self._cancel_and_close()
@@ -611,7 +619,10 @@
             raise
         finally:
             self._write_task = None
-            if self._closing or self._has_caller_disconnected():
+            is_read = self._read_task is not None and not self._read_task.done()
+            # After the last answer, the task that reads closes the connection.
+            is_open = is_read and (self._has_last_answer or not self._closing)
+            if not is_open or self._has_caller_disconnected():
                 self._cancel_and_close()
 
     async def _write_pending_answers(self) -> None:
@@ -629,7 +640,9 @@
             self._account(is_needed=True)
             self._pending_reduced.set()
             if pending.parser.our_state is not h11.DONE:
-                self._closing = True
+                self._closing = self._has_last_answer = True
+                self._leave_turns()
+                self.wake()
                 break
 
     async def _write_answer(
@@ -679,18 +692,17 @@
         self.write((data or b"") + (parser.send(h11.EndOfMessage()) or b""))
         return True
 
-    async def _drop_rest(self) -> None:
-        """Read and drop what the caller still sends of a rejected request."""
+    async def _drop_rest(self, linger_s: float) -> None:
+        """Read and drop what the caller still sends after its last answer."""
         self._must_reject = False
         self._is_dropping = True
         self._received.clear()
         self._parser_bytes = 0
         self._account(is_needed=True)
-        self._memory.budget.finish(self._holding)
         self.read_bytes = READ_BYTES
         self.transport.write_eof()
         with suppress(TimeoutError, OSError):
-            async with asyncio.timeout(REJECTION_LINGER_S):
+            async with asyncio.timeout(linger_s):
                 while not self.has_ended:
                     self._resume_reading()
                     await self.read()
@@ -711,6 +723,6 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is being handled."""
-        if not self._pending:
+        if not self._pending and not self._has_last_answer:
             self._closing = True
             self._cancel_and_close()
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -162,6 +162,27 @@
         self.assertEqual(data.lower().count(b"connection: close"), 1)
         self.assertIn(b"connection: close", data.lower().split(b"http/1.1")[-1])
 
+    async def test_the_last_answer_arrives_although_another_request_was_sent(
+        self,
+    ) -> None:
+        self.release_events = {b"/large": asyncio.Event()}
+        self.answer_body = b"x" * 3_000_000
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/large"))
+            await self.wait_for_started(1)
+            self.is_stopping = True
+            self.release_events[b"/large"].set()
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.assertIn(b"connection: close", head.lower())
+            # The caller cannot know yet that the connection closes.
+            writer.write(self.get(b"/2"))
+            await asyncio.sleep(0.1)
+            for conn in tuple(self.connections):
+                conn.close_if_idle()
+            body = await reader.readexactly(len(b"/large" + self.answer_body))
+            self.assertTrue(body.endswith(self.answer_body))
+        self.assertEqual(self.started, [b"/large"])
+
     async def test_no_request_behind_a_running_one_is_started(self) -> None:
         self.release_events = {b"/1": asyncio.Event()}
         async with self.caller() as (reader, writer):
