Leave room for ordinary requests beside answers that nobody reads

Callers saw ordinary requests refused for memory, 4 of 44, beside 1,200 connections that pipeline requests for 540,000 bytes and read little (trial at 200 MB). On 400 such connections took 225 MB, and none of 43 ordinary requests was answered.

Cause: since answers may use the whole budget, they left nothing, and the answers that are being read could take half of it, beside the connections.

Change: other answers end at 0.96 of the budget, and those that are being read may use 0.3 of it. Beyond that, ordinary requests have room.

Result: WhoEndsTest.test_unread_answers_leave_room_for_a_small_request fails without the change.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -20,6 +20,9 @@
 # Share of the budget that requests above `SMALL_BYTES` may use. The rest is for answers
 # and ordinary requests while upstreams work on large requests, which nothing may end.
 LARGE_SHARE = 0.9
+# Share that answers may use before others end for them. The rest is for ordinary
+# requests beside callers that do not read their answers.
+ANSWER_SHARE = 0.96
 # Share of the budget down to which room is made. Choosing costs a pass over the
 # holdings, so it must not be needed for each read.
 ROOM_SHARE = 0.95
@@ -158,9 +161,10 @@
         ended: tuple[Holding, ...] = ()
         limit = self.limit_bytes
         is_answer = is_needed or holding is self.answers
-        is_large_request = size_bytes > SMALL_BYTES and not is_answer
-        if is_large_request:
-            limit = int(LARGE_SHARE * limit)
+        is_large = size_bytes > SMALL_BYTES
+        is_large_request = is_large and not is_answer
+        if is_large:
+            limit = int((ANSWER_SHARE if is_answer else LARGE_SHARE) * limit)
         if growth > 0 and self.used_bytes + growth > limit:
             candidates = (
                 other
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -79,7 +79,7 @@
 # the allocator loses.
 CALLER_MEMORY_SHARE = 0.5
 # Share of that for answers of upstreams and of the store that are being read.
-ANSWER_MEMORY_SHARE = 0.5
+ANSWER_MEMORY_SHARE = 0.3
 # Descriptors for files, listeners, the store and what libraries open.
 RESERVED_DESCRIPTORS = 200
 # Share of the descriptors for connections to upstreams, and so of the requests that run
