Read in turns what follows the last request of a connection

Cause: while the last request of a connection runs, what its caller still sends is read and dropped, to notice that it leaves. That was the one place in which a connection is read without a turn.

Change: a turn after each read, as for what follows a rejection.

Result: WaitingTest.test_bytes_behind_the_last_request_are_read_in_turns failed before; the socket was still read.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -399,6 +399,7 @@
                 # disconnects, and ignores any bytes.
                 if not await self.read():
                     break
+                await self._take_turn(is_ahead=True)
         except _RequestError as exc:
             # The traceback refers to the body of the request.
             rejection = exc.with_traceback(None)
--- a/packages/daemon/tests/edge/test_caller_turns.py
+++ b/packages/daemon/tests/edge/test_caller_turns.py
@@ -76,6 +76,18 @@
         self.assertEqual(self.connections, set())
         self.assertEqual(self.started, [])
 
+    async def test_bytes_behind_the_last_request_are_read_in_turns(self) -> None:
+        self.release_events = {b"/": asyncio.Event()}
+        async with self.caller() as (_, writer):
+            writer.write(b"GET / HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n")
+            await self.wait_for_started(1)
+            self.memory.turns.charge(ENDLESS_TURNS)
+            writer.write(b"x" * 1_000_000)
+            conn = next(iter(self.connections))
+            for _ in range(200):
+                await asyncio.sleep(0)
+            self.assertFalse(conn.transport.is_reading())
+
     async def test_requests_run_one_by_one_while_many_others_run(self) -> None:
         running = RunningRequests(4)
         self.memory = CallerMemory(running=running)
