Bound the tables that grow with the keys that callers choose

Callers saw nothing yet; a host that a crowd feeds with a new object key in each request would have grown until it ended.

Cause: two tables grow with those keys and are counted nowhere. The entries on warm objects that wait to be reported were lists without a bound, and a report takes 60 of each, ten times a second. An upstream's record kept every first request that another host had reported and whose answer it never heard of, and added them all up for each choice of an upstream.

Change: 600 entries of each list wait, and new ones replace the oldest. An upstream's record keeps the latest 64 first requests of other hosts. Without an entry, a host takes an object for cold.

Result: placement.test_choice.ChosenKeysTest and edge.test_peers.

--- a/packages/core/src/cardamomquay/placement/_observations.py
+++ b/packages/core/src/cardamomquay/placement/_observations.py
@@ -9,6 +9,10 @@
 
 # Number of objects that an upstream is assumed to keep cached.
 WARM_OBJECTS_MAX = 20
+# First requests of other hosts that are remembered for an upstream, the latest ones. It
+# runs fewer at once. Those without an answer are not reported again, and callers choose
+# the objects.
+PEER_WARMING_MAX = 64
 # A first request for an object is considered lost when it is overdue by this much.
 WARMING_GRACE_S = 0.3
 # Time constant with which the last reported load of an upstream decays to the mean load
@@ -224,7 +228,10 @@
 
     def apply_peer_warming(self, object_id: int, due_s: float) -> None:
         """Record that another host has sent the first request for an object."""
+        self._peer_warming_due_s.pop(object_id, None)
         self._peer_warming_due_s[object_id] = due_s
+        if len(self._peer_warming_due_s) > PEER_WARMING_MAX:
+            del self._peer_warming_due_s[next(iter(self._peer_warming_due_s))]
 
     def clear_warming(self, object_id: int) -> None:
         """Remove a first request that ended without an answer."""
--- a/packages/core/tests/placement/test_choice.py
+++ b/packages/core/tests/placement/test_choice.py
@@ -11,6 +11,7 @@
 from cardamomquay.placement import PlacementRequest
 from cardamomquay.placement import ZoneLatencies
 from cardamomquay.placement import short_id
+from cardamomquay.placement._observations import PEER_WARMING_MAX
 from cardamomquay_dev.lab.load_model import REGION_OF
 from cardamomquay_dev.lab.load_model import make_upstream
 
@@ -110,6 +111,17 @@
         self.assertEqual(self.choose("1", now_s=1.3).object_load_wait_s, 0.0)
 
 
+class ChosenKeysTest(PlacementTestCase):
+    """Guards against tables that grow with the keys that callers choose."""
+
+    def test_first_requests_of_other_hosts_are_bounded(self) -> None:
+        record = self.placement.record_of(UPSTREAMS[0])
+        for number in range(10_000):
+            record.apply_peer_warming(number, 0.9)
+        self.assertLessEqual(record.object_count, PEER_WARMING_MAX)
+        self.assertIsNotNone(record.warm_at_s(9_999, 0.0))
+
+
 class JoinedUpstreamTest(PlacementTestCase):
     """Guards against upstreams that join and get no requests."""
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_warm_objects.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_warm_objects.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from cardamomquay.placement import short_id
@@ -14,14 +15,21 @@
 # Maximum of each of the two lists in a report, which has to fit into one datagram.
 # Further entries wait for the next report.
 ENTRIES_MAX = 60
+# Maximum of each list while it waits: ten reports, which take a second. Callers choose
+# the keys of objects, and may name a new one in each request. Without its entry, other
+# hosts take an object for cold.
+WAITING_ENTRIES_MAX = 600
 
 
 class WarmEntryQueue:
-    """Entries on warm objects that wait to be reported."""
+    """Entries on warm objects that wait to be reported; new ones replace the oldest."""
 
     def __init__(self) -> None:
-        self._now_warm: list[tuple[int, int]] = []
-        self._warming: list[tuple[int, int, float]] = []
+        self._now_warm: deque[tuple[int, int]] = deque(maxlen=WAITING_ENTRIES_MAX)
+        self._warming: deque[tuple[int, int, float]] = deque(maxlen=WAITING_ENTRIES_MAX)
+
+    def __len__(self) -> int:
+        return len(self._now_warm) + len(self._warming)
 
     @property
     def has_warming(self) -> bool:
@@ -38,7 +46,7 @@
 
     def add(self, now_warm: list[int], warming: list[int], now_s: float) -> None:
         """Add entries as they were reported; see `take`."""
-        self._now_warm += zip(now_warm[::2], now_warm[1::2], strict=False)
+        self._now_warm.extend(zip(now_warm[::2], now_warm[1::2], strict=False))
         for upstream_id, object_id, left_ms in zip(
             warming[::3], warming[1::3], warming[2::3], strict=False
         ):
@@ -55,12 +63,13 @@
             For each entry: upstream, object, and milliseconds until the answer is
             expected.
         """
-        now_warm = [value for pair in self._now_warm[:ENTRIES_MAX] for value in pair]
+        now_warm: list[int] = []
+        for _ in range(min(ENTRIES_MAX, len(self._now_warm))):
+            now_warm += self._now_warm.popleft()
         warming: list[int] = []
-        for upstream_id, object_id, due_s in self._warming[:ENTRIES_MAX]:
+        for _ in range(min(ENTRIES_MAX, len(self._warming))):
+            upstream_id, object_id, due_s = self._warming.popleft()
             warming += (upstream_id, object_id, max(0, int((due_s - now_s) * 1000.0)))
-        del self._now_warm[:ENTRIES_MAX]
-        del self._warming[:ENTRIES_MAX]
         return now_warm, warming
 
 
--- a/packages/daemon/tests/edge/test_peers.py
+++ b/packages/daemon/tests/edge/test_peers.py
@@ -39,6 +39,9 @@
 from cardamomquay_daemon.edge._rollout_control import RolloutControl
 from cardamomquay_daemon.edge._state import HostState
 from cardamomquay_daemon.edge._usage_totals import USAGE_CHANGE_REPEAT_S
+from cardamomquay_daemon.edge._warm_objects import ENTRIES_MAX
+from cardamomquay_daemon.edge._warm_objects import WAITING_ENTRIES_MAX
+from cardamomquay_daemon.edge._warm_objects import WarmEntryQueue
 from cardamomquay_daemon.edge._warm_objects import WarmObjectReports
 
 if TYPE_CHECKING:
@@ -244,6 +247,17 @@
         self.exchange()
         self.assertTrue(record_at_one.is_warm(object_id))
 
+    def test_entries_on_objects_that_wait_are_bounded(self) -> None:
+        queue = WarmEntryQueue()
+        for number in range(10_000):
+            queue.add_now_warm(1, number)
+            queue.add_warming(1, number, 0.9)
+        self.assertEqual(len(queue), 2 * WAITING_ENTRIES_MAX)
+        reports = [queue.take(0.0) for _ in range(WAITING_ENTRIES_MAX // ENTRIES_MAX)]
+        self.assertEqual(reports[-1][0][-2:], [1, 9_999])
+        self.assertEqual(reports[-1][1][-3:], [1, 9_999, 900])
+        self.assertEqual(queue.take(0.0), ([], []))
+
     def test_malformed_reports_harm_nothing(self) -> None:
         for data in (b"", b"\xc1", b"\x93\x01\x02\x03", b"x" * 2000):
             self.one.peers.datagram_received(data, ("h9", 7000))
