Do not look for large connections to end if there are too few

Callers saw late answers: beside 2,800 connections that pipeline requests for answers of 540,000 bytes, an iteration of the event loop took 110 ms on average (one trial under a profiler, beside other load), and an ordinary request takes some ten of them.

Cause: if the budget is used up by requests that run, each part of an answer looked through all connections for large ones to end, and found too few of them: 22 in 100 of the processor time of that trial.

Change: the budget keeps the sum of the large ones that may end, and looks for them only if that is enough.

Result: caller_memory.test_budget.SearchTest. 100 parts beside 3,000 small connections looked at 303,000 of them before, and at none now. The sum is compared in the test of invariants.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -95,6 +95,8 @@
         self._holdings: set[Holding] = {self.answers}
         # Holdings that may be ended, the one with the oldest progress first.
         self._order: OrderedDict[Holding, None] = OrderedDict()
+        # Sum of the large ones among them, so that they are not looked for in vain.
+        self._large_bytes = 0
         # Those that will be closed soon, the first to come at the front.
         self._finished: OrderedDict[Holding, None] = OrderedDict()
 
@@ -127,7 +129,7 @@
         """Remove a holding; does nothing if it is removed already."""
         if holding in self._holdings:
             self._holdings.discard(holding)
-            self._order.pop(holding, None)
+            self._leave_order(holding)
             self._finished.pop(holding, None)
             self.used_bytes -= holding.size_bytes
             holding.size_bytes = 0
@@ -135,7 +137,7 @@
     def finish(self, holding: Holding) -> None:
         """Let a connection with its last answer give way before all others."""
         if holding in self._holdings:
-            self._order.pop(holding, None)
+            self._leave_order(holding)
             self._finished[holding] = None
 
     def resize(
@@ -171,12 +173,15 @@
                 for other in self._candidates(holding, size_bytes)
                 if not (is_large_request and other.is_answering)
             )
-            ended = self._choose(candidates, growth, limit)
+            ended = self._choose(candidates, growth, limit, only_large=is_large)
             for other in ended:
                 self._end(other)
             if self.used_bytes + growth > limit and not is_needed:
                 return Decision(False, ended)
         self.used_bytes += growth
+        if holding in self._order:
+            self._large_bytes += _large_part(size_bytes)
+            self._large_bytes -= _large_part(holding.size_bytes)
         holding.size_bytes = size_bytes
         return Decision(True, ended)
 
@@ -195,9 +200,10 @@
         holding.is_protected = is_protected
         holding.progress_s = now_s
         if is_protected:
-            self._order.pop(holding, None)
+            self._leave_order(holding)
         elif not holding.has_to_end:
             self._order[holding] = None
+            self._large_bytes += _large_part(holding.size_bytes)
 
     def end_stalled(self, now_s: float, stalled_s: float) -> tuple[Holding, ...]:
         """End large holdings without progress, while others need much of the budget.
@@ -230,10 +236,17 @@
         return tuple(ended)
 
     def _choose(
-        self, candidates: Iterator[Holding], growth: int, limit: int
+        self,
+        candidates: Iterator[Holding],
+        growth: int,
+        limit: int,
+        *,
+        only_large: bool,
     ) -> tuple[Holding, ...]:
         """Return whom to end so that a holding can grow; nobody if that is no help."""
         needed = self.used_bytes + growth - limit
+        if only_large and self._large_bytes < needed:
+            return ()
         wanted = needed + int((1.0 - ROOM_SHARE) * limit)
         chosen: list[Holding] = []
         freed = 0
@@ -245,7 +258,7 @@
         return tuple(chosen) if freed >= needed else ()
 
     def _candidates(self, requester: Holding, size_bytes: int) -> Iterator[Holding]:
-        for other in self._order:
+        for other in self._order if self._large_bytes else ():
             if other is requester:
                 # All others have made progress since.
                 break
@@ -259,8 +272,18 @@
             if other.size_bytes <= SMALL_BYTES:
                 yield other
 
+    def _leave_order(self, holding: Holding) -> None:
+        if holding in self._order:
+            del self._order[holding]
+            self._large_bytes -= _large_part(holding.size_bytes)
+
     def _end(self, holding: Holding) -> None:
         holding.has_to_end = True
         self.finish(holding)
         self.used_bytes -= holding.size_bytes
         holding.size_bytes = 0
+
+
+def _large_part(size_bytes: int) -> int:
+    """Return the size of a large holding, and 0 for a small one."""
+    return size_bytes if size_bytes > SMALL_BYTES else 0
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -1,6 +1,8 @@
 from __future__ import annotations
 
 import unittest
+from collections import OrderedDict
+from typing import TYPE_CHECKING
 
 from hypothesis import given
 from hypothesis import settings
@@ -10,6 +12,9 @@
 from cardamomquay.caller_memory import Holding
 from cardamomquay.caller_memory._budget import SMALL_BYTES
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
 LARGE = 2 * SMALL_BYTES
 LIMIT = 20 * LARGE
 
@@ -111,6 +116,38 @@
         self.assertEqual(self.budget.used_bytes, 23 * LARGE)
 
 
+class SearchTest(BudgetCase):
+    """Guards against a pass over all connections for each part of an answer.
+
+    Load pattern: the running requests of a crowd take the budget, and its other
+    connections are small, so that no search for a large one finds any.
+    """
+
+    def test_nobody_is_looked_for_who_cannot_be_there(self) -> None:
+        budget = CallerBudget(LIMIT, 5000)
+        budget._order = order = _CountingOrder()
+        for _ in range(3000):
+            budget.open(Holding(0.0))
+        running = Holding(0.0)
+        budget.open(running)
+        budget.set_protected(running, 0.0, is_protected=True)
+        budget.resize(running, LIMIT, is_needed=True)
+        for _ in range(100):
+            self.assertFalse(budget.resize(budget.answers, LARGE).is_granted)
+        self.assertEqual(order.visited_count, 0)
+
+
+class _CountingOrder(OrderedDict[Holding, None]):
+    """Counts the holdings that are looked at."""
+
+    visited_count = 0
+
+    def __iter__(self) -> Iterator[Holding]:
+        for holding in super().__iter__():
+            self.visited_count += 1
+            yield holding
+
+
 class ConnectionsTest(BudgetCase):
     """Guards against more connections than descriptors."""
 
@@ -196,6 +233,10 @@
             else:
                 budget.set_protected(holding, now_s, is_protected=action == "run")
             self.assertFalse(running & set(ended))
+            large = sum(
+                h.size_bytes for h in budget._order if h.size_bytes > SMALL_BYTES
+            )
+            self.assertEqual(budget._large_bytes, large)
             sizes = sum(h.size_bytes for h in holdings.values())
             self.assertEqual(budget.used_bytes, sizes)
             self.assertLessEqual(budget.used_bytes, LIMIT)
