Read large answers of upstreams in turns

Cause: whatever upstreams had sent was read in the same iteration of the event loop, up to 2 MiB and then 2 KiB from each connection, so that hundreds of answers were read in small parts and an iteration lasted 0.1 s.

Change: beyond its first 64 KiB, an answer for callers waits for a turn for each part of 64 KiB. Sixteen turns are in an iteration, and a socket is read only at its answer's turn; before its size is known, 16 KiB at once. Answers of the store go first. `CallerTurns` is now `Turns`, for both uses.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_byte_stream.py
@@ -19,6 +19,9 @@
 READ_BYTES = 65_536
 READ_BYTES_LATER = 2048
 READ_PER_TURN_BYTES = 2_097_152
+# Bytes of an answer that are read at once before its size is known. A large one may
+# have to wait with them.
+FIRST_READ_BYTES = 16_384
 # All connections read into the same buffer, since its bytes are taken over before the
 # event loop reads from another socket. Buffers of their own, which `asyncio.Protocol`
 # allocates for 256 KiB and shrinks, leave holes in the heap.
@@ -77,6 +80,7 @@
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._paused = False
+        self._reads_on_demand = False
         # Time of the last bytes received, or of opening, on the loop's clock.
         self.last_received_s = 0.0
         # Whether the other side has ended or reset the connection. A connection may
@@ -109,10 +113,18 @@
         """Take over bytes that were read from the socket."""
         self._received += data
         self.last_received_s = asyncio.get_running_loop().time()
-        if len(self._received) >= self.high_water_bytes:
+        if self._reads_on_demand or len(self._received) >= self.high_water_bytes:
             self._pause_reading()
         self.wake()
 
+    def set_reads_on_demand(self, is_on_demand: bool) -> None:
+        """Read from the socket only while `read` waits, or also ahead of it."""
+        self._reads_on_demand = is_on_demand
+        if is_on_demand:
+            self._pause_reading()
+        elif len(self._received) <= self.high_water_bytes // 2:
+            self._resume_reading()
+
     def _pause_reading(self) -> None:
         if not self._paused:
             self._paused = True
@@ -182,6 +194,8 @@
             If the connection was lost with an error.
         """
         if not self._received and not self._ended:
+            if self._reads_on_demand:
+                self._resume_reading()
             self._waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._waiter
@@ -191,7 +205,8 @@
             with memoryview(self._received) as view:
                 data = bytes(view[:max_bytes])
             del self._received[: len(data)]
-            if len(self._received) <= self.high_water_bytes // 2:
+            is_low = len(self._received) <= self.high_water_bytes // 2
+            if is_low and not self._reads_on_demand:
                 self._resume_reading()
             return data
         if self._error is not None:
@@ -227,6 +242,12 @@
 class ClientStream(ByteStream):
     """A connection to a server, whose answer is also read after a failed write."""
 
+    read_bytes = FIRST_READ_BYTES
+
+    def set_reads_on_demand(self, is_on_demand: bool) -> None:
+        self.read_bytes = READ_BYTES if is_on_demand else FIRST_READ_BYTES
+        super().set_reads_on_demand(is_on_demand)
+
     def connection_lost(self, exc: Exception | None) -> None:
         if exc is not None:
             self._read_rest()
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -18,10 +18,10 @@
 from cardamomquay_daemon.edge._byte_stream import READ_BYTES
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
-from cardamomquay_daemon.edge._caller_turns import EVENTS_BEFORE_TURNS
-from cardamomquay_daemon.edge._caller_turns import EVENTS_PER_TURN
-from cardamomquay_daemon.edge._caller_turns import HEADERS_PER_TURN
 from cardamomquay_daemon.edge._http_client import BODILESS_STATUSES
+from cardamomquay_daemon.edge._turns import EVENTS_BEFORE_TURNS
+from cardamomquay_daemon.edge._turns import EVENTS_PER_TURN
+from cardamomquay_daemon.edge._turns import HEADERS_PER_TURN
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -9,8 +9,9 @@
 from cardamomquay.caller_memory import CallerBudget
 from cardamomquay.caller_memory import Holding
 from cardamomquay.caller_memory import RunningRequests
-from cardamomquay_daemon.edge._caller_turns import CallerTurns
 from cardamomquay_daemon.edge._events import CALLERS_ENDED
+from cardamomquay_daemon.edge._turns import TURNS_PER_ITERATION
+from cardamomquay_daemon.edge._turns import Turns
 
 if TYPE_CHECKING:
     from cardamomquay_daemon.edge._telemetry import EdgeTelemetry
@@ -51,7 +52,7 @@
 
     Attributes
     ----------
-    turns : CallerTurns
+    turns : Turns
         Processor time of all connections.
     """
 
@@ -67,7 +68,7 @@
         self.running = (
             RunningRequests(DEFAULT_REQUESTS_MAX) if running is None else running
         )
-        self.turns = CallerTurns()
+        self.turns = Turns(TURNS_PER_ITERATION)
         self._end_by_holding: dict[Holding, EndConnection] = {}
         self._tally = _Tally()
         self._logged_s = float("-inf")
--- a/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
@@ -102,6 +102,8 @@
     listener : PoolListener or None, default=None
     count : ConnectionCount or None, default=None
         Shared with other pools.
+    is_for_callers : bool, default=False
+        Whether the answers are for callers; see `HttpConnection`.
     """
 
     def __init__(
@@ -111,7 +113,10 @@
         idle_max: int,
         listener: PoolListener | None = None,
         count: ConnectionCount | None = None,
+        *,
+        is_for_callers: bool = False,
     ) -> None:
+        self._is_for_callers = is_for_callers
         # An object without connections is false.
         self._count = ConnectionCount() if count is None else count
         self._address = address
@@ -223,6 +228,7 @@
         finally:
             if conn is None:
                 self._count.end()
+        conn.is_for_callers = self._is_for_callers
         return conn
 
     def _close(self, conn: HttpConnection) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import re
 from contextlib import asynccontextmanager
+from contextlib import contextmanager
 from dataclasses import dataclass
 from dataclasses import field
 from typing import TYPE_CHECKING
@@ -12,21 +13,24 @@
 
 import h11
 
+from cardamomquay_daemon.edge._answer_limits import SMALL_ANSWER_BYTES
 from cardamomquay_daemon.edge._answer_limits import AnswerBuffers
 from cardamomquay_daemon.edge._answer_limits import AnswerLimits
 from cardamomquay_daemon.edge._answer_limits import AnswerTooLargeError
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._byte_stream import connect
+from cardamomquay_daemon.edge._turns import ANSWER_TURNS_PER_ITERATION
+from cardamomquay_daemon.edge._turns import EVENTS_PER_TURN
+from cardamomquay_daemon.edge._turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
+    from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Generator
 
 Headers = list[tuple[bytes, bytes]]
 
-# After this many parsed events, other tasks run before more bytes are parsed: a body in
-# chunks of one byte has tens of thousands of events in one read.
-EVENTS_PER_TURN = 64
 # Answers have a status from 200 to 599 (RFC 9110, section 15); callers take another one
 # for whatever they like.
 STATUS_MAX = 599
@@ -44,6 +48,7 @@
 # in this process.
 ANSWER_LIMITS = AnswerLimits()
 ANSWER_BUFFERS = AnswerBuffers()
+ANSWER_TURNS = Turns(ANSWER_TURNS_PER_ITERATION)
 
 
 @dataclass(slots=True)
@@ -116,6 +121,9 @@
         Time that it took to open the connection, about one round trip.
     limits : AnswerLimits
     buffers : AnswerBuffers
+    is_for_callers : bool, default=False
+        Whether the answers are for callers. Others, such as those of the store, are
+        read first.
 
     Attributes
     ----------
@@ -138,7 +146,9 @@
         connect_duration_s: float,
         limits: AnswerLimits = ANSWER_LIMITS,
         buffers: AnswerBuffers = ANSWER_BUFFERS,
+        is_for_callers: bool = False,
     ) -> None:
+        self.is_for_callers = is_for_callers
         self._stream = stream
         self._limits = limits
         self._buffers = buffers
@@ -284,13 +294,19 @@
     async def _read_answer(self, parser: h11.Connection) -> HttpAnswer:
         answer: HttpAnswer | None = None
         event_count = interim_count = 0
-        with self._buffers.buffer(self._limits.body_bytes, self._stream.wake) as buffer:
+        with (
+            self._buffers.buffer(self._limits.body_bytes, self._stream.wake) as buffer,
+            self._reading_in_turns() as take_turn,
+        ):
             while True:
                 event = parser.next_event()
                 event_count += 1
                 if event_count % EVENTS_PER_TURN == 0:
-                    await asyncio.sleep(0)
+                    await take_turn()
                 if event is h11.NEED_DATA:
+                    if buffer.size_bytes >= SMALL_ANSWER_BYTES:
+                        await take_turn()
+                        buffer.check()
                     data = await self._stream.read()
                     buffer.check()
                     self._answer_began = self._answer_began or bool(data)
@@ -315,6 +331,24 @@
                         "connection ended before the answer was complete"
                     )
 
+    @contextmanager
+    def _reading_in_turns(self) -> Generator[Callable[[], Awaitable[None]]]:
+        """Yield what waits for processor time for more of an answer.
+
+        From the first turn on, the socket is read only when an answer has its turn.
+        """
+
+        async def take_turn() -> None:
+            self._stream.set_reads_on_demand(True)
+            turn = ANSWER_TURNS.request(is_ahead=self.is_for_callers)
+            if turn is not None:
+                await turn
+
+        try:
+            yield take_turn
+        finally:
+            self._stream.set_reads_on_demand(False)
+
     @asynccontextmanager
     async def _sending(
         self, head: bytes, body: bytes | bytearray
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_turns.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_turns.py
@@ -1,8 +1,9 @@
-"""Shares the processor time of the event loop among the connections of callers.
+"""Shares the processor time of the event loop among connections.
 
-Connections with pipelined requests or with bodies in chunks of one byte have work in
-each iteration of the event loop. Even a little work for each of hundreds of them delays
-all other requests, and the answers of upstreams and of the store.
+Connections with pipelined requests, with bodies in chunks of one byte or with long
+answers have work in each iteration of the event loop. Even a little work for each of
+hundreds of them delays all other requests, and the answers of upstreams and of the
+store.
 """
 
 from __future__ import annotations
@@ -19,16 +20,26 @@
 # all that follows from it. A request takes some ten iterations from its first byte to
 # its answer.
 TURNS_PER_ITERATION = 8
+# Turns of the answers that are being read, which have an order of their own. A turn is
+# a part of 64 KiB or 64 events, and takes a tenth of a millisecond.
+ANSWER_TURNS_PER_ITERATION = 16
 # Parsing and forwarding this many headers takes as long as a turn.
 HEADERS_PER_TURN = 64
 
 
-class CallerTurns:
-    """Lets a few connections work in each iteration of the event loop, in order."""
+class Turns:
+    """Lets a few connections work in each iteration of the event loop, in order.
 
-    def __init__(self) -> None:
-        self._order: TurnOrder[asyncio.Future[None]] = TurnOrder(TURNS_PER_ITERATION)
-        self._is_scheduled = False
+    Parameters
+    ----------
+    per_iteration : int
+        Number of turns in an iteration.
+    """
+
+    def __init__(self, per_iteration: int) -> None:
+        self._order: TurnOrder[asyncio.Future[None]] = TurnOrder(per_iteration)
+        # The event loop whose next iteration begins a round; None if it needs none.
+        self._scheduled_in: asyncio.AbstractEventLoop | None = None
 
     def __len__(self) -> int:
         return len(self._order)
@@ -39,8 +50,8 @@
         Parameters
         ----------
         is_ahead : bool
-            Whether the caller has sent ahead; see `TurnOrder`. It then waits for the
-            next iteration at least.
+            Whether it belongs to those that the others go before; see `TurnOrder`. It
+            then waits for the next iteration at least.
 
         Returns
         -------
@@ -62,12 +73,13 @@
             self._schedule()
 
     def _schedule(self) -> None:
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            asyncio.get_running_loop().call_soon(self._begin_iteration)
+        loop = asyncio.get_running_loop()
+        if self._scheduled_in is not loop:
+            self._scheduled_in = loop
+            loop.call_soon(self._begin_iteration)
 
     def _begin_iteration(self) -> None:
-        self._is_scheduled = False
+        self._scheduled_in = None
         self._order.begin_round()
         while (turn := self._order.pop()) is not None:
             # Connections that were closed meanwhile no longer wait.
--- a/packages/daemon/tests/edge/test_caller_conn.py
+++ b/packages/daemon/tests/edge/test_caller_conn.py
@@ -21,8 +21,8 @@
 from cardamomquay_daemon.edge._caller_conn import CallerRequest
 from cardamomquay_daemon.edge._caller_conn import ReadLimits
 from cardamomquay_daemon.edge._caller_memory import CallerMemory
-from cardamomquay_daemon.edge._caller_turns import TURNS_PER_ITERATION
-from cardamomquay_daemon.edge._caller_turns import CallerTurns
+from cardamomquay_daemon.edge._turns import TURNS_PER_ITERATION
+from cardamomquay_daemon.edge._turns import Turns
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator
@@ -492,7 +492,7 @@
             self.assertIn(b" 200 ", await reader.readline())
 
     async def test_tiny_chunks_of_many_callers_take_turns(self) -> None:
-        turns = CallerTurns()
+        turns = Turns(TURNS_PER_ITERATION)
         passed = 0
 
         async def parse() -> None:
