Let large answers wait for room rather than end each other

Callers saw no large answer at all: beside 1,200 connections that pipeline requests for answers of 540,000 bytes, all eight ordinary requests for such an answer from another service got 502 (two trials, 200 MB, beside other load).

Cause: all answers were read at once. Once they had used their share of the memory, each part of one ended the one that had received nothing for the longest time, which was the next to receive something.

Change: an answer for a caller above 64 KiB is read on only once the whole of it has room, and waits unread until then, in the order of arrival. What stops ends after 3 s while others wait. Reading stops at 0.85 of the budget, so that requests that run have room.

Result: edge.test_large_answers.RoomTest and UnreadAnswersTest, and two cases of caller_memory.test_budget. Sixty answers with room for 2 MiB: all ended before (both forms), all arrive now.

--- a/packages/core/src/cardamomquay/caller_memory/__init__.py
+++ b/packages/core/src/cardamomquay/caller_memory/__init__.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+from cardamomquay.caller_memory._budget import SMALL_BYTES
 from cardamomquay.caller_memory._budget import CallerBudget
 from cardamomquay.caller_memory._budget import Decision
 from cardamomquay.caller_memory._budget import Holding
 from cardamomquay.caller_memory._running import RunningRequests
 
-__all__ = ["CallerBudget", "Decision", "Holding", "RunningRequests"]
+__all__ = ["SMALL_BYTES", "CallerBudget", "Decision", "Holding", "RunningRequests"]
--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -9,6 +9,8 @@
 
 from collections import OrderedDict
 from dataclasses import dataclass
+from itertools import chain
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -23,6 +25,9 @@
 # Share that answers may use before others end for them. The rest is for ordinary
 # requests beside callers that do not read their answers.
 ANSWER_SHARE = 0.96
+# Share up to which answers are read from upstreams. Those without room can wait, and
+# requests that run keep room beside them.
+READ_SHARE = 0.85
 # Share of the budget down to which room is made. Choosing costs a pass over the
 # holdings, so it must not be needed for each read.
 ROOM_SHARE = 0.95
@@ -111,6 +116,11 @@
         oldest = next(iter(self._order), None)
         return oldest.progress_s if oldest else None
 
+    @property
+    def is_short(self) -> bool:
+        """Whether so much is used that holdings without progress end."""
+        return self.used_bytes > PRESSURE_SHARE * self.limit_bytes
+
     def open(self, holding: Holding) -> Decision:
         """Add a holding; a granted one is to be closed with `close`."""
         ended: tuple[Holding, ...] = ()
@@ -165,7 +175,9 @@
         is_answer = is_needed or holding is self.answers
         is_large = size_bytes > SMALL_BYTES
         is_large_request = is_large and not is_answer
-        if is_large:
+        if holding is self.answers:
+            limit = int(READ_SHARE * limit)
+        elif is_large:
             limit = int((ANSWER_SHARE if is_answer else LARGE_SHARE) * limit)
         if growth > 0 and self.used_bytes + growth > limit:
             candidates = (
@@ -224,9 +236,13 @@
         ended: list[Holding] = []
         left_bytes = self.used_bytes
         pressure_bytes = PRESSURE_SHARE * self.limit_bytes
-        for holding in self._order:
-            if left_bytes <= pressure_bytes or holding.progress_s > now_s - stalled_s:
+        if not self.is_short:
+            return ()
+        for holding in chain(self._order, self._blocked()):
+            if left_bytes <= pressure_bytes:
                 break
+            if holding.progress_s > now_s - stalled_s:
+                continue
             others_bytes = left_bytes - holding.size_bytes
             if holding.size_bytes > SMALL_BYTES and others_bytes > pressure_bytes:
                 ended.append(holding)
@@ -235,6 +251,18 @@
             self._end(holding)
         return tuple(ended)
 
+    def _blocked(self) -> list[Holding]:
+        """Return those whose requests run behind answers that nobody reads.
+
+        Their answers cannot be delivered, and would keep the memory.
+        """
+        blocked = [
+            holding
+            for holding in self._holdings
+            if holding.is_protected and holding.is_answering
+        ]
+        return sorted(blocked, key=attrgetter("progress_s"))
+
     def _choose(
         self,
         candidates: Iterator[Holding],
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -196,6 +196,21 @@
         self.assertEqual(self.budget.used_bytes, 11 * LARGE)
         self.assertFalse(running.has_to_end or fresh.has_to_end)
 
+    def test_requests_behind_unread_answers_end_too(self) -> None:
+        stalled, reading = (self.held(7 * LARGE, is_protected=True) for _ in range(2))
+        for holding in (stalled, reading):
+            holding.is_answering = True
+        self.budget.record_progress(reading, 99.0)
+        self.held(4 * LARGE, is_protected=True)
+        self.assertEqual(self.budget.end_stalled(100.0, 3.0), (stalled,))
+
+    def test_answers_are_read_as_long_as_running_requests_have_room(self) -> None:
+        for n in range(16):
+            self.held(LARGE, n, is_protected=True)
+        self.assertTrue(self.budget.resize(self.budget.answers, LARGE).is_granted)
+        self.assertFalse(self.budget.resize(self.budget.answers, 2 * LARGE).is_granted)
+        self.assertTrue(self.budget.resize(self.held(0), SMALL_BYTES).is_granted)
+
 
 class InvariantsTest(unittest.TestCase):
     """Guards against sums that drift, whatever the order of the calls."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
@@ -3,10 +3,15 @@
 A faulty upstream may send bytes without end, as a head, as interim answers or as a
 body. A host of 200 MB that read them until the timeout of the route would run out of
 memory, and parsing them would delay all other requests.
+
+Callers may also ask for more large answers at once than fit. Those for which there is
+no room wait for it unread: if all of them were read, each would end others, and none
+would become complete.
 """
 
 from __future__ import annotations
 
+import asyncio
 from collections import OrderedDict
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -19,6 +24,13 @@
 MEBIBYTE = 1_048_576
 # An answer up to this size always has room.
 SMALL_ANSWER_BYTES = 65_536
+# An answer without a stated length counts as large beyond the first figure, and has to
+# have room for the second one before it is read on.
+UNSTATED_SMALL_BYTES = 8192
+UNSTATED_ANSWER_BYTES = MEBIBYTE
+# While others wait for room, a large answer has to grow by this much in this time.
+ANSWER_PROGRESS_BYTES = 16_384
+ANSWER_STALLED_S = 3.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,10 +76,17 @@
         # The answers above `SMALL_ANSWER_BYTES`, those that received bytes last at the
         # end.
         self._large: OrderedDict[AnswerBuffer, None] = OrderedDict()
+        # Those that wait for room, in the order of their arrival.
+        self._waiting: OrderedDict[AnswerBuffer, _Wait] = OrderedDict()
         # Called with the number of bytes that all answers hold from now on; returns
         # whether the process has memory for them.
         self.may_hold: Callable[[int], bool] = lambda _: True
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of answers that wait for room."""
+        return len(self._waiting)
+
     @contextmanager
     def buffer(
         self, limit_bytes: int, on_end: Callable[[], None] = lambda: None
@@ -89,6 +108,7 @@
             self.used_bytes -= buffer.counted_bytes
             buffer.counted_bytes = 0
             self.may_hold(self.used_bytes)
+            self._admit_waiting()
 
     def add(self, buffer: AnswerBuffer, size_bytes: int) -> None:
         """Count received bytes.
@@ -98,26 +118,115 @@
         AnswerTooLargeError
             If there is no room for them, and no other answer can make it.
         """
+        growth = max(0, buffer.size_bytes + size_bytes - buffer.counted_bytes)
         if buffer.size_bytes + size_bytes <= SMALL_ANSWER_BYTES:
-            self.may_hold(self.used_bytes + size_bytes)
+            self.may_hold(self.used_bytes + growth)
         else:
             self._large[buffer] = None
             self._large.move_to_end(buffer)
-            while not self._has_room(size_bytes):
+            while growth and not self._has_room(growth):
                 oldest = next(iter(self._large))
                 if oldest is buffer:
                     raise AnswerTooLargeError
-                del self._large[oldest]
-                self.used_bytes -= oldest.counted_bytes
-                oldest.end()
-        self.used_bytes += size_bytes
-        buffer.counted_bytes += size_bytes
+                self._end(oldest)
+        self.used_bytes += growth
+        buffer.counted_bytes += growth
+
+    async def wait_for_room(self, buffer: AnswerBuffer, size_bytes: int) -> None:
+        """Wait until a large answer fits, and count its whole size from then on.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If it had to end while it waited.
+        """
+        loop = asyncio.get_running_loop()
+        buffer.progress_s = loop.time()
+        if not self._waiting and self._reserve(buffer, size_bytes):
+            return
+        wait = self._waiting[buffer] = _Wait(size_bytes, loop.create_future())
+        try:
+            await wait.admitted
+        finally:
+            self._waiting.pop(buffer, None)
+        buffer.check()
+        buffer.progress_s = loop.time()
+
+    def review(self, now_s: float) -> None:
+        """End answers that keep others waiting, and admit those that fit."""
+        if not self._waiting:
+            return
+        for buffer in self._read_now():
+            if buffer.progress_s <= now_s - ANSWER_STALLED_S:
+                self._end(buffer)
+        self._admit_waiting()
+        first = next(iter(self._waiting), None)
+        if first is None or self._read_now():
+            return
+        if first.progress_s <= now_s - ANSWER_STALLED_S:
+            # Something else has the memory, and no answer will make room.
+            self._end(first)
+
+    def _read_now(self) -> list[AnswerBuffer]:
+        return [buffer for buffer in self._large if buffer not in self._waiting]
+
+    def _admit_waiting(self) -> None:
+        while self._waiting:
+            buffer, wait = next(iter(self._waiting.items()))
+            if not wait.admitted.done() and not self._reserve(buffer, wait.size_bytes):
+                return
+            del self._waiting[buffer]
+            wait.admit()
+
+    def _reserve(self, buffer: AnswerBuffer, size_bytes: int) -> bool:
+        """Count the whole size of an answer; return False if there is no room.
+
+        If no large one is being read, none will make room, so that one always may be.
+        """
+        growth = max(0, size_bytes - buffer.counted_bytes)
+        used_bytes = self.used_bytes + growth
+        if used_bytes > self.total_bytes and self._read_now():
+            return False
+        if not self.may_hold(used_bytes):
+            return False
+        self.used_bytes += growth
+        buffer.counted_bytes += growth
+        self._large[buffer] = None
+        return True
+
+    def _end(self, buffer: AnswerBuffer) -> None:
+        self._large.pop(buffer, None)
+        self.used_bytes -= buffer.counted_bytes
+        buffer.end()
+        wait = self._waiting.pop(buffer, None)
+        if wait is not None:
+            wait.admit()
 
     def _has_room(self, size_bytes: int) -> bool:
         used_bytes = self.used_bytes + size_bytes
         return used_bytes <= self.total_bytes and self.may_hold(used_bytes)
 
 
+@dataclass(frozen=True, slots=True)
+class _Wait:
+    """What an answer waits for.
+
+    Parameters
+    ----------
+    size_bytes : int
+        Its size when it is complete.
+    admitted : asyncio.Future of None
+    """
+
+    size_bytes: int
+    admitted: asyncio.Future[None]
+
+    def admit(self) -> None:
+        """End the wait, unless it has been cancelled."""
+        if not self.admitted.done():
+            self.admitted.set_result(None)
+
+
 class AnswerBuffer:
     """Body of an answer that is being read.
 
@@ -126,6 +235,13 @@
     buffers : AnswerBuffers
     limit_bytes : int
     on_end : callable
+
+    Attributes
+    ----------
+    counted_bytes : int
+        Bytes that count as held: those that were added, or the whole answer.
+    progress_s : float
+        Time of the last progress, on the clock of the event loop.
     """
 
     def __init__(
@@ -134,8 +250,9 @@
         self._buffers = buffers
         self._limit_bytes = limit_bytes
         self._on_end = on_end
-        # Bytes that count as held.
         self.counted_bytes = 0
+        self.progress_s = 0.0
+        self._received_since_progress = 0
         self._has_ended = False
         # A list of chunks would take forty times the memory if each has one byte.
         self._received = bytearray()
@@ -159,6 +276,31 @@
         self._buffers.add(self, len(chunk))
         self._received += chunk
 
+    async def wait_for_room(self, size_bytes: int) -> None:
+        """Wait until the whole answer fits, unless it is small or has room already.
+
+        Parameters
+        ----------
+        size_bytes : int
+            Its size when it is complete.
+
+        Raises
+        ------
+        AnswerTooLargeError
+            If it exceeds its limit, or had to end while it waited.
+        """
+        if size_bytes > self._limit_bytes:
+            raise AnswerTooLargeError
+        if size_bytes > max(SMALL_ANSWER_BYTES, self.counted_bytes):
+            await self._buffers.wait_for_room(self, size_bytes)
+
+    def record_received(self, size_bytes: int, now_s: float) -> None:
+        """Record received bytes, which are progress once they are many."""
+        self._received_since_progress += size_bytes
+        if self._received_since_progress >= ANSWER_PROGRESS_BYTES:
+            self._received_since_progress = 0
+            self.progress_s = now_s
+
     def end(self) -> None:
         """Make room for another answer."""
         self.counted_bytes = 0
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -14,6 +14,7 @@
 
 import h11
 
+from cardamomquay.caller_memory import SMALL_BYTES
 from cardamomquay.caller_memory import Holding
 from cardamomquay_daemon.edge._byte_stream import READ_BYTES
 from cardamomquay_daemon.edge._byte_stream import ByteStream
@@ -568,6 +569,7 @@
             # answered. In a stop the last of them does.
             or request.method not in SAFE_METHODS
             or self._is_stopping()
+            or (self._memory.budget.is_short and self._has_unread_answers())
         ):
             self._pending_reduced.clear()
             await self._pending_reduced.wait()
@@ -597,6 +599,14 @@
             self._write_task = loop.create_task(self._write_answers())
         return parser.their_state is not h11.DONE
 
+    def _has_unread_answers(self) -> bool:
+        """Whether the caller should read before another request begins.
+
+        A connection rarely ends while a request runs, so that one that always has
+        another would keep its unread answers.
+        """
+        return self._holding.is_answering and self._holding.size_bytes > SMALL_BYTES
+
     def _on_handled(
         self, pending: _PendingRequest, task: asyncio.Task[CallerAnswer]
     ) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -420,6 +420,7 @@
                 self._fleet.own_phase = HostPhase.STARTING
             now_s = asyncio.get_running_loop().time()
             self._caller_memory.end_stalled(now_s)
+            ANSWER_BUFFERS.review(now_s)
             self._caller_memory.report(self._telemetry, now_s)
             self._telemetry.flush()
             self._peers.report_warm_objects()
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -14,6 +14,9 @@
 import h11
 
 from cardamomquay_daemon.edge._answer_limits import SMALL_ANSWER_BYTES
+from cardamomquay_daemon.edge._answer_limits import UNSTATED_ANSWER_BYTES
+from cardamomquay_daemon.edge._answer_limits import UNSTATED_SMALL_BYTES
+from cardamomquay_daemon.edge._answer_limits import AnswerBuffer
 from cardamomquay_daemon.edge._answer_limits import AnswerBuffers
 from cardamomquay_daemon.edge._answer_limits import AnswerLimits
 from cardamomquay_daemon.edge._answer_limits import AnswerTooLargeError
@@ -304,11 +307,17 @@
                 if event_count % EVENTS_PER_TURN == 0:
                     await take_turn()
                 if event is h11.NEED_DATA:
-                    if buffer.size_bytes >= SMALL_ANSWER_BYTES:
+                    expected_bytes = _expected_bytes(answer, buffer) if answer else 0
+                    if expected_bytes > SMALL_ANSWER_BYTES:
+                        # Nothing is read meanwhile.
+                        self._stream.set_reads_on_demand(True)
+                        if self.is_for_callers:
+                            await buffer.wait_for_room(expected_bytes)
                         await take_turn()
                         buffer.check()
                     data = await self._stream.read()
                     buffer.check()
+                    buffer.record_received(len(data), self._stream.last_received_s)
                     self._answer_began = self._answer_began or bool(data)
                     parser.receive_data(data)
                 elif isinstance(event, h11.Response):
@@ -406,6 +415,15 @@
         return next_parser
 
 
+def _expected_bytes(answer: HttpAnswer, buffer: AnswerBuffer) -> int:
+    """Return the size of an answer when it is complete, as far as it is known."""
+    stated = answer.header(b"content-length")
+    if stated is not None:
+        return int(stated)
+    is_small = buffer.size_bytes <= UNSTATED_SMALL_BYTES
+    return buffer.size_bytes if is_small else UNSTATED_ANSWER_BYTES
+
+
 def _check_status_line(head: h11.Response | h11.InformationalResponse) -> None:
     """Refuse a status line that has no meaning to callers; h11 refuses 000 to 099.
 
--- a/packages/daemon/tests/edge/test_large_answers.py
+++ b/packages/daemon/tests/edge/test_large_answers.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import unittest
+from functools import partial
 from unittest import mock
 
 import h11
 from edge.support import answer
 from edge.support import scripted_server
+from edge.test_caller_conn import CallerConnTest
 
+from cardamomquay.caller_memory import CallerBudget
+from cardamomquay.caller_memory import RunningRequests
 from cardamomquay_daemon.edge import ExchangeError
 from cardamomquay_daemon.edge import HttpConnection
 from cardamomquay_daemon.edge import _byte_stream
@@ -19,6 +23,7 @@
 from cardamomquay_daemon.edge._byte_stream import READ_BYTES
 from cardamomquay_daemon.edge._byte_stream import ByteStream
 from cardamomquay_daemon.edge._byte_stream import ClientStream
+from cardamomquay_daemon.edge._caller_memory import CallerMemory
 
 ANSWER_BYTES = 540_000
 ANSWER_COUNT = 60
@@ -26,6 +31,13 @@
 ITERATION_BYTES_MAX = 2 * MEBIBYTE
 TEST_TIMEOUT_S = 20.0
 ID_HEADER = (b"request-id", b"id-1")
+CHUNKED_HEAD = (
+    b"HTTP/1.1 200 X\r\nrequest-id: id-1\r\nsignature: s\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+LARGE_CHUNKED = (
+    CHUNKED_HEAD + (b"2710\r\n" + b"x" * 10_000 + b"\r\n") * 54 + b"0\r\n\r\n"
+)
 
 
 class LargeAnswersCase(unittest.IsolatedAsyncioTestCase):
@@ -81,3 +93,84 @@
         self.assertEqual(got, [ANSWER_BYTES] * ANSWER_COUNT)
         self.assertGreater(most, READ_BYTES)
         self.assertLess(most, ITERATION_BYTES_MAX)
+
+
+class RoomTest(LargeAnswersCase):
+    """Guards against answers that all end each other, so that none is complete."""
+
+    async def test_answers_that_do_not_fit_wait_for_the_others(self) -> None:
+        buffers = AnswerBuffers(total_bytes=2 * MEBIBYTE)
+        got = await self.ask_many(answer(b"x" * ANSWER_BYTES), buffers)
+        self.assertEqual(got, [ANSWER_BYTES] * ANSWER_COUNT)
+        self.assertEqual(buffers.used_bytes, 0)
+
+    async def test_answers_without_a_stated_length_wait_too(self) -> None:
+        buffers = AnswerBuffers(total_bytes=2 * MEBIBYTE)
+        got = await self.ask_many(LARGE_CHUNKED, buffers)
+        self.assertEqual(got, [ANSWER_BYTES] * ANSWER_COUNT)
+        self.assertEqual(buffers.used_bytes, 0)
+
+    async def test_one_that_has_stopped_does_not_keep_the_others_waiting(self) -> None:
+        buffers = AnswerBuffers(total_bytes=MEBIBYTE)
+        whole = answer(b"x" * (MEBIBYTE - 1000))
+
+        async def send_half(
+            _: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            writer.write(whole[: MEBIBYTE // 2])
+            await asyncio.sleep(TEST_TIMEOUT_S)
+
+        async with (
+            scripted_server(partial(send_half)) as stopped,
+            scripted_server(whole) as sound,
+            asyncio.timeout(TEST_TIMEOUT_S),
+        ):
+            first = asyncio.create_task(self.ask(stopped.address, buffers))
+            while buffers.used_bytes < MEBIBYTE // 2:
+                await asyncio.sleep(0)
+            second = asyncio.create_task(self.ask(sound.address, buffers))
+            while not buffers.waiting_count:
+                await asyncio.sleep(0)
+            now_s = asyncio.get_running_loop().time()
+            buffers.review(now_s + 1.0)
+            self.assertFalse(first.done())
+            buffers.review(now_s + 10.0)
+            self.assertEqual(await first, "answer_too_large")
+            self.assertEqual(await second, MEBIBYTE - 1000)
+
+    async def test_one_for_which_nothing_will_make_room_ends(self) -> None:
+        buffers = AnswerBuffers()
+        buffers.may_hold = lambda size_bytes: size_bytes < MEBIBYTE // 2
+        async with (
+            scripted_server(answer(b"x" * MEBIBYTE)) as server,
+            asyncio.timeout(TEST_TIMEOUT_S),
+        ):
+            waiting = asyncio.create_task(self.ask(server.address, buffers))
+            while not buffers.waiting_count:
+                await asyncio.sleep(0)
+            buffers.review(asyncio.get_running_loop().time() + 10.0)
+            self.assertEqual(await waiting, "answer_too_large")
+        self.assertEqual((buffers.used_bytes, buffers.waiting_count), (0, 0))
+
+
+class UnreadAnswersTest(CallerConnTest):
+    """Guards against requests behind answers that the caller does not read.
+
+    A connection does not end while a request runs, so that one that always has another
+    would keep its answers.
+    """
+
+    async def test_further_requests_wait_until_the_caller_reads(self) -> None:
+        self.answer_body = b"x" * (8 * MEBIBYTE)
+        self.memory = CallerMemory(CallerBudget(12 * MEBIBYTE, 10), RunningRequests(1))
+        async with self.caller() as (reader, writer):
+            writer.write(self.get(b"/large"))
+            await self.wait_for_started(1)
+            while not self.memory.budget.is_short:
+                await asyncio.sleep(0)
+            writer.write(self.get(b"/2"))
+            await asyncio.sleep(0.1)
+            self.assertEqual(self.started, [b"/large"])
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(b"/large" + self.answer_body))
+            await self.wait_for_started(2)
