End only callers that do not read, and count all small answers

Cause: a connection counted as blocked if a later answer waited for an earlier request, although its caller had nothing to read. While memory is short it would have been closed after 3 s, with a request at an upstream. And small answers, which always have room, were not counted once 0.85 of the budget was used.

Change: a holding says whether its caller has accepted all that was written, and only that counts as blocked. Small answers are counted in any case, and answers have their old share (0.96) before others end for them.

Result: two cases in caller_memory.test_budget; the first would have ended the waiting connection, the second counted nothing.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -48,7 +48,9 @@
     is_protected : bool
         Whether an upstream may be at work on one of its requests.
     is_answering : bool
-        Whether an answer is being delivered.
+        Whether an answer is being delivered, or waits for that.
+    is_unread : bool
+        Whether its caller has not accepted all that was written.
     has_to_end : bool
         Whether the connection was chosen to be refused or closed.
     """
@@ -57,6 +59,7 @@
     size_bytes: int = 0
     is_protected: bool = False
     is_answering: bool = False
+    is_unread: bool = False
     has_to_end: bool = False
 
 
@@ -175,7 +178,7 @@
         is_answer = is_needed or holding is self.answers
         is_large = size_bytes > SMALL_BYTES
         is_large_request = is_large and not is_answer
-        if holding is self.answers:
+        if holding is self.answers and not is_needed:
             limit = int(READ_SHARE * limit)
         elif is_large:
             limit = int((ANSWER_SHARE if is_answer else LARGE_SHARE) * limit)
@@ -259,7 +262,7 @@
         blocked = [
             holding
             for holding in self._holdings
-            if holding.is_protected and holding.is_answering
+            if holding.is_protected and holding.is_unread
         ]
         return sorted(blocked, key=attrgetter("progress_s"))
 
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -199,11 +199,19 @@
     def test_requests_behind_unread_answers_end_too(self) -> None:
         stalled, reading = (self.held(7 * LARGE, is_protected=True) for _ in range(2))
         for holding in (stalled, reading):
-            holding.is_answering = True
+            holding.is_answering = holding.is_unread = True
         self.budget.record_progress(reading, 99.0)
-        self.held(4 * LARGE, is_protected=True)
+        # Its answers wait for one that an upstream has not given yet.
+        waiting = self.held(4 * LARGE, is_protected=True)
+        waiting.is_answering = True
         self.assertEqual(self.budget.end_stalled(100.0, 3.0), (stalled,))
 
+    def test_small_answers_count_beyond_the_room_for_large_ones(self) -> None:
+        self.held(17 * LARGE, is_protected=True)
+        self.assertFalse(self.budget.resize(self.budget.answers, LARGE).is_granted)
+        self.budget.resize(self.budget.answers, LARGE, is_needed=True)
+        self.assertEqual(self.budget.used_bytes, 18 * LARGE)
+
     def test_answers_are_read_as_long_as_running_requests_have_room(self) -> None:
         for n in range(16):
             self.held(LARGE, n, is_protected=True)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
@@ -81,6 +81,8 @@
         # Called with the number of bytes that all answers hold from now on; returns
         # whether the process has memory for them.
         self.may_hold: Callable[[int], bool] = lambda _: True
+        # The same for those that are held in any case.
+        self.record_held: Callable[[int], object] = lambda _: None
 
     @property
     def waiting_count(self) -> int:
@@ -107,7 +109,7 @@
             self._large.pop(buffer, None)
             self.used_bytes -= buffer.counted_bytes
             buffer.counted_bytes = 0
-            self.may_hold(self.used_bytes)
+            self.record_held(self.used_bytes)
             self._admit_waiting()
 
     def add(self, buffer: AnswerBuffer, size_bytes: int) -> None:
@@ -120,7 +122,7 @@
         """
         growth = max(0, buffer.size_bytes + size_bytes - buffer.counted_bytes)
         if buffer.size_bytes + size_bytes <= SMALL_ANSWER_BYTES:
-            self.may_hold(self.used_bytes + growth)
+            self.record_held(self.used_bytes + growth)
         else:
             self._large[buffer] = None
             self._large.move_to_end(buffer)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_conn.py
@@ -332,7 +332,8 @@
             + self.unsent_bytes
             + new_bytes
         )
-        self._holding.is_answering = self.unsent_bytes > 0 or any(
+        self._holding.is_unread = self.unsent_bytes > 0
+        self._holding.is_answering = self._holding.is_unread or any(
             pending.task.done() for pending in self._pending
         )
         return self._memory.resize(self._holding, size, is_needed=is_needed)
@@ -569,7 +570,7 @@
             # answered. In a stop the last of them does.
             or request.method not in SAFE_METHODS
             or self._is_stopping()
-            or (self._memory.budget.is_short and self._has_unread_answers())
+            or (self._memory.budget.is_short and self._holds_answers())
         ):
             self._pending_reduced.clear()
             await self._pending_reduced.wait()
@@ -599,8 +600,8 @@
             self._write_task = loop.create_task(self._write_answers())
         return parser.their_state is not h11.DONE
 
-    def _has_unread_answers(self) -> bool:
-        """Whether the caller should read before another request begins.
+    def _holds_answers(self) -> bool:
+        """Whether answers should be delivered before another request begins.
 
         A connection rarely ends while a request runs, so that one that always has
         another would keep its unread answers.
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -108,9 +108,9 @@
             self._end(decision.ended, must_close=False)
         return decision.is_granted
 
-    def hold_answers(self, size_bytes: int) -> bool:
+    def hold_answers(self, size_bytes: int, *, is_needed: bool = False) -> bool:
         """Change what the answers that are being read hold."""
-        return self.resize(self.budget.answers, size_bytes)
+        return self.resize(self.budget.answers, size_bytes, is_needed=is_needed)
 
     def record_refused(self) -> None:
         """Count a request that was refused because there was no memory for it."""
--- a/packages/daemon/src/cardamomquay_daemon/edge/_host.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_host.py
@@ -219,6 +219,9 @@
         self._connections: set[CallerConnection] = set()
         self._caller_memory = CallerMemory(_caller_budget(settings), running)
         ANSWER_BUFFERS.may_hold = self._caller_memory.hold_answers
+        ANSWER_BUFFERS.record_held = partial(
+            self._caller_memory.hold_answers, is_needed=True
+        )
         ANSWER_BUFFERS.total_bytes = min(
             ANSWER_BUFFERS.total_bytes,
             int(ANSWER_MEMORY_SHARE * self._caller_memory.budget.limit_bytes),
