Let services take turns for the room of large answers

Cause: answers waited in the order of their arrival, whatever their service.

Change: the next answer is that of the service with the fewest being read; among those of one service, the order of arrival still counts. `is_for_callers` of a connection is now the name of its service.

Result: edge.test_large_answers.RoomTest.test_a_crowd_at_one_service_does_not_ keep_out_another.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_answer_limits.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections import OrderedDict
 from contextlib import contextmanager
 from dataclasses import dataclass
@@ -76,7 +77,7 @@
         # The answers above `SMALL_ANSWER_BYTES`, those that received bytes last at the
         # end.
         self._large: OrderedDict[AnswerBuffer, None] = OrderedDict()
-        # Those that wait for room, in the order of their arrival.
+        # Those that wait for room, in the order of their arrival. Services take turns.
         self._waiting: OrderedDict[AnswerBuffer, _Wait] = OrderedDict()
         # Called with the number of bytes that all answers hold from now on; returns
         # whether the process has memory for them.
@@ -137,6 +138,9 @@
     async def wait_for_room(self, buffer: AnswerBuffer, size_bytes: int) -> None:
         """Wait until a large answer fits, and count its whole size from then on.
 
+        The next one is that of the service with the fewest answers being read, so that
+        a crowd of callers of one service does not keep out those of others.
+
         Raises
         ------
         AnswerTooLargeError
@@ -147,6 +151,7 @@
         if not self._waiting and self._reserve(buffer, size_bytes):
             return
         wait = self._waiting[buffer] = _Wait(size_bytes, loop.create_future())
+        self._admit_waiting()
         try:
             await wait.admitted
         finally:
@@ -174,12 +179,17 @@
 
     def _admit_waiting(self) -> None:
         while self._waiting:
-            buffer, wait = next(iter(self._waiting.items()))
+            buffer = self._next_waiting()
+            wait = self._waiting[buffer]
             if not wait.admitted.done() and not self._reserve(buffer, wait.size_bytes):
                 return
             del self._waiting[buffer]
             wait.admit()
 
+    def _next_waiting(self) -> AnswerBuffer:
+        counts = Counter(buffer.service for buffer in self._read_now())
+        return min(self._waiting, key=lambda buffer: counts[buffer.service])
+
     def _reserve(self, buffer: AnswerBuffer, size_bytes: int) -> bool:
         """Count the whole size of an answer; return False if there is no room.
 
@@ -244,6 +254,8 @@
         Bytes that count as held: those that were added, or the whole answer.
     progress_s : float
         Time of the last progress, on the clock of the event loop.
+    service : str
+        Service that it is an answer of, once it has waited for room.
     """
 
     def __init__(
@@ -254,6 +266,7 @@
         self._on_end = on_end
         self.counted_bytes = 0
         self.progress_s = 0.0
+        self.service = ""
         self._received_since_progress = 0
         self._has_ended = False
         # A list of chunks would take forty times the memory if each has one byte.
@@ -278,13 +291,14 @@
         self._buffers.add(self, len(chunk))
         self._received += chunk
 
-    async def wait_for_room(self, size_bytes: int) -> None:
+    async def wait_for_room(self, size_bytes: int, service: str) -> None:
         """Wait until the whole answer fits, unless it is small or has room already.
 
         Parameters
         ----------
         size_bytes : int
             Its size when it is complete.
+        service : str
 
         Raises
         ------
@@ -294,6 +308,7 @@
         if size_bytes > self._limit_bytes:
             raise AnswerTooLargeError
         if size_bytes > max(SMALL_ANSWER_BYTES, self.counted_bytes):
+            self.service = service
             await self._buffers.wait_for_room(self, size_bytes)
 
     def record_received(self, size_bytes: int, now_s: float) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_connection_pool.py
@@ -102,8 +102,8 @@
     listener : PoolListener or None, default=None
     count : ConnectionCount or None, default=None
         Shared with other pools.
-    is_for_callers : bool, default=False
-        Whether the answers are for callers; see `HttpConnection`.
+    service : str, default=""
+        Service whose answers are for callers; see `HttpConnection`.
     """
 
     def __init__(
@@ -114,9 +114,9 @@
         listener: PoolListener | None = None,
         count: ConnectionCount | None = None,
         *,
-        is_for_callers: bool = False,
+        service: str = "",
     ) -> None:
-        self._is_for_callers = is_for_callers
+        self._service = service
         # An object without connections is false.
         self._count = ConnectionCount() if count is None else count
         self._address = address
@@ -228,7 +228,7 @@
         finally:
             if conn is None:
                 self._count.end()
-        conn.is_for_callers = self._is_for_callers
+        conn.service = self._service
         return conn
 
     def _close(self, conn: HttpConnection) -> None:
--- a/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_http_client.py
@@ -124,9 +124,9 @@
         Time that it took to open the connection, about one round trip.
     limits : AnswerLimits
     buffers : AnswerBuffers
-    is_for_callers : bool, default=False
-        Whether the answers are for callers. Others, such as those of the store, are
-        read first.
+    service : str, default=""
+        Service whose answers are for callers. Without one, as for the store, answers
+        are read first.
 
     Attributes
     ----------
@@ -149,9 +149,9 @@
         connect_duration_s: float,
         limits: AnswerLimits = ANSWER_LIMITS,
         buffers: AnswerBuffers = ANSWER_BUFFERS,
-        is_for_callers: bool = False,
+        service: str = "",
     ) -> None:
-        self.is_for_callers = is_for_callers
+        self.service = service
         self._stream = stream
         self._limits = limits
         self._buffers = buffers
@@ -311,8 +311,8 @@
                     if expected_bytes > SMALL_ANSWER_BYTES:
                         # Nothing is read meanwhile.
                         self._stream.set_reads_on_demand(True)
-                        if self.is_for_callers:
-                            await buffer.wait_for_room(expected_bytes)
+                        if self.service:
+                            await buffer.wait_for_room(expected_bytes, self.service)
                         await take_turn()
                         buffer.check()
                     data = await self._stream.read()
@@ -349,7 +349,7 @@
 
         async def take_turn() -> None:
             self._stream.set_reads_on_demand(True)
-            turn = ANSWER_TURNS.request(is_ahead=self.is_for_callers)
+            turn = ANSWER_TURNS.request(is_ahead=bool(self.service))
             if turn is not None:
                 await turn
 
--- a/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_upstream_connections.py
@@ -114,7 +114,7 @@
                 IDLE_PER_UPSTREAM_MAX,
                 _InstanceListener(self, upstream.instance),
                 self._count,
-                is_for_callers=True,
+                service=upstream.service,
             )
         return pool
 
--- a/packages/daemon/tests/edge/test_large_answers.py
+++ b/packages/daemon/tests/edge/test_large_answers.py
@@ -41,11 +41,13 @@
 
 
 class LargeAnswersCase(unittest.IsolatedAsyncioTestCase):
-    async def ask(self, address: str, buffers: AnswerBuffers) -> int | str:
+    async def ask(
+        self, address: str, buffers: AnswerBuffers, service: str = "browse"
+    ) -> int | str:
         """Return the size of the answer's body, or the reason why there is none."""
         conn = await HttpConnection.open(parse_address(address), 5.0)
         conn._buffers = buffers
-        conn.is_for_callers = True
+        conn.service = service
         headers = [(b"host", b"h"), ID_HEADER]
         request = h11.Request(method=b"GET", target=b"/", headers=headers)
         try:
@@ -138,6 +140,23 @@
             self.assertEqual(await first, "answer_too_large")
             self.assertEqual(await second, MEBIBYTE - 1000)
 
+    async def test_a_crowd_at_one_service_does_not_keep_out_another(self) -> None:
+        buffers = AnswerBuffers(total_bytes=2 * MEBIBYTE)
+        async with (
+            scripted_server(*[answer(b"x" * ANSWER_BYTES)] * ANSWER_COUNT) as server,
+            asyncio.timeout(TEST_TIMEOUT_S),
+        ):
+            crowd = [
+                asyncio.create_task(self.ask(server.address, buffers))
+                for _ in range(ANSWER_COUNT - 1)
+            ]
+            while buffers.waiting_count < ANSWER_COUNT // 2:
+                await asyncio.sleep(0)
+            got = await self.ask(server.address, buffers, service="other")
+            self.assertEqual(got, ANSWER_BYTES)
+            self.assertGreater(buffers.waiting_count, ANSWER_COUNT // 4)
+            await asyncio.gather(*crowd)
+
     async def test_one_for_which_nothing_will_make_room_ends(self) -> None:
         buffers = AnswerBuffers()
         buffers.may_hold = lambda size_bytes: size_bytes < MEBIBYTE // 2
