Give callers a second for each part before their answer ends for others

Cause: to read more answers, the budget ended the unread ones with the oldest progress. The crowd's new answers count as progress, so that all unread ones were replaced several times a second, also those of callers who were reading.

Change: answers that are not read yet can wait, so they end only those whose callers have accepted no part for a second. What is held in any case ends others as before. `test_a_large_request_ends_no_answer` now says when its answers are read; it checks the same.

--- a/packages/core/src/cardamomquay/caller_memory/_budget.py
+++ b/packages/core/src/cardamomquay/caller_memory/_budget.py
@@ -28,6 +28,9 @@
 # Share up to which answers are read from upstreams. Those without room can wait, and
 # requests that run keep room beside them.
 READ_SHARE = 0.85
+# Time that callers have for another part of their answer before it ends so that more
+# answers can be read. A crowd that never reads would otherwise end those that do.
+DELIVERY_S = 1.0
 # Share of the budget down to which room is made. Choosing costs a pass over the
 # holdings, so it must not be needed for each read.
 ROOM_SHARE = 0.95
@@ -99,6 +102,7 @@
         self.connections_max = connections_max
         self.used_bytes = 0
         # Answers of upstreams and of the store that are being read, of all connections.
+        # Their `progress_s` is the time of the last change.
         self.answers = Holding(0.0, is_protected=True)
         self._holdings: set[Holding] = {self.answers}
         # Holdings that may be ended, the one with the oldest progress first.
@@ -176,9 +180,11 @@
         ended: tuple[Holding, ...] = ()
         limit = self.limit_bytes
         is_answer = is_needed or holding is self.answers
+        # Answers that are not read yet can wait for room.
+        can_wait = holding is self.answers and not is_needed
         is_large = size_bytes > SMALL_BYTES
         is_large_request = is_large and not is_answer
-        if holding is self.answers and not is_needed:
+        if can_wait:
             limit = int(READ_SHARE * limit)
         elif is_large:
             limit = int((ANSWER_SHARE if is_answer else LARGE_SHARE) * limit)
@@ -187,6 +193,9 @@
                 other
                 for other in self._candidates(holding, size_bytes)
                 if not (is_large_request and other.is_answering)
+                and not (
+                    can_wait and other.progress_s > holding.progress_s - DELIVERY_S
+                )
             )
             ended = self._choose(candidates, growth, limit, only_large=is_large)
             for other in ended:
--- a/packages/core/tests/caller_memory/test_budget.py
+++ b/packages/core/tests/caller_memory/test_budget.py
@@ -74,6 +74,7 @@
         # Other answers use most of the rest, and then end the oldest one.
         decision = self.budget.resize(upload, 2 * LARGE, is_needed=True)
         self.assertEqual(decision.ended, ())
+        self.budget.answers.progress_s = 100.0
         decision = self.budget.resize(self.budget.answers, LARGE)
         self.assertEqual(decision.ended[0], answered[0])
 
@@ -206,6 +207,18 @@
         waiting.is_answering = True
         self.assertEqual(self.budget.end_stalled(100.0, 3.0), (stalled,))
 
+    def test_reading_answers_ends_nobody_who_has_just_read(self) -> None:
+        unread, reading = (
+            self.held(8 * LARGE, progress_s) for progress_s in (8.0, 9.5)
+        )
+        self.budget.answers.progress_s = 10.0
+        decision = self.budget.resize(self.budget.answers, 2 * LARGE)
+        self.assertTrue(decision.is_granted)
+        self.assertEqual(decision.ended, (unread,))
+        decision = self.budget.resize(self.budget.answers, 10 * LARGE)
+        self.assertFalse(decision.is_granted)
+        self.assertFalse(reading.has_to_end)
+
     def test_small_answers_count_beyond_the_room_for_large_ones(self) -> None:
         self.held(17 * LARGE, is_protected=True)
         self.assertFalse(self.budget.resize(self.budget.answers, LARGE).is_granted)
--- a/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_caller_memory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Protocol
@@ -110,6 +111,7 @@
 
     def hold_answers(self, size_bytes: int, *, is_needed: bool = False) -> bool:
         """Change what the answers that are being read hold."""
+        self.budget.answers.progress_s = asyncio.get_running_loop().time()
         return self.resize(self.budget.answers, size_bytes, is_needed=is_needed)
 
     def record_refused(self) -> None:
