Describe callers.ended alike in the catalogue and in counters.md

Cause: changed the description of `callers.ended` in docs/counters.md only, and the test compares it with the catalogue in `_events`.

Change: the same text in the catalogue.

Result: test_catalogue passes.

--- a/packages/daemon/src/cardamomquay_daemon/edge/_events.py
+++ b/packages/daemon/src/cardamomquay_daemon/edge/_events.py
@@ -157,7 +157,8 @@
         "Requests refused because there was no memory for them."
     ),
     "callers.ended": (
-        "Connections without progress that gave way for memory or descriptors."
+        "Connections that gave way for memory or descriptors: those without progress, "
+        "also if a request runs behind answers that their caller does not read."
     ),
     "callers.connections_refused": (
         "Connections closed at once because requests ran on all others."
